--- /dev/null
+++ b/mulberryport/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon, read from INI."""
--- /dev/null
+++ b/mulberryport/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for the quick start and tests."""
