--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,5 @@
-"""Shared pytest set-up: eventlet must be configured before any import of it."""
+"""Shared pytest set-up: eventlet is installed before tests import sockets."""
 
-import os
+from mulberryport.runtime.hub import install
 
-os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+install()
--- /dev/null
+++ b/mulberryport/settings/tests/test_model.py
@@ -0,0 +1,31 @@
+"""Tests of the daemon's settings."""
+
+import pytest
+
+from mulberryport.settings import InvalidFileError, Seed, parse_settings
+from mulberryport.settings.tests.builders import settings_text
+
+
+def test_valid_settings_are_read():
+    settings = parse_settings(settings_text(), "a.ini")
+    assert settings.vm.zone == "rosario"
+    assert settings.peers.seeds == (Seed("vm2", "parana", "127.0.0.1:8103"),)
+
+
+def test_all_faults_are_reported_at_once():
+    # Guards against an operator mending one fault a run.
+    content = settings_text(vm="id = vm1\nzone = a b\ncolor = red", extra="a = 1")
+    with pytest.raises(InvalidFileError) as caught:
+        parse_settings(content, "a.ini")
+    places = {(fault.section, fault.key) for fault in caught.value.faults}
+    assert places >= {
+        ("vm", "zone"),
+        ("vm", "color"),
+        ("vm", "peer-address"),
+        ("extra", ""),
+    }
+
+
+def test_secrets_are_not_shown():
+    settings = parse_settings(settings_text(), "a.ini")
+    assert "0123456789abcdef" not in repr(settings)
--- /dev/null
+++ b/mulberryport/telemetry/catalogue.py
@@ -0,0 +1,41 @@
+"""The catalogue of numbered events as a documentation page.
+
+``python -m mulberryport.telemetry.catalogue`` prints the page; a test compares
+it with ``docs/EVENTS.md``.
+"""
+
+import importlib
+import pkgutil
+
+import mulberryport
+
+from .events import catalogue
+
+__all__ = ["render_catalogue"]
+
+HEADER = """\
+# Events
+
+Every log line carries the number and name of one of these events. Numbers are
+never reused. An `error` asks for an operator.
+
+| number | name | level | meaning |
+|---|---|---|---|
+"""
+
+
+def render_catalogue() -> str:
+    """Return the page that lists all events of the program."""
+    for module in pkgutil.walk_packages(mulberryport.__path__, "mulberryport."):
+        if ".tests" not in module.name and not module.name.endswith("__main__"):
+            importlib.import_module(module.name)
+    rows = [
+        f"| {event.number} | {event.name} | {event.level} | {event.text} |\n"
+        for event in catalogue()
+        if event.number >= 100
+    ]
+    return HEADER + "".join(rows)
+
+
+if __name__ == "__main__":
+    print(render_catalogue(), end="")
