--- /dev/null
+++ b/measurements/__main__.py
@@ -0,0 +1,31 @@
+"""Runs one measurement: ``python -m measurements NAME [ARGUMENT ...]``.
+
+A measurement is a module of this package with a function ``main`` that takes the
+remaining arguments.
+"""
+
+import importlib
+import pkgutil
+import sys
+
+import measurements
+from mulberryport.runtime.hub import install
+
+
+def run(arguments: list[str]) -> int:
+    """Run the measurement that the first argument names; return the exit code."""
+    names = [
+        module.name
+        for module in pkgutil.iter_modules(measurements.__path__)
+        if not module.name.startswith("_")
+    ]
+    if not arguments or arguments[0] not in names:
+        print(f"usage: bin/measure NAME; names: {', '.join(names)}", file=sys.stderr)
+        return 2
+    module = importlib.import_module(f"measurements.{arguments[0]}")
+    return module.main(arguments[1:]) or 0
+
+
+if __name__ == "__main__":
+    install()
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/mulberryport/cli/__init__.py
@@ -0,0 +1,17 @@
+"""The ``mulberryport`` program.
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 outcome unknown.
+"""
+
+from ..runtime.hub import install
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Run the program with the arguments of the process."""
+    # Modules that open sockets are imported after the library was patched.
+    install()
+    from .program import run
+
+    run()
--- /dev/null
+++ b/mulberryport/cli/connection.py
@@ -0,0 +1,52 @@
+"""Options that say which store a command talks to."""
+
+from typing import Annotated
+
+import cappa
+from attrs import define
+
+from ..settings import InvalidFileError, load_settings
+from ..store import StoreClient
+from .output import fail, report_faults
+
+__all__ = ["StoreOptions", "open_store"]
+
+
+@define
+class StoreOptions:
+    """Options shared by the commands that talk to the store."""
+
+    settings: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("MULBERRYPORT_SETTINGS", default=None),
+            help="Settings file of a daemon, which names the store.",
+        ),
+    ] = None
+    store: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("MULBERRYPORT_STORE", default=None),
+            help="Base URL of the store, instead of a settings file.",
+        ),
+    ] = None
+    json: Annotated[bool, cappa.Arg(long=True, help="Print JSON.")] = False
+
+
+def open_store(options: StoreOptions) -> StoreClient:
+    """Return a client of the store that the options name."""
+    if options.store:
+        return StoreClient(options.store)
+    if not options.settings:
+        fail("name the store by --settings FILE or --store URL", 2)
+    try:
+        settings = load_settings(options.settings)
+    except InvalidFileError as error:
+        report_faults(error, options.json)
+    return StoreClient(
+        settings.platform.store,
+        settings.platform.timeout,
+        settings.credentials.platform_token,
+    )
--- /dev/null
+++ b/mulberryport/cli/program.py
@@ -0,0 +1,35 @@
+"""The program and its commands."""
+
+import cappa
+from attrs import define
+
+from .. import __version__
+from .keys import KeyCommand
+from .processes import CheckCommand, DaemonCommand, StandinCommand
+from .status import StatusCommand, TimelineCommand
+from .tables import ApplyCommand, DiffCommand, ShowCommand
+
+__all__ = ["Program", "run"]
+
+
+@cappa.command(name="mulberryport", help="A rollout service.")
+@define
+class Program:
+    """A rollout service between trainers, live callers and targets."""
+
+    command: cappa.Subcommands[
+        DaemonCommand
+        | CheckCommand
+        | ApplyCommand
+        | ShowCommand
+        | DiffCommand
+        | KeyCommand
+        | StatusCommand
+        | TimelineCommand
+        | StandinCommand
+    ]
+
+
+def run() -> None:
+    """Run the program with the arguments of the process."""
+    cappa.invoke(Program, version=__version__)
--- /dev/null
+++ b/mulberryport/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""Assembly of one daemon."""
+
+from .process import Daemon
+
+__all__ = ["Daemon"]
--- /dev/null
+++ b/mulberryport/daemon/operator.py
@@ -0,0 +1,58 @@
+"""The operator port: health, readiness, metrics, state and events."""
+
+import hmac
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import define, field
+
+from ..runtime.wsgi import StartResponse, respond
+from ..telemetry import recent
+from ..telemetry.metrics import render
+
+__all__ = ["OperatorInterface"]
+
+
+@define(eq=False)
+class OperatorInterface:
+    """Serves operators that present the operator token.
+
+    Parameters
+    ----------
+    token : str
+        The credential.
+    ready : callable
+        Returns the reasons why the daemon is not ready; empty if it is.
+    state : callable
+        Returns the daemon's state for JSON.
+    """
+
+    token: str = field(repr=False)
+    ready: Callable[[], list[str]]
+    state: Callable[[], dict[str, Any]]
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        sent = environ.get("HTTP_AUTHORIZATION", "")
+        wanted = f"Bearer {self.token}"
+        if not hmac.compare_digest(sent.encode(), wanted.encode()):
+            return respond(start_response, 401, {"error": "operator token required"})
+        match environ["PATH_INFO"]:
+            case "/healthz":
+                return respond(start_response, 200, {"healthy": True})
+            case "/readyz":
+                reasons = self.ready()
+                status = 503 if reasons else 200
+                body = {"ready": not reasons, "reasons": reasons}
+                return respond(start_response, status, body)
+            case "/metrics":
+                content, content_type = render()
+                start_response("200 OK", [("Content-Type", content_type)])
+                return [content]
+            case "/state":
+                return respond(start_response, 200, self.state())
+            case "/events":
+                return respond(start_response, 200, {"events": recent()})
+        return respond(start_response, 404, {"error": "no such path"})
--- /dev/null
+++ b/mulberryport/daemon/process.py
@@ -0,0 +1,238 @@
+"""One daemon, assembled from its settings."""
+
+import signal
+from typing import Any
+
+import eventlet
+import eventlet.event
+import xxhash
+from attrs import define, field
+
+from ..distribution import Distribution
+from ..gateway import Gateway
+from ..leases import DutyKeeper
+from ..membership import Member, Members, new_incarnation
+from ..peering import HEARTBEAT_PERIOD_S, Peers, PeerServer, peer_pb2
+from ..rollouts import RolloutService
+from ..rollouts.app import TrainerInterface
+from ..runtime import TimerService
+from ..runtime.wsgi import listen, serve
+from ..settings import DaemonSettings
+from ..store import StoreClient
+from ..tables import SnapshotHolder
+from ..targets import Dispatcher, TargetDirectory
+from ..targets.poller import POLL_PERIOD_S, poll_loads, poll_vm_list
+from ..telemetry import configure, log
+from ..telemetry import define as define_event
+from ..usage import UsageCounters, UsageReporter
+from ..usage.messages import to_message
+from ..weights import WeightService
+from .heartbeats import Heartbeats
+from .operator import OperatorInterface
+
+__all__ = ["Daemon"]
+
+DAEMON_STARTED = define_event(200, "daemon_started", "info", "The daemon serves.")
+DAEMON_STOPPING = define_event(
+    201, "daemon_stopping", "info", "A graceful shutdown began."
+)
+DAEMON_STOPPED = define_event(202, "daemon_stopped", "info", "The daemon stops now.")
+
+VM_LIST_PERIOD_S = 1.0
+DUTY_PERIOD_S = 0.5
+WEIGHTS_PERIOD_S = 0.5
+USAGE_PERIOD_S = 1.0
+
+
+@define(eq=False)
+class Daemon:
+    """All parts of one daemon.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+    """
+
+    settings: DaemonSettings
+    holder: SnapshotHolder = field(factory=SnapshotHolder)
+    directory: TargetDirectory = field(factory=TargetDirectory)
+    timers: TimerService = field(factory=TimerService)
+    members: Members = field(init=False)
+    store: StoreClient = field(init=False)
+    distribution: Distribution = field(init=False)
+    peers: Peers = field(init=False)
+    peer_server: PeerServer = field(init=False)
+    keeper: DutyKeeper = field(init=False)
+    counters: UsageCounters = field(init=False)
+    dispatcher: Dispatcher = field(init=False)
+    rollouts: RolloutService = field(init=False)
+    weights: WeightService = field(init=False)
+    reporters: list[UsageReporter] = field(init=False)
+    _stopping: bool = False
+    _stopped: eventlet.event.Event = field(factory=eventlet.event.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Connect the parts; nothing starts yet."""
+        vm, platform = self.settings.vm, self.settings.platform
+        credentials, usage = self.settings.credentials, self.settings.usage
+        self.members = Members(
+            Member(vm.id, vm.zone, vm.peer_address, new_incarnation())
+        )
+        for seed in self.settings.peers.seeds:
+            self.members.add_seed(seed.vm, seed.zone, seed.peer_address)
+        self.store = StoreClient(
+            platform.store, platform.timeout, credentials.platform_token
+        )
+        self.distribution = Distribution(self.store, self.holder, self.members)
+        heartbeats = Heartbeats(self.members, self.holder, self.distribution)
+        self.peers = Peers(
+            self.members, credentials.peer_token, heartbeats.make, heartbeats.take
+        )
+        heartbeats.peers = self.distribution.peers = self.peers
+        self.peer_server = PeerServer(vm.peer_address, credentials.peer_token)
+        self.keeper = DutyKeeper(self.store, self.members)
+        self.counters = UsageCounters(
+            vm.id, self.members.self_member.incarnation, usage.window
+        )
+        self.dispatcher = Dispatcher(self.directory, vm.zone)
+        self.rollouts = RolloutService(
+            self.members, self.peers, self.dispatcher, self.counters
+        )
+        self.weights = WeightService(self.store, self.keeper, self.directory)
+        self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
+        self.holder.subscribe(self.directory.use_snapshot)
+        self.peer_server.register("Exchange", heartbeats.answer)
+        self.peer_server.register("CollectUsage", self._serve_collect)
+        self.distribution.register(self.peer_server)
+        self.rollouts.register(self.peer_server)
+
+    def run(self) -> None:
+        """Serve until a signal asks for a stop."""
+        vm, platform = self.settings.vm, self.settings.platform
+        # The stream stays open for as long as the process runs.
+        stream = open(vm.log_file, "ab", buffering=0) if vm.log_file else None  # noqa: SIM115
+        configure(vm.id, stream, vm.log_level)
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        self.peer_server.start()
+        self.peers.update()
+        eventlet.spawn_n(self.distribution.run)
+        subscribe = self.timers.subscribe
+        subscribe("peers", HEARTBEAT_PERIOD_S, self.peers.update)
+        subscribe("members", HEARTBEAT_PERIOD_S, self.members.expire)
+        subscribe("loads", POLL_PERIOD_S, lambda: poll_loads(self.directory))
+        subscribe(
+            "vms",
+            VM_LIST_PERIOD_S,
+            lambda: poll_vm_list(self.directory, platform.vms, platform.timeout),
+        )
+        subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
+        subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
+        for reporter in self.reporters:
+            subscribe(f"usage {reporter.shard}", USAGE_PERIOD_S, reporter.turn)
+        serve(
+            listen(vm.operator_address),
+            OperatorInterface(
+                self.settings.credentials.operator_token,
+                self.not_ready_reasons,
+                self.state,
+            ),
+        )
+        gateway = Gateway(
+            self.holder,
+            self.dispatcher,
+            self.counters,
+            self.distribution.keys_usable,
+            TrainerInterface(
+                self.holder,
+                self.rollouts,
+                self.weights,
+                self.distribution.keys_usable,
+            ),
+        )
+        serve(listen(vm.caller_address), gateway)
+        log(DAEMON_STARTED, zone=vm.zone, caller_address=vm.caller_address)
+        self._stopped.wait()
+
+    def stop(self) -> None:
+        """Stop gracefully: finish what runs, then release duties and exit."""
+        if self._stopping:
+            return
+        self._stopping = True
+        log(DAEMON_STOPPING)
+        self.members.leave()
+        eventlet.sleep(self.settings.vm.drain_delay)
+        self.keeper.release_all()
+        self.timers.stop()
+        self.peers.stop()
+        self.peer_server.stop()
+        log(DAEMON_STOPPED)
+        self._stopped.send(True)
+
+    def not_ready_reasons(self) -> list[str]:
+        """Return why requests should not be sent here; empty if they may be."""
+        reasons = []
+        if self._stopping:
+            reasons.append("the daemon is stopping")
+        if not self.holder.snapshot.revision:
+            reasons.append("no configuration was received yet")
+        if not self.distribution.keys_usable():
+            reasons.append("keys cannot be checked")
+        return reasons
+
+    def state(self) -> dict[str, Any]:
+        """Return the daemon's state for operators."""
+        snapshot = self.holder.snapshot
+        return {
+            "vm": self.settings.vm.id,
+            "zone": self.settings.vm.zone,
+            "revision": snapshot.revision,
+            "change_id": snapshot.change_id,
+            "confirmation_age": min(self.holder.confirmation_age, 1e9),
+            "store_readable": self.distribution.store_readable,
+            "keys_usable": self.distribution.keys_usable(),
+            "members": [member.vm for member in self.members.live()],
+            "duties": [duty.name for duty in self.keeper.duties if duty.held],
+            "targets": [
+                {
+                    "id": view.id,
+                    "pool": view.pool,
+                    "zone": view.zone,
+                    "healthy": view.healthy,
+                    "leaving": view.leaving,
+                    "in_flight": view.in_flight,
+                    "version": view.report.version if view.report else None,
+                }
+                for view in self.directory.all_views()
+            ],
+            "steps": [
+                {"step": step.spec.id.key, "remaining": step.remaining}
+                for step in self.rollouts.open_steps()
+            ],
+        }
+
+    def _reporter(self, shard: int) -> UsageReporter:
+        usage = self.settings.usage
+
+        def belongs(workspace: str) -> bool:
+            return xxhash.xxh64_intdigest(workspace.encode()) % usage.shards == shard
+
+        return UsageReporter(
+            shard,
+            self.keeper.duty(f"usage/{shard}"),
+            self.store,
+            self.counters,
+            self.members,
+            self.peers,
+            self.settings.platform.usage,
+            usage.grace,
+            belongs,
+        )
+
+    def _serve_collect(self, request: peer_pb2.CollectUsageRequest) -> Any:
+        items = self.counters.items(request.up_to_window)
+        return peer_pb2.CollectUsageReply(counters=[to_message(*i) for i in items])
+
+    def _on_signal(self, *_: object) -> None:
+        eventlet.spawn_n(self.stop)
--- /dev/null
+++ b/mulberryport/peering/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the peer protocol."""
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -1,6 +1,6 @@
 """Helpers for small WSGI applications that speak JSON."""
 
-import io
+import logging
 import socket
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -44,6 +44,11 @@
 }
 
 
+# The applications log events themselves; the server's own lines would repeat them.
+_server_log = logging.getLogger("mulberryport.wsgi")
+_server_log.setLevel(logging.CRITICAL + 1)
+
+
 class BadRequestError(ValueError):
     """A request that cannot be understood; the text says why."""
 
@@ -82,7 +87,7 @@
     settings = {
         "log_output": False,
         "debug": False,
-        "log": io.StringIO(),
+        "log": _server_log,
         "max_size": 4096,
         "socket_timeout": 600,
         **options,
--- a/mulberryport/settings/tests/test_model.py
+++ b/mulberryport/settings/tests/test_model.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from mulberryport.settings import InvalidFileError, Seed, parse_settings
-from mulberryport.settings.tests.builders import settings_text
+from .. import InvalidFileError, Seed, parse_settings
+from .builders import settings_text
 
 
 def test_valid_settings_are_read():
--- a/mulberryport/tables/tests/builders.py
+++ b/mulberryport/tables/tests/builders.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from mulberryport.runtime.wsgi import listen, serve
-from mulberryport.standins import platform_application
-from mulberryport.store import StoreClient
-from mulberryport.tables import Tables, parse_tables
+from ...runtime.wsgi import listen, serve
+from ...standins import platform_application
+from ...store import StoreClient
+from .. import Tables, parse_tables
 
 __all__ = ["TABLES_TEXT", "running_store", "sample_tables"]
 
--- a/mulberryport/tables/tests/test_commands.py
+++ b/mulberryport/tables/tests/test_commands.py
@@ -3,9 +3,9 @@
 import pytest
 from attrs import evolve
 
-from mulberryport.outcomes import Done, NotDone, Unknown
-from mulberryport.runtime.http import call_json
-from mulberryport.tables import (
+from ...outcomes import Done, NotDone, Unknown
+from ...runtime.http import call_json
+from .. import (
     Accepted,
     RevisionConflict,
     SnapshotHolder,
@@ -16,8 +16,8 @@
     read_snapshot,
     withdraw_key,
 )
-from mulberryport.tables.model import Snapshot
-from mulberryport.tables.tests.builders import running_store, sample_tables
+from ..model import Snapshot
+from .builders import running_store, sample_tables
 
 
 def add_tables(_):
--- a/mulberryport/tables/tests/test_text.py
+++ b/mulberryport/tables/tests/test_text.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from mulberryport.settings import InvalidFileError
-from mulberryport.tables import parse_tables, render_tables
-from mulberryport.tables.shards import cut, join
-from mulberryport.tables.tests.builders import TABLES_TEXT, sample_tables
+from ...settings import InvalidFileError
+from .. import parse_tables, render_tables
+from ..shards import cut, join
+from .builders import TABLES_TEXT, sample_tables
 
 
 def test_rendered_tables_are_read_back():
--- /dev/null
+++ b/mulberryport/targets/__init__.py
@@ -0,0 +1,14 @@
+"""Targets: what is known of them, how to call them, and orders for more of them."""
+
+from ..routing import LoadReport, TargetView
+from .directory import TargetDirectory
+from .dispatcher import Dispatcher, ShedError, WorkRequest
+
+__all__ = [
+    "Dispatcher",
+    "LoadReport",
+    "ShedError",
+    "TargetDirectory",
+    "TargetView",
+    "WorkRequest",
+]
--- /dev/null
+++ b/mulberryport/targets/directory.py
@@ -0,0 +1,162 @@
+"""All targets that this daemon knows, from the pool table and the list of VMs."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from ..routing import LoadReport, TargetView
+from ..runtime.clock import boottime
+from ..tables import Pool, Snapshot
+from ..telemetry import define as define_event
+from ..telemetry import log
+from .vm_list import ListedVm
+
+__all__ = ["TargetDirectory"]
+
+TARGET_LEAVING = define_event(
+    800, "target_leaving", "info", "A target is leaving and gets no new work."
+)
+TARGET_UNHEALTHY = define_event(
+    801, "target_unhealthy", "warning", "A target does not answer polls."
+)
+TARGET_HEALTHY = define_event(
+    802, "target_healthy", "info", "A target answers polls again."
+)
+
+
+@define(eq=False)
+class TargetState:
+    """What changes about a target between two polls."""
+
+    report: LoadReport | None = None
+    reported_at: float = float("-inf")
+    healthy: bool = True
+    leaving: bool = False
+    in_flight: int = 0
+
+
+@define(eq=False)
+class TargetDirectory:
+    """The targets of all pools and what was last heard of them."""
+
+    _pools: dict[str, Pool] = field(factory=dict)
+    _listed: tuple[ListedVm, ...] = ()
+    _states: dict[str, TargetState] = field(factory=dict)
+
+    def use_snapshot(self, snapshot: Snapshot) -> None:
+        """Take over the pools of a new revision."""
+        self._pools = dict(snapshot.tables.pools)
+        self._forget()
+
+    def use_vm_list(self, vms: Iterable[ListedVm]) -> None:
+        """Take over the platform's list of VMs."""
+        self._listed = tuple(vms)
+        self._forget()
+
+    def report(self, target: str, report: LoadReport, received_at: float) -> None:
+        """Take over a load report, unless a newer one is known."""
+        state = self._state(target)
+        if received_at <= state.reported_at:
+            return
+        if report.leaving and not state.leaving:
+            log(TARGET_LEAVING, target=target)
+        if not state.healthy:
+            log(TARGET_HEALTHY, target=target)
+        state.report, state.reported_at = report, received_at
+        state.healthy, state.leaving = True, report.leaving
+
+    def mark_unhealthy(self, target: str) -> None:
+        """Send no new work to a target until it reports its load again."""
+        state = self._state(target)
+        if state.healthy:
+            log(TARGET_UNHEALTHY, target=target)
+        state.healthy = False
+
+    def started(self, target: str) -> None:
+        """Count a request that was given to a target."""
+        self._state(target).in_flight += 1
+
+    def finished(self, target: str) -> None:
+        """Stop counting a request of a target."""
+        self._state(target).in_flight -= 1
+
+    def pool(self, name: str) -> Pool | None:
+        """Return a pool by its name."""
+        return self._pools.get(name)
+
+    def pools(self) -> tuple[Pool, ...]:
+        """Return all pools."""
+        return tuple(self._pools.values())
+
+    def views(self, pool_name: str) -> tuple[TargetView, ...]:
+        """Return the targets of a pool as they are seen now."""
+        pool = self._pools.get(pool_name)
+        if pool is None:
+            return ()
+        static = [
+            self._view(pool, t.id, t.address, t.zone, t.cheap, t.checks_fencing, False)
+            for t in pool.targets
+        ]
+        named = {view.id for view in static}
+        ordered = [
+            self._view(
+                pool,
+                vm.id,
+                vm.address,
+                vm.zone,
+                vm.cheap,
+                pool.checks_fencing,
+                vm.leaving,
+            )
+            for vm in self._listed
+            if vm.pool == pool_name and vm.id not in named
+        ]
+        return (*static, *ordered)
+
+    def all_views(self) -> tuple[TargetView, ...]:
+        """Return the targets of all pools, each once."""
+        views = {}
+        for name in self._pools:
+            for view in self.views(name):
+                views.setdefault(view.id, view)
+        return tuple(views.values())
+
+    def _view(
+        self,
+        pool: Pool,
+        target: str,
+        address: str,
+        zone: str,
+        cheap: bool,
+        checks_fencing: bool,
+        leaving: bool,
+    ) -> TargetView:
+        state = self._state(target)
+        return TargetView(
+            id=target,
+            address=address,
+            zone=zone,
+            pool=pool.name,
+            kind=pool.kind,
+            cheap=cheap,
+            checks_fencing=checks_fencing,
+            report=state.report,
+            report_age=boottime() - state.reported_at,
+            leaving=leaving or state.leaving,
+            healthy=state.healthy,
+            in_flight=state.in_flight,
+            limit=pool.concurrency,
+        )
+
+    def _state(self, target: str) -> TargetState:
+        return self._states.setdefault(target, TargetState())
+
+    def _forget(self) -> None:
+        """Drop the state of targets that are gone and have no work left."""
+        known = {t.id for pool in self._pools.values() for t in pool.targets}
+        known.update(vm.id for vm in self._listed)
+        self._states = {
+            target: state
+            for target, state in self._states.items()
+            if target in known or state.in_flight
+        }
--- a/mulberryport/telemetry/tests/test_catalogue.py
+++ b/mulberryport/telemetry/tests/test_catalogue.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from mulberryport.telemetry.catalogue import render_catalogue
+from ..catalogue import render_catalogue
 
 PAGE = Path(__file__).parents[3] / "docs" / "EVENTS.md"
 
