--- a/mulberryport/standins/fleet.py
+++ b/mulberryport/standins/fleet.py
@@ -225,6 +225,10 @@
         """Send a signal to a process."""
         self._processes[name].send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a process."""
+        return self._processes[name].pid
+
     def kill(self, name: str) -> None:
         """Kill a process and wait for its end."""
         process = self._processes.pop(name)
--- /dev/null
+++ b/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests by randomised runs."""
