Count every event and expose gauges of the state

Cause: the operator port rendered an empty registry, so no alarm could be set.

Change: numbered events are counted under their names, and gauges of revision, confirmation, members, duties, targets and steps are taken when they are read; histograms of answers and sample staleness are defined for the gateway and the rollouts.

--- a/mulberryport/daemon/operator.py
+++ b/mulberryport/daemon/operator.py
@@ -8,7 +8,7 @@
 
 from ..runtime.wsgi import StartResponse, respond
 from ..telemetry import recent
-from ..telemetry.metrics import render
+from .metrics import render_metrics
 
 __all__ = ["OperatorInterface"]
 
@@ -48,7 +48,7 @@
                 body = {"ready": not reasons, "reasons": reasons}
                 return respond(start_response, status, body)
             case "/metrics":
-                content, content_type = render()
+                content, content_type = render_metrics(self.state())
                 start_response("200 OK", [("Content-Type", content_type)])
                 return [content]
             case "/state":
--- a/mulberryport/telemetry/logs.py
+++ b/mulberryport/telemetry/logs.py
@@ -15,6 +15,7 @@
 
 from .clock import process_clock
 from .events import Event
+from .metrics import EVENTS
 
 __all__ = ["configure", "log", "recent"]
 
@@ -63,6 +64,7 @@
     **fields : object
         Values for the line. Keys, bodies and other secrets must not be passed.
     """
+    EVENTS.inc({"event": event.name, "level": event.level})
     if _levels[event.level] < _threshold:
         return
     entry = {
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -1,13 +1,35 @@
 """Metrics of this process, by aioprometheus.
 
 Metrics register themselves with the library's default registry; ``render``
-returns them in the Prometheus text format for the operator port.
+returns them in the Prometheus text format for the operator port. Each numbered event
+is counted under its name in ``mulberryport_events_total``, so that alarms can be
+defined on events.
 """
 
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram
 from aioprometheus import render as render_registry
 
-__all__ = ["Counter", "Gauge", "Histogram", "render"]
+__all__ = [
+    "ANSWER_SECONDS",
+    "EVENTS",
+    "SAMPLE_STALENESS",
+    "Counter",
+    "Gauge",
+    "Histogram",
+    "render",
+]
+
+EVENTS = Counter("mulberryport_events_total", "Events by name and level.")
+ANSWER_SECONDS = Histogram(
+    "mulberryport_answer_seconds",
+    "Seconds from a request to the end of its answer, by route and outcome.",
+    buckets=[0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100],
+)
+SAMPLE_STALENESS = Histogram(
+    "mulberryport_sample_staleness_versions",
+    "Weight versions by which delivered samples were behind, by workspace.",
+    buckets=[0, 1, 2, 3, 4, 6, 8],
+)
 
 
 def render() -> tuple[bytes, str]:
