Refuse settings that contradict each other

Cause: two ports on one address, one token for two ports, a peer listed twice and keys spelt with underscores were accepted; of two spellings of one key, one won silently.

Change: checks across the sections of the settings, reported with all other faults; keys are accepted only with hyphens.

--- a/mulberryport/settings/ini.py
+++ b/mulberryport/settings/ini.py
@@ -191,7 +191,7 @@
     result: dict[str, Any] = {}
     for key, value in values.items():
         name = key.replace("-", "_")
-        if name not in fields:
+        if name not in fields or "_" in key:
             accepted = ", ".join(sorted(n.replace("_", "-") for n in fields))
             message = f"unknown key; accepted keys: {accepted}"
             faults.append(FileFault(file, section, key, message))
@@ -203,7 +203,7 @@
             message = f"{error}; accepted: {metadata['accepted']}"
             faults.append(FileFault(file, section, key, message))
     for name, attribute in fields.items():
-        present = name in values or name.replace("_", "-") in values
+        present = name.replace("_", "-") in values
         if attribute.default is attrs.NOTHING and not present:
             message = f"is missing; accepted: {attribute.metadata['accepted']}"
             faults.append(FileFault(file, section, name.replace("_", "-"), message))
--- a/mulberryport/settings/model.py
+++ b/mulberryport/settings/model.py
@@ -1,6 +1,8 @@
 """The settings of one daemon."""
 
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
 from attrs import field, frozen
 
@@ -169,11 +171,33 @@
         accepted = ", ".join(SECTIONS)
         message = f"unknown section; accepted sections: {accepted}"
         faults.append(FileFault(file, name, "", message))
+    faults.extend(_find_contradictions(parts, file))
     if faults:
         raise InvalidFileError.of(faults)
     return DaemonSettings(**parts)
 
 
+def _find_contradictions(parts: dict[str, Any], file: str) -> list[FileFault]:
+    """Return the faults between keys; sections with faults of their own are None."""
+    faults = []
+    vm, credentials, peers = parts["vm"], parts["credentials"], parts["peers"]
+    if vm is not None:
+        ports = ("caller_address", "operator_address", "peer_address")
+        for number, name in enumerate(ports):
+            if getattr(vm, name) in [getattr(vm, other) for other in ports[:number]]:
+                message = f"{getattr(vm, name)} is the address of another port"
+                faults.append(FileFault(file, "vm", name.replace("_", "-"), message))
+    if credentials and credentials.operator_token == credentials.peer_token:
+        message = "is the same as operator-token; each port has its own"
+        faults.append(FileFault(file, "credentials", "peer-token", message))
+    if peers is not None:
+        for vm_id, count in Counter(seed.vm for seed in peers.seeds).items():
+            if count > 1:
+                message = f"VM {vm_id} is listed {count} times"
+                faults.append(FileFault(file, "peers", "seeds", message))
+    return faults
+
+
 def load_settings(path: str | Path) -> DaemonSettings:
     """Read the settings of a daemon from a file.
 
