Refuse malformed heads and shards, and tell which keys were withdrawn

Cause: a head with an impossible revision, a shard with other content than its digest, or tables that no operator could have given were adopted as they came. A lower head was logged each time it was read. Running streams had no way to learn of withdrawn keys but to search the tables.

Change: decode_head, assemble and join check everything they take; the tables are read back from their text, which applies the checks of operators' files. The holder raises one alarm for each refused head, calls every subscriber, and passes the digests of withdrawn keys to subscribers of subscribe_withdrawals.

--- a/mulberryport/tables/diff.py
+++ b/mulberryport/tables/diff.py
@@ -5,7 +5,7 @@
 from .model import Tables
 from .text import render_tables
 
-__all__ = ["diff_tables"]
+__all__ = ["diff_tables", "withdrawn_keys"]
 
 
 def diff_tables(old: Tables, new: Tables, old_name: str, new_name: str) -> list[str]:
@@ -24,3 +24,20 @@
         lineterm="",
     )
     return list(lines)
+
+
+def withdrawn_keys(old: Tables, new: Tables) -> frozenset[str]:
+    """Return the digests of keys that stop being valid for their workspace.
+
+    Examples
+    --------
+    >>> from .model import KeyRecord
+    >>> old = Tables(keys={"aa": KeyRecord("aa", "roads")})
+    >>> withdrawn_keys(old, Tables())
+    frozenset({'aa'})
+    >>> withdrawn_keys(old, old)
+    frozenset()
+    """
+    # Views of dictionaries are compared without a loop in Python.
+    changed = old.keys.items() - new.keys.items()
+    return frozenset(digest for digest, _ in changed)
--- a/mulberryport/tables/holder.py
+++ b/mulberryport/tables/holder.py
@@ -8,6 +8,7 @@
 from ..runtime.invariants import require
 from ..telemetry import define as define_event
 from ..telemetry import log
+from .diff import withdrawn_keys
 from .model import Snapshot
 
 __all__ = ["SnapshotHolder"]
@@ -21,6 +22,9 @@
 DIVERGED = define_event(
     302, "revision_diverged", "error", "Two changes have the same revision number."
 )
+SUBSCRIBER_FAILED = define_event(
+    304, "snapshot_subscriber_failed", "error", "A part failed to take a new revision."
+)
 
 
 @define(eq=False)
@@ -34,6 +38,10 @@
     _contents: Mapping[str, bytes] = field(factory=dict)
     _confirmed_at: float = float("-inf")
     _subscribers: list[Callable[[Snapshot], None]] = field(factory=list)
+    _withdrawal_subscribers: list[Callable[[frozenset[str]], None]] = field(
+        factory=list
+    )
+    _last_refused: tuple[int, str] | None = None
 
     @property
     def snapshot(self) -> Snapshot:
@@ -54,9 +62,40 @@
         """Call a function with each snapshot that is adopted from now on."""
         self._subscribers.append(callback)
 
-    def confirm(self, at: float) -> None:
-        """Note that the head read at a boot time is not newer than the snapshot."""
+    def subscribe_withdrawals(self, callback: Callable[[frozenset[str]], None]) -> None:
+        """Call a function with the digests of keys that stop being valid.
+
+        The function is called only for revisions that withdraw a key, after the
+        revision is in force.
+        """
+        self._withdrawal_subscribers.append(callback)
+
+    def confirm(self, at: float) -> bool:
+        """Note that the head read at a boot time is not newer than the snapshot.
+
+        Returns
+        -------
+        bool
+            Whether this confirmation is newer than all before.
+        """
+        newer = min(at, boottime()) > self._confirmed_at
         self._confirmed_at = max(self._confirmed_at, min(at, boottime()))
+        return newer
+
+    def refuse(self, revision: int, change_id: str) -> None:
+        """Raise an alarm, once, for a head that must not replace the snapshot."""
+        current = self._snapshot
+        if (revision, change_id) == self._last_refused:
+            return
+        self._last_refused = (revision, change_id)
+        event = DIVERGED if revision == current.revision else STALE_REVISION
+        log(
+            event,
+            offered=revision,
+            offered_change=change_id,
+            current=current.revision,
+            current_change=current.change_id,
+        )
 
     def adopt(self, snapshot: Snapshot, contents: Mapping[str, bytes]) -> bool:
         """Put a snapshot in force if its revision is higher.
@@ -67,27 +106,33 @@
             Whether it was adopted.
         """
         current = self._snapshot
-        if snapshot.revision < current.revision:
-            log(STALE_REVISION, offered=snapshot.revision, current=current.revision)
-            return False
-        if snapshot.revision == current.revision:
+        if snapshot.revision <= current.revision:
             if snapshot.change_id != current.change_id:
-                log(
-                    DIVERGED,
-                    revision=current.revision,
-                    offered=snapshot.change_id,
-                    current=current.change_id,
-                )
+                self.refuse(snapshot.revision, snapshot.change_id)
             return False
+        self._replace(snapshot, contents)
+        log(ADOPTED, revision=snapshot.revision, change_id=snapshot.change_id)
+        for callback in list(self._subscribers):
+            _call(callback, snapshot)
+        withdrawn = withdrawn_keys(current.tables, snapshot.tables)
+        if withdrawn:
+            for notify in list(self._withdrawal_subscribers):
+                _call(notify, withdrawn)
+        return True
+
+    def _replace(self, snapshot: Snapshot, contents: Mapping[str, bytes]) -> None:
         require(
-            snapshot.revision > current.revision,
+            snapshot.revision > self._snapshot.revision,
             "configuration_never_reverts",
             offered=snapshot.revision,
-            current=current.revision,
+            current=self._snapshot.revision,
         )
-        self._snapshot = snapshot
-        self._contents = dict(contents)
-        log(ADOPTED, revision=snapshot.revision, change_id=snapshot.change_id)
-        for callback in list(self._subscribers):
-            callback(snapshot)
-        return True
+        self._snapshot, self._contents = snapshot, dict(contents)
+
+
+def _call(callback: Callable[..., None], value: object) -> None:
+    """Call a subscriber; its failure must not keep the revision from the others."""
+    try:
+        callback(value)
+    except Exception as error:
+        log(SUBSCRIBER_FAILED, subscriber=repr(callback), error=repr(error))
--- a/mulberryport/tables/model.py
+++ b/mulberryport/tables/model.py
@@ -68,9 +68,9 @@
 
 
 def _path(value: str) -> str:
-    if not value.startswith("/"):
+    if not value.startswith("/") or any(letter.isspace() for letter in value):
         raise ValueError(f"{value!r} is not a path")
-    if value.startswith("/v1/"):
+    if value == "/v1" or value.startswith("/v1/"):
         raise ValueError("paths below /v1/ belong to the trainers' interface")
     return value
 
--- a/mulberryport/tables/queries.py
+++ b/mulberryport/tables/queries.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from ..outcomes import Done, NotDone, Outcome, Unknown
+from ..outcomes import Done, NotDone, Outcome
 from ..store import StoreClient
 from .head import HEAD_KEY, SHARD_PREFIX, Head, decode_head
 from .model import Snapshot, Tables
@@ -22,19 +22,17 @@
     try:
         return Done((decode_head(entry.value), entry.version))
     except ValueError as error:
-        return Unknown(str(error))
+        return NotDone(f"the store holds a malformed head: {error}")
 
 
 def read_shard(store: StoreClient, digest: str) -> Outcome[bytes]:
-    """Read one shard and check it against its digest."""
+    """Read the content of one shard, which ``assemble`` checks."""
     outcome = store.read(SHARD_PREFIX + digest)
     if not isinstance(outcome, Done):
         return outcome
     content = outcome.value.value
     if content is None:
         return NotDone(f"shard {digest} is not in the store")
-    if shard_digest(content) != digest:
-        return NotDone(f"shard {digest} has other content in the store")
     return Done(content)
 
 
@@ -50,7 +48,7 @@
     head : Head
         The revision wanted.
     fetch : callable
-        Returns the content of a shard by its digest.
+        Returns the content of a shard by its digest; it need not be trusted.
     known : mapping of str to bytes, optional
         Content by digest that need not be fetched.
 
@@ -70,6 +68,8 @@
             if not isinstance(outcome, Done):
                 return outcome
             content = outcome.value
+            if shard_digest(content) != digest:
+                return NotDone(f"shard {digest} has other content than its name says")
         contents[digest] = content
         by_name[name] = content
     try:
--- a/mulberryport/tables/shards.py
+++ b/mulberryport/tables/shards.py
@@ -6,15 +6,19 @@
 """
 
 import hashlib
+import re
 from collections.abc import Mapping
 
 import orjson
+from attrs import evolve
 
 from .model import KeyRecord, Pool, Route, Tables, Workspace, converter, structure
+from .text import parse_tables, render_tables
 
 __all__ = ["cut", "join", "shard_digest"]
 
 KEY_BUCKETS = "0123456789abcdef"
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 
 
 def shard_digest(content: bytes) -> str:
@@ -51,17 +55,19 @@
     Raises
     ------
     ValueError
-        A shard is malformed, missing or has an unknown name.
+        A shard is malformed, missing or has an unknown name, or the tables would
+        not be accepted from an operator.
     """
     pools: dict[str, Pool] = {}
     keys: dict[str, KeyRecord] = {}
     for name, content in shards.items():
         if name.startswith("pool/"):
             pool = structure(Pool, _decode(content))
+            if name != f"pool/{pool.name}":
+                raise ValueError(f"shard {name!r} holds pool {pool.name!r}")
             pools[pool.name] = pool
         elif name.startswith("keys/"):
-            for record in structure(list[KeyRecord], _decode(content)):
-                keys[record.digest] = record
+            keys.update(_join_keys(name, content))
         elif name not in ("workspaces", "routes"):
             raise ValueError(f"unknown shard {name!r}")
     try:
@@ -69,12 +75,41 @@
         routes = structure(list[Route], _decode(shards["routes"]))
     except KeyError as error:
         raise ValueError(f"shard {error} is missing") from None
-    return Tables(
+    tables = Tables(
         workspaces={record.name: record for record in workspaces},
         routes={record.name: record for record in routes},
         pools=pools,
         keys=keys,
     )
+    _check(tables)
+    return tables
+
+
+def _join_keys(name: str, content: bytes) -> dict[str, KeyRecord]:
+    records = structure(list[KeyRecord], _decode(content))
+    for record in records:
+        if not DIGEST_PATTERN.fullmatch(record.digest):
+            raise ValueError(f"shard {name!r} holds an invalid digest")
+        if name != f"keys/{record.digest[0]}":
+            raise ValueError(f"shard {name!r} holds a key of another bucket")
+    return {record.digest: record for record in records}
+
+
+def _check(tables: Tables) -> None:
+    """Raise unless an operator could have given these tables.
+
+    The form of the records alone does not limit their values; reading the tables
+    back from their text applies every check of the operators' files.
+    """
+    try:
+        copy = parse_tables(render_tables(tables), "tables")
+    except ExceptionGroup as group:
+        raise ValueError("; ".join(str(error) for error in group.exceptions)) from None
+    if evolve(copy, keys=tables.keys) != tables:
+        raise ValueError("the tables change when they are written out as text")
+    for record in tables.keys.values():
+        if record.workspace not in tables.workspaces:
+            raise ValueError(f"key {record.key_id} has no workspace")
 
 
 def _encode(value: object) -> bytes:
--- a/mulberryport/tables/text.py
+++ b/mulberryport/tables/text.py
@@ -3,11 +3,11 @@
 from attrs import asdict, evolve, fields
 
 from ..settings.errors import FileFault, InvalidFileError
-from ..settings.ini import read_sections, structure_section
+from ..settings.ini import identifier, read_sections, structure_section
 from .checks import find_faults
-from .model import Pool, Route, Tables, TargetSpec, Workspace
+from .model import NAME, Pool, Route, Tables, TargetSpec, Workspace
 
-__all__ = ["parse_tables", "render_tables"]
+__all__ = ["parse_tables", "render_tables", "with_keys_of"]
 
 SECTION_TYPES = {"workspace": Workspace, "route": Route, "pool": Pool}
 
@@ -56,6 +56,11 @@
             faults.append(FileFault(file, section, "", message))
             continue
         name = name.strip()
+        try:
+            identifier(name)
+        except ValueError as error:
+            faults.append(FileFault(file, section, "", f"{error}; accepted: {NAME}"))
+            continue
         record, section_faults = structure_section(
             SECTION_TYPES[kind], values, file=file, section=section, name=name
         )
