Settle changes whose answer was lost

Cause: a change whose answer was lost was reported as unknown whenever the head did not show it yet, a lost race reported revision -1, and a key whose issue was in doubt could not be replaced.

Result: answers lost before or after the effect, with another change in between, and lost altogether are covered by 7 tests.

--- a/mulberryport/tables/tests/builders.py
+++ b/mulberryport/tables/tests/builders.py
@@ -1,14 +1,15 @@
 """Builders of tables and stores for tests."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 
-from ...runtime.wsgi import listen, serve
+from ...runtime.wsgi import Application, listen, serve
 from ...standins import platform_application
 from ...store import StoreClient
 from .. import Tables, parse_tables
+from ..head import HEAD_KEY
 
-__all__ = ["TABLES_TEXT", "running_store", "sample_tables"]
+__all__ = ["TABLES_TEXT", "losing_head_writes", "running_store", "sample_tables"]
 
 TABLES_TEXT = """
 [workspace roads]
@@ -39,11 +40,53 @@
 
 
 @contextmanager
-def running_store() -> Iterator[StoreClient]:
-    """Run a stand-in store in this process and return a client of it."""
+def running_store(
+    wrap: Callable[[Application], Application] | None = None,
+) -> Iterator[StoreClient]:
+    """Run a stand-in store in this process and return a client of it.
+
+    Parameters
+    ----------
+    wrap : callable, optional
+        Returns the application to serve from that of the platform.
+    """
     listener = listen("127.0.0.1:0")
-    server = serve(listener, platform_application())
+    application = platform_application()
+    server = serve(listener, wrap(application) if wrap else application)
     try:
         yield StoreClient(f"http://127.0.0.1:{listener.getsockname()[1]}")
     finally:
         server.kill()
+
+
+def losing_head_writes(
+    application: Application, effects: list[str], meanwhile: list[Callable[[], object]]
+) -> Application:
+    """Return a store that loses answers to writes of the head.
+
+    Parameters
+    ----------
+    application : callable
+        The store.
+    effects : list of str
+        Consumed from the front, one for each write of the head: ``"taken"`` loses
+        the answer after the effect, ``"untaken"`` before it, ``""`` loses nothing.
+    meanwhile : list of callable
+        Consumed from the front, one called before each answer that is lost.
+    """
+
+    def lossy(environ: dict, start_response: Callable) -> Iterable[bytes]:
+        is_write = environ["REQUEST_METHOD"] == "PUT"
+        if not is_write or environ["PATH_INFO"] != f"/kv/{HEAD_KEY}" or not effects:
+            return application(environ, start_response)
+        effect = effects.pop(0)
+        if not effect:
+            return application(environ, start_response)
+        if effect == "taken":
+            b"".join(application(environ, lambda *_: None))
+        if meanwhile:
+            meanwhile.pop(0)()
+        environ["eventlet.input"].get_socket().shutdown(2)
+        raise ConnectionAbortedError("answer lost on request of a test")
+
+    return lossy
--- a/mulberryport/tables/tests/test_commands.py
+++ b/mulberryport/tables/tests/test_commands.py
@@ -7,8 +7,10 @@
 from ...runtime.http import call_json
 from .. import (
     Accepted,
+    KeyRecord,
     RevisionConflict,
     SnapshotHolder,
+    Tables,
     change_tables,
     find_key,
     issue_key,
@@ -17,7 +19,7 @@
     withdraw_key,
 )
 from ..model import Snapshot
-from .builders import running_store, sample_tables
+from .builders import losing_head_writes, running_store, sample_tables
 
 
 def add_tables(_):
@@ -58,6 +60,52 @@
         assert change_tables(store, add_tables, change_id="a") == Done(Accepted(1, "a"))
 
 
+@pytest.mark.parametrize(
+    "effects", [["taken"], ["untaken"], ["untaken", "taken"], ["taken", "untaken"]]
+)
+def test_lost_write_of_the_head_is_settled(effects):
+    # Guards against a change reported as unknown, or made twice, although the
+    # store can tell.
+    with running_store(lambda app: losing_head_writes(app, effects, [])) as store:
+        assert change_tables(store, add_tables, change_id="a") == Done(Accepted(1, "a"))
+        assert read_snapshot(store).value.revision == 1
+
+
+@pytest.mark.parametrize("effect", ["taken", "untaken"])
+def test_lost_write_that_another_change_followed_is_settled(effect):
+    # Guards against the loser of a race that believes it won, and the reverse.
+    meanwhile = []
+    with running_store(
+        lambda app: losing_head_writes(app, [effect], meanwhile)
+    ) as store:
+        meanwhile.append(lambda: change_tables(store, add_tables, change_id="other"))
+        outcome = change_tables(store, add_tables, change_id="a", base=0)
+    taken = effect == "taken"
+    assert outcome == Done(Accepted(2, "a") if taken else RevisionConflict(0, 1))
+
+
+def test_unsettled_write_is_unknown_and_can_be_repeated():
+    # Guards against a false report after all answers of the store were lost.
+    effects = ["taken", "untaken", "untaken", "untaken"]
+    with running_store(lambda app: losing_head_writes(app, effects, [])) as store:
+        lost = change_tables(store, add_tables, change_id="a", base=0)
+        assert isinstance(lost, Unknown)
+        again = change_tables(store, add_tables, change_id="a", base=0)
+        assert again == Done(Accepted(1, "a"))
+
+
+def test_issue_replaces_a_key_that_was_never_shown():
+    # Guards against keys that nobody knows after a repeated key issue.
+    with running_store() as store:
+        change_tables(store, add_tables, change_id="a")
+        lost, _ = issue_key(store, "roads", change_id="b")
+        lost_id = find_key(read_snapshot(store).value.tables, lost).key_id
+        key, _ = issue_key(store, "roads", change_id="c", replaced_ids=[lost_id])
+        tables = read_snapshot(store).value.tables
+        assert find_key(tables, lost) is None
+        assert find_key(tables, key).workspace == "roads"
+
+
 def test_revision_after_repairs_an_old_store():
     with running_store() as store:
         outcome = change_tables(store, add_tables, change_id="a", after=41)
@@ -71,3 +119,17 @@
     assert holder.adopt(Snapshot(5, "new"), {})
     assert not holder.adopt(Snapshot(revision, "old"), {})
     assert holder.snapshot.change_id == "new"
+
+
+def test_holder_tells_which_keys_were_withdrawn():
+    # Guards against streams of withdrawn keys that nobody ends.
+    kept, moved, gone = "a" * 64, "b" * 64, "c" * 64
+    holder, withdrawn = SnapshotHolder(), []
+    holder.subscribe(lambda _: 1 / 0)
+    holder.subscribe_withdrawals(withdrawn.append)
+    for revision, owners in enumerate(
+        [{kept: "w", moved: "w", gone: "w"}, {kept: "w", moved: "v"}, {kept: "w"}], 1
+    ):
+        keys = {digest: KeyRecord(digest, w) for digest, w in owners.items()}
+        holder.adopt(Snapshot(revision, f"c{revision}", Tables(keys=keys)), {})
+    assert withdrawn == [frozenset({moved, gone}), frozenset({moved})]
