Date what peers report, and follow only well-formed heads

Cause: a cut-off minority refreshed its own list of last members with old confirmations and took itself for a majority; heartbeats that lay in a buffer while a process was paused counted as fresh; daemons that had never tried to read the store counted as unable to; a malformed head or an exception ended the reading loop; a head read before a newer adoption, or a diverged head of the same revision, replaced the head kept for peers; one silent peer blocked all fetches for 5 s.

Readers wait 0.5 s at a time, other daemons ask only when confirmations stop.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -40,6 +40,7 @@
 
 VM_LIST_PERIOD_S = 1.0
 DUTY_PERIOD_S = 0.5
+KEYS_PERIOD_S = 0.5
 WEIGHTS_PERIOD_S = 0.5
 USAGE_PERIOD_S = 1.0
 
@@ -86,8 +87,12 @@
         )
         self.distribution = Distribution(self.store, self.holder, self.members)
         heartbeats = Heartbeats(self.members, self.holder, self.distribution)
+        add_report = self.distribution.add_report
         self.peers = Peers(
-            self.members, credentials.peer_token, heartbeats.make, heartbeats.take
+            self.members,
+            credentials.peer_token,
+            lambda member: add_report(heartbeats.make(member), member.vm),
+            heartbeats.take,
         )
         heartbeats.peers = self.distribution.peers = self.peers
         self.peer_server = PeerServer(vm.peer_address, credentials.peer_token)
@@ -102,7 +107,9 @@
         self.weights = WeightService(self.store, self.keeper, self.directory)
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
         self.holder.subscribe(self.directory.use_snapshot)
-        self.peer_server.register("Exchange", heartbeats.answer)
+        self.peer_server.register(
+            "Exchange", lambda hb: add_report(heartbeats.answer(hb), hb.sender.vm)
+        )
         self.peer_server.register("CollectUsage", self._serve_collect)
         self.distribution.register(self.peer_server)
         self.rollouts.register(self.peer_server)
@@ -127,6 +134,7 @@
             VM_LIST_PERIOD_S,
             lambda: poll_vm_list(self.directory, platform.vms, platform.timeout),
         )
+        subscribe("keys", KEYS_PERIOD_S, self.distribution.note_keys_usable)
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
         for reporter in self.reporters:
--- a/mulberryport/distribution/freshness.py
+++ b/mulberryport/distribution/freshness.py
@@ -23,13 +23,16 @@
     last_members : int
         Members that were live at that time, this daemon included.
     without_store : int
-        Members, this daemon included, that are reachable and say that they cannot
-        read the store.
+        How many of these, this daemon included, are reachable and say that they
+        cannot read the store.
+    alone_by_settings : bool
+        Whether this daemon has no peers by its settings.
     """
 
     confirmation_age: float
     last_members: int
     without_store: int
+    alone_by_settings: bool = False
 
 
 def keys_usable(view: FleetView) -> bool:
@@ -47,7 +50,13 @@
     True
     >>> keys_usable(FleetView(60.0, 8, 4))
     False
+    >>> keys_usable(FleetView(60.0, 1, 1))
+    False
+    >>> keys_usable(FleetView(60.0, 1, 1, alone_by_settings=True))
+    True
     """
     if view.confirmation_age <= CONFIRMATION_LIMIT_S:
         return True
+    if view.last_members <= 1 and not view.alone_by_settings:
+        return False
     return 2 * view.without_store > view.last_members
--- /dev/null
+++ b/mulberryport/distribution/tests/test_service.py
@@ -0,0 +1,151 @@
+"""Tests of following the head: from the store, from peers, and of what is refused."""
+
+import pytest
+from attrs import evolve
+
+from ...outcomes import Done, NotDone
+from ...peering import peer_pb2
+from ...store import Entry
+from ...tables import change_tables
+from ...tables.head import HEAD_KEY, Head, encode_head
+from ...tables.tests.builders import sample_tables
+from ...telemetry import logs
+from .builders import SimulatedFleet, simulated_time
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    """Return six daemons that have adopted revision 3."""
+    fleet = SimulatedFleet(simulated_time(monkeypatch), 6)
+    for change_id in ("a", "b", "c"):
+        change_tables(fleet.store, lambda _: sample_tables(), change_id=change_id)
+    fleet.run(3)
+    logs._recent.clear()
+    return fleet
+
+
+def revisions(fleet):
+    return {daemon.holder.snapshot.revision for daemon in fleet.daemons.values()}
+
+
+def events(name):
+    return [entry for entry in logs.recent() if entry["event"] == name]
+
+
+def all_usable(fleet):
+    return all(daemon.keys_usable() for daemon in fleet.daemons.values())
+
+
+def test_only_two_readers_of_a_zone_call_the_store(fleet):
+    # Guards against a number of store calls that grows with the fleet.
+    before = {vm: daemon.store.calls for vm, daemon in fleet.daemons.items()}
+    fleet.run(30)
+    rates = [(d.store.calls - before[vm]) / 30 for vm, d in fleet.daemons.items()]
+    assert sum(rate > 0 for rate in rates) == 4
+    assert max(rates) <= 4
+
+
+def test_restarted_daemon_takes_the_newest_revision_from_peers(fleet):
+    # Guards against a start that depends on the store.
+    fleet.cut([fleet.daemons], fleet.daemons)
+    fleet.daemons["vm5"] = SimulatedFleet(fleet.time, 6, fleet.store).daemons["vm5"]
+    restarted = fleet.daemons["vm5"]
+    restarted.peers.call = fleet._caller("vm5")
+    restarted.store.reachable = lambda: False
+    fleet.run(10)
+    assert restarted.holder.snapshot.revision == 3
+    assert all_usable(fleet)
+
+
+def test_restored_store_with_an_old_head_is_not_followed(fleet):
+    # Guards against a restored store that takes routes and keys back.
+    old = fleet.store.entries[HEAD_KEY]
+    change_tables(fleet.store, lambda tables: tables, change_id="d")
+    fleet.run(3)
+    fleet.store.entries[HEAD_KEY] = old
+    fleet.run(30)
+    assert revisions(fleet) == {4}
+    # One alarm for each reader; the old head is part of the revision in force.
+    assert len(events("stale_revision")) == 4
+    assert all_usable(fleet)
+
+
+def test_change_on_a_restored_store_closes_keys_until_it_is_repaired(fleet):
+    # Guards against a withdrawal that the store accepted and no daemon follows.
+    fleet.store.entries.clear()
+    fleet.run(30)
+    assert all_usable(fleet)
+    change_tables(fleet.store, lambda _: sample_tables(), change_id="lost")
+    fleet.run(5)
+    assert revisions(fleet) == {3}
+    assert not any(daemon.keys_usable() for daemon in fleet.daemons.values())
+    change_tables(fleet.store, lambda _: sample_tables(), change_id="e", after=3)
+    fleet.run(5)
+    assert revisions(fleet) == {4}
+    assert all_usable(fleet)
+
+
+def test_two_heads_with_one_revision_are_settled_by_the_next(fleet):
+    # Guards against daemons that keep different tables under one number.
+    fleet.store.entries.clear()
+    for change_id in ("x", "y", "z"):
+        change_tables(fleet.store, lambda _: sample_tables(), change_id=change_id)
+    fleet.run(5)
+    changes = {d.holder.snapshot.change_id for d in fleet.daemons.values()}
+    assert changes == {"c"}
+    assert events("revision_diverged")
+    change_tables(fleet.store, lambda tables: tables, change_id="next")
+    fleet.run(5)
+    assert {d.holder.snapshot.change_id for d in fleet.daemons.values()} == {"next"}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{}",
+        encode_head(Head(9, "x", {"routes": "ab" * 32}, ("x",))),
+        encode_head(Head(2**60, "x", {}, ("x",))),
+    ],
+)
+def test_malformed_head_in_the_store_changes_nothing(fleet, value):
+    # Guards against a value in the store that stops or changes the service.
+    good = fleet.store.entries[HEAD_KEY]
+    fleet.store.entries[HEAD_KEY] = Entry(value, 999)
+    for _ in range(30):
+        fleet.run(1)
+        assert all_usable(fleet)
+    assert revisions(fleet) == {3}
+    assert len(events("configuration_refused")) >= 4
+    fleet.store.entries[HEAD_KEY] = evolve(good, version=1000)
+    change_tables(fleet.store, lambda tables: tables, change_id="next")
+    fleet.run(5)
+    assert revisions(fleet) == {4}
+
+
+def test_hostile_answers_of_a_peer_change_nothing(fleet):
+    # Guards against a daemon with a defect that spreads it to the others.
+    daemon = fleet.daemons["vm0"]
+    head = evolve(daemon._head, revision=9, shards={"routes": "ab" * 32})
+    for reply in (
+        peer_pb2.FetchConfigReply(head=b"\xff"),
+        peer_pb2.FetchConfigReply(head=encode_head(head)),
+        peer_pb2.FetchConfigReply(head=encode_head(head), shards={"ab" * 32: b"[]"}),
+    ):
+        daemon.peers.call = lambda *_, reply=reply: Done(reply)
+        daemon.heard(peer_pb2.Heartbeat(sender=peer_pb2.Sender(vm="vm1"), revision=9))
+        assert daemon.holder.snapshot.revision == 3
+    assert len(events("configuration_refused")) == 3
+    daemon.peers.call = lambda *_: NotDone("no link")
+    daemon.heard(peer_pb2.Heartbeat(sender=peer_pb2.Sender(vm="vm1"), revision=9))
+    assert len(events("configuration_refused")) == 3
+
+
+def test_lower_head_read_before_a_newer_adoption_raises_no_alarm(fleet):
+    # Guards against a false alarm when an answer of the store is overtaken.
+    daemon = fleet.daemons["vm0"]
+    before, old = fleet.time.now, fleet.store.entries[HEAD_KEY]
+    change_tables(fleet.store, lambda tables: tables, change_id="d")
+    fleet.run(3)
+    daemon._take_value(old.value, before, old)
+    assert not events("stale_revision")
--- a/mulberryport/store/client.py
+++ b/mulberryport/store/client.py
@@ -21,7 +21,6 @@
 __all__ = ["Conflict", "Entry", "Lease", "StoreClient", "MAX_VALUE_BYTES"]
 
 MAX_VALUE_BYTES = 1_000_000
-WATCH_MARGIN_S = 3.0
 
 
 @frozen
@@ -128,7 +127,7 @@
             Seconds until the current entry is returned although it is unchanged.
         """
         path = f"/kv/{quote(key)}?seen={seen}&wait={wait}"
-        reply = self._call("GET", path, timeout=wait + WATCH_MARGIN_S)
+        reply = self._call("GET", path, timeout=wait + self.timeout)
         return _map(reply, _entry)
 
     def acquire_lease(
--- a/mulberryport/tables/holder.py
+++ b/mulberryport/tables/holder.py
@@ -41,7 +41,7 @@
     _withdrawal_subscribers: list[Callable[[frozenset[str]], None]] = field(
         factory=list
     )
-    _last_refused: tuple[int, str] | None = None
+    _refused: set[tuple[int, str]] = field(factory=set)
 
     @property
     def snapshot(self) -> Snapshot:
@@ -85,9 +85,9 @@
     def refuse(self, revision: int, change_id: str) -> None:
         """Raise an alarm, once, for a head that must not replace the snapshot."""
         current = self._snapshot
-        if (revision, change_id) == self._last_refused:
+        if (revision, change_id) in self._refused:
             return
-        self._last_refused = (revision, change_id)
+        self._refused.add((revision, change_id))
         event = DIVERGED if revision == current.revision else STALE_REVISION
         log(
             event,
@@ -128,6 +128,7 @@
             current=self._snapshot.revision,
         )
         self._snapshot, self._contents = snapshot, dict(contents)
+        self._refused.clear()
 
 
 def _call(callback: Callable[..., None], value: object) -> None:
--- a/mulberryport/tables/queries.py
+++ b/mulberryport/tables/queries.py
@@ -2,13 +2,20 @@
 
 from collections.abc import Callable, Mapping
 
+from attrs import frozen
+
 from ..outcomes import Done, NotDone, Outcome
 from ..store import StoreClient
 from .head import HEAD_KEY, SHARD_PREFIX, Head, decode_head
 from .model import Snapshot, Tables
 from .shards import join, shard_digest
 
-__all__ = ["assemble", "read_head", "read_shard", "read_snapshot"]
+__all__ = ["Malformed", "assemble", "read_head", "read_shard", "read_snapshot"]
+
+
+@frozen
+class Malformed(NotDone):
+    """What was read cannot be a revision, however often it is read."""
 
 
 def read_head(store: StoreClient) -> Outcome[tuple[Head, int]]:
@@ -22,7 +29,7 @@
     try:
         return Done((decode_head(entry.value), entry.version))
     except ValueError as error:
-        return NotDone(f"the store holds a malformed head: {error}")
+        return Malformed(f"the store holds a malformed head: {error}")
 
 
 def read_shard(store: StoreClient, digest: str) -> Outcome[bytes]:
@@ -32,7 +39,7 @@
         return outcome
     content = outcome.value.value
     if content is None:
-        return NotDone(f"shard {digest} is not in the store")
+        return Malformed(f"shard {digest} is not in the store")
     return Done(content)
 
 
@@ -69,13 +76,13 @@
                 return outcome
             content = outcome.value
             if shard_digest(content) != digest:
-                return NotDone(f"shard {digest} has other content than its name says")
+                return Malformed(f"shard {digest} has other content than its name says")
         contents[digest] = content
         by_name[name] = content
     try:
         tables: Tables = join(by_name)
     except ValueError as error:
-        return NotDone(f"revision {head.revision}: {error}")
+        return Malformed(f"revision {head.revision}: {error}")
     snapshot = Snapshot(head.revision, head.change_id, tables, dict(head.shards))
     return Done((snapshot, contents))
 
