--- a/mulberryport/leases/duty.py
+++ b/mulberryport/leases/duty.py
@@ -46,6 +46,19 @@
         """Seconds since the lease was gained; 0 if it is not held."""
         return max(0.0, boottime() - self._held_since) if self.held else 0.0
 
+    def may_order_unfenced(self, order_lifetime: float) -> bool:
+        """Return whether orders may go to targets that ignore fencing numbers.
+
+        An order of the holder before can take effect for as long as it lives, and
+        that holder could send it until its lease ran out.
+
+        Parameters
+        ----------
+        order_lifetime : float
+            Longest time in seconds between sending an order and its effect.
+        """
+        return self.held and self.held_for >= LEASE_TTL_S + order_lifetime
+
     def guard(self, seconds: float = 0.0) -> None:
         """Raise unless the lease is still held.
 
@@ -75,12 +88,13 @@
         bool
             Whether the duty was gained by this.
         """
-        gained = not self.held or fencing != self._fencing
+        continued = self.held and fencing == self._fencing
         self._deadline = sent_at + ttl - LEASE_MARGIN_S
         self._fencing = fencing
+        gained = not continued and self.held
         if gained:
             self._held_since = boottime()
-        return gained and self.held
+        return gained
 
     def lost(self) -> None:
         """Note that the lease is not held any more."""
