Remove shards that no recent revision names

Cause: each change leaves the shards that it replaced in the store, for ever.

Change: the holder of the duty config-cleanup removes shards that were unnamed for as many revisions as the history holds, at most 20 a minute. It reads their versions, writes the head again unchanged, and removes them by compare-and-swap, so that a change that introduces one of them at the same time starts again or gives it a version that is not removed.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -8,7 +8,7 @@
 import xxhash
 from attrs import define, field
 
-from ..distribution import Distribution
+from ..distribution import CLEANUP_PERIOD_S, Distribution, ShardCleanup
 from ..gateway import Gateway
 from ..leases import DutyKeeper
 from ..membership import Member, Members, new_incarnation
@@ -136,6 +136,8 @@
         )
         subscribe("keys", KEYS_PERIOD_S, self.distribution.note_keys_usable)
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
+        cleanup = ShardCleanup(self.store, self.keeper.duty("config-cleanup"))
+        subscribe("cleanup", CLEANUP_PERIOD_S, cleanup.turn)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
         for reporter in self.reporters:
             subscribe(f"usage {reporter.shard}", USAGE_PERIOD_S, reporter.turn)
--- a/mulberryport/distribution/tests/builders.py
+++ b/mulberryport/distribution/tests/builders.py
@@ -40,7 +40,7 @@
     return time
 
 
-@define(eq=False)
+@define(eq=False, slots=False)
 class MemoryStore:
     """The store's content and a client of it that is never slow."""
 
