--- a/mulberryport/cli/connection.py
+++ b/mulberryport/cli/connection.py
@@ -6,8 +6,9 @@
 from attrs import define
 
 from ..settings import InvalidFileError, load_settings
+from ..settings.ini import url
 from ..store import StoreClient
-from .output import fail, report_faults
+from .output import EXIT_USAGE, fail, report_faults
 
 __all__ = ["StoreOptions", "open_store"]
 
@@ -38,9 +39,12 @@
 def open_store(options: StoreOptions) -> StoreClient:
     """Return a client of the store that the options name."""
     if options.store:
-        return StoreClient(options.store)
+        try:
+            return StoreClient(url(options.store))
+        except ValueError as error:
+            fail(f"--store: {error}", EXIT_USAGE)
     if not options.settings:
-        fail("name the store by --settings FILE or --store URL", 2)
+        fail("name the store by --settings FILE or --store URL", EXIT_USAGE)
     try:
         settings = load_settings(options.settings)
     except InvalidFileError as error:
--- a/mulberryport/cli/keys.py
+++ b/mulberryport/cli/keys.py
@@ -1,22 +1,29 @@
 """Commands on keys: ``key issue`` and ``key withdraw``."""
 
-from typing import Annotated
+import re
+from typing import Annotated, NoReturn
 
 import cappa
 from attrs import define
 
+from ..outcomes import Done, Outcome, Unknown
 from ..tables import (
-    RevisionConflict,
+    Accepted,
     issue_key,
     key_digest,
     new_change_id,
+    new_key,
     withdraw_key,
 )
 from .connection import StoreOptions, open_store
-from .output import fail, print_json, unwrap
+from .output import EXIT_UNKNOWN, EXIT_USAGE, fail, print_json
 
 __all__ = ["KeyCommand"]
 
+# The id of a change that issues a key ends with the id of the key, so that a
+# repetition can withdraw a key that was never shown.
+ISSUE_ID_PATTERN = re.compile(r"[0-9a-f]+-([0-9a-f]{12})")
+
 
 @cappa.command(name="issue", help="Issue a key to a workspace and print it once.")
 @define
@@ -24,20 +31,45 @@
     """Issue a key to a workspace and print it once."""
 
     workspace: Annotated[str, cappa.Arg(help="Name of the workspace.")] = ""
+    change_id: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default="",
+            help="Id of an earlier issue whose outcome is unknown; its key is "
+            "withdrawn by the same change.",
+        ),
+    ] = ""
 
     def __call__(self) -> None:
-        """Run the command."""
-        store = open_store(self)
+        """Run the command; no key is printed unless it is in force."""
+        earlier = [text for text in self.change_id.split(",") if text]
+        matches = [ISSUE_ID_PATTERN.fullmatch(text) for text in earlier]
+        if None in matches:
+            fail(f"--change-id: {self.change_id!r} is no id of an issue", EXIT_USAGE)
+        key = new_key()
+        key_id = key_digest(key)[:12]
+        change_id = f"{new_change_id()}-{key_id}"
         try:
-            key, outcome = issue_key(store, self.workspace, change_id=new_change_id())
+            _, outcome = issue_key(
+                open_store(self),
+                self.workspace,
+                change_id=change_id,
+                key=key,
+                replaced_ids=[match[1] for match in matches if match],
+            )
         except LookupError as error:
             fail(str(error.args[0]))
-        accepted = unwrap(outcome)
-        if isinstance(accepted, RevisionConflict):
-            fail("the tables keep changing; try again")
+        if not _is_accepted(outcome):
+            _report(
+                self,
+                outcome,
+                ",".join([*earlier, change_id]),
+                "no key is shown, since it may not be in force",
+            )
         if self.json:
-            key_id = key_digest(key)[:12]
-            print_json({"key": key, "id": key_id, "revision": accepted.revision})
+            revision = outcome.value.revision
+            print_json({"key": key, "id": key_id, "revision": revision})
         else:
             print(key)
 
@@ -48,21 +80,28 @@
     """Withdraw the key with an id."""
 
     key_id: Annotated[str, cappa.Arg(help="Id of the key, from show.")] = ""
+    change_id: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default="",
+            help="Id of an earlier withdrawal whose outcome is unknown.",
+        ),
+    ] = ""
 
     def __call__(self) -> None:
         """Run the command."""
-        store = open_store(self)
+        change_id = self.change_id or new_change_id()
         try:
-            outcome = withdraw_key(store, self.key_id, change_id=new_change_id())
+            outcome = withdraw_key(open_store(self), self.key_id, change_id=change_id)
         except LookupError as error:
             fail(str(error.args[0]))
-        accepted = unwrap(outcome)
-        if isinstance(accepted, RevisionConflict):
-            fail("the tables keep changing; try again")
+        if not _is_accepted(outcome):
+            _report(self, outcome, change_id, "the key may still work")
         if self.json:
-            print_json({"id": self.key_id, "revision": accepted.revision})
+            print_json({"id": self.key_id, "revision": outcome.value.revision})
         else:
-            print(f"withdrawn in revision {accepted.revision}")
+            print(f"withdrawn in revision {outcome.value.revision}")
 
 
 @cappa.command(name="key", help="Issue and withdraw keys of workspaces.")
@@ -71,3 +110,24 @@
     """Issue and withdraw keys of workspaces."""
 
     command: cappa.Subcommands[IssueCommand | WithdrawCommand]
+
+
+def _is_accepted(outcome: Outcome[object]) -> bool:
+    return isinstance(outcome, Done) and isinstance(outcome.value, Accepted)
+
+
+def _report(
+    options: StoreOptions, outcome: Outcome[object], change_id: str, warning: str
+) -> NoReturn:
+    """End the program because a change was not accepted or may not have been."""
+    if isinstance(outcome, Done):
+        fail("nothing was changed: the tables keep changing; try again")
+    if not isinstance(outcome, Unknown):
+        fail(f"nothing was changed: {outcome.reason}")
+    if options.json:
+        print_json({"outcome": "unknown", "change_id": change_id})
+    fail(
+        f"outcome unknown: {outcome.reason}\n{warning}; repeat the command with "
+        f"--change-id {change_id}",
+        EXIT_UNKNOWN,
+    )
--- a/mulberryport/cli/output.py
+++ b/mulberryport/cli/output.py
@@ -1,23 +1,26 @@
 """Output and exit codes of the command line."""
 
+import sys
 from typing import Any, NoReturn
 
 import cappa
 import orjson
 
-from ..outcomes import Done, Outcome, Unknown
+from ..outcomes import Done, Outcome
 from ..settings import InvalidFileError
 
 __all__ = [
     "EXIT_FAILED",
     "EXIT_UNKNOWN",
+    "EXIT_USAGE",
     "fail",
     "print_json",
     "report_faults",
-    "unwrap",
+    "unwrap_read",
 ]
 
 EXIT_FAILED = 1
+EXIT_USAGE = 2
 EXIT_UNKNOWN = 3
 
 
@@ -28,7 +31,9 @@
 
 def fail(message: str, code: int = EXIT_FAILED) -> NoReturn:
     """End the program with an error message."""
-    raise cappa.Exit(message, code=code)
+    # The library's own output takes [section] for markup and breaks lines.
+    print(message, file=sys.stderr)
+    raise cappa.Exit(code=code)
 
 
 def report_faults(error: InvalidFileError, as_json: bool) -> NoReturn:
@@ -49,10 +54,8 @@
     fail("\n".join(str(fault) for fault in error.faults))
 
 
-def unwrap(outcome: Outcome[Any], hint: str = "") -> Any:
-    """Return the value of an outcome, or end the program."""
+def unwrap_read(outcome: Outcome[Any]) -> Any:
+    """Return what was read, or end the program; reading leaves no doubt behind."""
     if isinstance(outcome, Done):
         return outcome.value
-    if isinstance(outcome, Unknown):
-        fail(f"outcome unknown: {outcome.reason}{hint}", EXIT_UNKNOWN)
-    fail(outcome.reason)
+    fail(f"the store cannot be read: {outcome.reason}")
--- a/mulberryport/cli/status.py
+++ b/mulberryport/cli/status.py
@@ -1,11 +1,13 @@
 """Commands that read running daemons: ``status`` and ``timeline``."""
 
+from collections import Counter, defaultdict
+from collections.abc import Iterator
 from typing import Annotated, Any
 
 import cappa
 from attrs import define
 
-from ..outcomes import Done
+from ..outcomes import Done, NotDone, Outcome
 from ..runtime.http import call_json
 from ..settings import InvalidFileError, load_settings
 from ..telemetry.timeline import merge_entries, read_log_file, render_entry
@@ -16,19 +18,23 @@
 CALL_TIMEOUT_S = 3.0
 
 
-def fetch_operator(path: str, settings_file: str) -> Any:
-    """Return the answer of a daemon's operator port, or None if it is unreachable."""
+def fetch_state(settings_file: str, as_json: bool) -> Outcome[dict[str, Any]]:
+    """Return the state of a daemon from its operator port."""
     try:
         settings = load_settings(settings_file)
     except InvalidFileError as error:
-        report_faults(error, False)
+        report_faults(error, as_json)
     outcome = call_json(
         "GET",
-        f"http://{settings.vm.operator_address}{path}",
+        f"http://{settings.vm.operator_address}/state",
         timeout=CALL_TIMEOUT_S,
         headers={"Authorization": f"Bearer {settings.credentials.operator_token}"},
     )
-    return outcome.value.body if isinstance(outcome, Done) else None
+    if not isinstance(outcome, Done):
+        return outcome
+    if outcome.value.status != 200 or not isinstance(outcome.value.body, dict):
+        return NotDone(f"the daemon answered with status {outcome.value.status}")
+    return Done(outcome.value.body)
 
 
 @cappa.command(name="status", help="Show the state of fleet, pools and steps.")
@@ -43,26 +49,76 @@
 
     def __call__(self) -> None:
         """Run the command; exit with 1 if a daemon cannot be reached."""
-        states = {file: fetch_operator("/state", file) for file in self.settings}
+        outcomes = {file: fetch_state(file, self.json) for file in self.settings}
+        states = {
+            file: outcome.value if isinstance(outcome, Done) else None
+            for file, outcome in outcomes.items()
+        }
         if self.json:
             print_json(states)
-        for file, state in states.items():
-            if self.json:
-                continue
-            if state is None:
-                print(f"{file}: cannot be reached")
-                continue
-            print(
-                f"{state['vm']} ({state['zone']}): revision {state['revision']}, "
-                f"{len(state['members'])} members, duties: "
-                f"{', '.join(state['duties']) or 'none'}"
-            )
-            for target in state["targets"]:
-                print(f"  target {target['id']}: {target}")
-            for step in state["steps"]:
-                print(f"  step {step['step']}: {step['remaining']} remaining")
-        if None in states.values():
-            raise cappa.Exit(code=EXIT_FAILED)
+        else:
+            found = [state for state in states.values() if state is not None]
+            for line in [*_fleet(found), *_pools(found), *_steps(found)]:
+                print(line)
+        failed = [
+            f"{file}: cannot be read: {outcome.reason}"
+            for file, outcome in outcomes.items()
+            if not isinstance(outcome, Done)
+        ]
+        if failed:
+            fail("\n".join(failed), EXIT_FAILED)
+
+
+def _fleet(states: list[dict[str, Any]]) -> Iterator[str]:
+    revisions = sorted({state["revision"] for state in states})
+    if revisions:
+        text = ", ".join(map(str, revisions))
+        yield f"fleet: {len(states)} daemons, revision {text}"
+    if len(revisions) > 1:
+        yield "  not all daemons have the newest revision"
+    for state in states:
+        age = state.get("confirmation_age", 0.0)
+        confirmed = f"confirmed {age:.1f} s ago" if age < 1e6 else "never confirmed"
+        notes = [f"revision {state['revision']}", confirmed]
+        if not state.get("store_readable", True):
+            notes.append("store unreadable")
+        if not state.get("keys_usable", True):
+            notes.append("KEYS REFUSED")
+        notes.append(f"{len(state['members'])} members")
+        notes.append(f"duties: {', '.join(sorted(state['duties'])) or 'none'}")
+        yield f"  {state['vm']} ({state['zone']}): {'; '.join(notes)}"
+
+
+def _pools(states: list[dict[str, Any]]) -> Iterator[str]:
+    """Summarise targets over the views of all daemons, the worst view first."""
+    views: dict[str, dict[str, list[dict[str, Any]]]] = defaultdict(
+        lambda: defaultdict(list)
+    )
+    for state in states:
+        for target in state["targets"]:
+            views[target["pool"]][target["id"]].append(target)
+    if views:
+        yield "pools:"
+    for pool, targets in sorted(views.items()):
+        healthy = sum(all(v["healthy"] for v in seen) for seen in targets.values())
+        leaving = sum(any(v["leaving"] for v in seen) for seen in targets.values())
+        running = sum(v["in_flight"] for seen in targets.values() for v in seen)
+        versions = Counter(
+            seen[-1].get("version") or "none" for seen in targets.values()
+        )
+        text = ", ".join(f"{v} ({n})" for v, n in sorted(versions.items(), key=str))
+        yield (
+            f"  {pool}: {len(targets)} targets, {healthy} healthy, {leaving} leaving, "
+            f"{running} requests in flight; weight versions (targets): {text}"
+        )
+
+
+def _steps(states: list[dict[str, Any]]) -> Iterator[str]:
+    steps = [(step, state["vm"]) for state in states for step in state["steps"]]
+    if steps:
+        yield "steps:"
+    for step, vm in steps:
+        yield f"  {step['step']}: {step['remaining']} samples remain, at {vm}"
 
 
 @cappa.command(name="timeline", help="Merge the event logs of several processes.")
@@ -79,7 +135,7 @@
         """Run the command."""
         try:
             entries = merge_entries(read_log_file(file) for file in self.files)
+            for entry in entries:
+                print(render_entry(entry, self.json))
         except OSError as error:
             fail(f"{error.filename}: cannot be read: {error.strerror}")
-        for entry in entries:
-            print(render_entry(entry, self.json))
--- a/mulberryport/cli/tables.py
+++ b/mulberryport/cli/tables.py
@@ -1,14 +1,17 @@
 """Commands on the tables: ``apply``, ``show`` and ``diff``."""
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import cappa
 from attrs import define
 
+from ..outcomes import Done, Unknown
 from ..settings import InvalidFileError
 from ..tables import (
+    Accepted,
     RevisionConflict,
+    Snapshot,
     Tables,
     change_tables,
     diff_tables,
@@ -17,9 +20,18 @@
     read_snapshot,
     render_tables,
     with_keys_of,
+    withdrawn_keys,
 )
 from .connection import StoreOptions, open_store
-from .output import fail, print_json, report_faults, unwrap
+from .output import (
+    EXIT_FAILED,
+    EXIT_UNKNOWN,
+    EXIT_USAGE,
+    fail,
+    print_json,
+    report_faults,
+    unwrap_read,
+)
 
 __all__ = ["ApplyCommand", "DiffCommand", "ShowCommand", "read_tables_file"]
 
@@ -44,43 +56,110 @@
     file: FileArgument = ""
     base: Annotated[
         int | None,
-        cappa.Arg(long="--revision", help="Refuse unless this revision is current."),
+        cappa.Arg(
+            long="--revision",
+            help="Refuse unless this revision, for which the file was prepared, is "
+            "current. The revision at the start of the command if absent.",
+        ),
     ] = None
     after: Annotated[
         int,
-        cappa.Arg(long=True, default=0, help="Make the new revision higher than this."),
+        cappa.Arg(
+            long=True,
+            default=0,
+            help="Make the new revision higher than this one, to repair a store that "
+            "was restored from an old copy.",
+        ),
     ] = 0
     change_id: Annotated[
         str,
         cappa.Arg(
-            long=True, default="", help="Id of the change, to repeat a lost one."
+            long=True,
+            default="",
+            help="Id of an earlier apply whose outcome is unknown; with --revision.",
         ),
     ] = ""
 
     def __call__(self) -> None:
         """Run the command."""
+        if self.change_id and self.base is None:
+            fail("--change-id needs the --revision of the first attempt", EXIT_USAGE)
         tables = read_tables_file(self.file, self.json)
+        store = open_store(self)
+        current: Snapshot = unwrap_read(read_snapshot(store))
+        base = current.revision if self.base is None else self.base
         change_id = self.change_id or new_change_id()
-        hint = f"; repeat with --change-id {change_id}"
-        accepted = unwrap(
-            change_tables(
-                open_store(self),
-                lambda current: with_keys_of(tables, current),
-                change_id=change_id,
-                base=self.base,
-                after=self.after,
-            ),
-            hint,
+        lines = self._differences(current, tables)
+        outcome = change_tables(
+            store,
+            lambda stored: with_keys_of(tables, stored),
+            change_id=change_id,
+            base=base,
+            after=self.after,
         )
-        if isinstance(accepted, RevisionConflict):
-            fail(
-                f"the tables changed: expected revision {accepted.expected}; see "
-                "mulberryport diff, then apply again"
+        if isinstance(outcome, Unknown):
+            self._report_unknown(outcome.reason, change_id, base)
+        if not isinstance(outcome, Done):
+            fail(f"nothing was changed: {outcome.reason}")
+        if isinstance(outcome.value, RevisionConflict):
+            latest = unwrap_read(read_snapshot(store))
+            self._report_conflict(base, latest, tables)
+        self._report_accepted(outcome.value, base, lines)
+
+    def _differences(self, current: Snapshot, tables: Tables) -> list[str]:
+        name = f"revision {current.revision}"
+        lines = diff_tables(current.tables, tables, name, self.file)
+        kept = with_keys_of(tables, current.tables)
+        gone = [
+            current.tables.keys[digest]
+            for digest in sorted(withdrawn_keys(current.tables, kept))
+        ]
+        return lines + [
+            f"# withdraws key {record.key_id} of workspace {record.workspace}"
+            for record in gone
+        ]
+
+    def _report_accepted(self, accepted: Accepted, base: int, lines: list[str]) -> None:
+        if self.json:
+            print_json(
+                {
+                    "revision": accepted.revision,
+                    "change_id": accepted.change_id,
+                    "base": base,
+                    "diff": lines,
+                }
             )
+            return
+        print("\n".join(lines or ["no differences"]))
+        print(f"revision {accepted.revision} is accepted")
+
+    def _report_conflict(self, base: int, latest: Snapshot, tables: Tables) -> NoReturn:
+        lines = self._differences(latest, tables)
         if self.json:
-            print_json({"revision": accepted.revision, "change_id": accepted.change_id})
+            print_json(
+                {
+                    "outcome": "conflict",
+                    "expected": base,
+                    "revision": latest.revision,
+                    "diff": lines,
+                }
+            )
         else:
-            print(f"revision {accepted.revision} is in force")
+            print("\n".join(lines or ["no differences"]))
+        fail(
+            f"nothing was changed: the file was prepared for revision {base}, but "
+            f"revision {latest.revision} is current; the differences to it are above",
+            EXIT_FAILED,
+        )
+
+    def _report_unknown(self, reason: str, change_id: str, base: int) -> NoReturn:
+        if self.json:
+            print_json({"outcome": "unknown", "change_id": change_id, "base": base})
+        fail(
+            f"outcome unknown: {reason}\nrepeat the command with "
+            f"--revision {base} --change-id {change_id}",
+            EXIT_UNKNOWN,
+        )
 
 
 @cappa.command(name="show", help="Print the tables in force.")
@@ -90,7 +169,7 @@
 
     def __call__(self) -> None:
         """Run the command."""
-        snapshot = unwrap(read_snapshot(open_store(self)))
+        snapshot = unwrap_read(read_snapshot(open_store(self)))
         if self.json:
             print_json(
                 {
@@ -115,15 +194,20 @@
     """Compare a file with the tables in force."""
 
     file: FileArgument = ""
+    exit_code: Annotated[
+        bool,
+        cappa.Arg(long=True, default=False, help="Exit with 1 if there are any."),
+    ] = False
 
     def __call__(self) -> None:
-        """Run the command; exit with 1 if there are differences."""
+        """Run the command."""
         tables = read_tables_file(self.file, self.json)
-        snapshot = unwrap(read_snapshot(open_store(self)))
+        snapshot = unwrap_read(read_snapshot(open_store(self)))
         name = f"revision {snapshot.revision}"
         lines = diff_tables(snapshot.tables, tables, name, self.file)
         if self.json:
             print_json({"revision": snapshot.revision, "diff": lines})
         else:
-            print("\n".join(lines))
-        raise cappa.Exit(code=1 if lines else 0)
+            print("\n".join(lines or ["no differences"]))
+        if lines and self.exit_code:
+            raise cappa.Exit(code=EXIT_FAILED)
--- a/mulberryport/tables/__init__.py
+++ b/mulberryport/tables/__init__.py
@@ -13,7 +13,7 @@
     new_change_id,
     withdraw_key,
 )
-from .diff import diff_tables
+from .diff import diff_tables, withdrawn_keys
 from .holder import SnapshotHolder
 from .keys import find_key, key_digest, new_key
 from .model import (
@@ -56,4 +56,5 @@
     "render_tables",
     "with_keys_of",
     "withdraw_key",
+    "withdrawn_keys",
 ]
