--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -85,7 +85,11 @@
         self.store = StoreClient(
             platform.store, platform.timeout, credentials.platform_token
         )
-        self.distribution = Distribution(self.store, self.holder, self.members)
+        # A client of its own counts the calls that distribution makes.
+        reader = StoreClient(
+            platform.store, platform.timeout, credentials.platform_token
+        )
+        self.distribution = Distribution(reader, self.holder, self.members)
         heartbeats = Heartbeats(self.members, self.holder, self.distribution)
         add_report = self.distribution.add_report
         self.peers = Peers(
@@ -201,6 +205,7 @@
             "change_id": snapshot.change_id,
             "confirmation_age": min(self.holder.confirmation_age, 1e9),
             "store_readable": self.distribution.store_readable,
+            "configuration_calls": self.distribution.store.calls,
             "keys_usable": self.distribution.keys_usable(),
             "members": [member.vm for member in self.members.live()],
             "duties": [duty.name for duty in self.keeper.duties if duty.held],
