--- a/mulberryport/cli/tables.py
+++ b/mulberryport/cli/tables.py
@@ -32,6 +32,7 @@
     report_faults,
     unwrap_read,
 )
+from .repair import read_fleet_snapshot
 
 __all__ = ["ApplyCommand", "DiffCommand", "ShowCommand", "read_tables_file"]
 
@@ -68,7 +69,8 @@
             long=True,
             default=0,
             help="Make the new revision higher than this one, to repair a store that "
-            "was restored from an old copy.",
+            "was restored from an old copy. With --settings, the keys are those in "
+            "force in the daemon of the settings.",
         ),
     ] = 0
     change_id: Annotated[
@@ -89,13 +91,14 @@
         current: Snapshot = unwrap_read(read_snapshot(store))
         base = current.revision if self.base is None else self.base
         change_id = self.change_id or new_change_id()
-        lines = self._differences(current, tables)
+        fleet = read_fleet_snapshot(self) if self.after and not self.store else None
+        lines = self._differences(fleet or current, tables)
         outcome = change_tables(
             store,
-            lambda stored: with_keys_of(tables, stored),
+            lambda stored: with_keys_of(tables, fleet.tables if fleet else stored),
             change_id=change_id,
             base=base,
-            after=self.after,
+            after=max(self.after, fleet.revision if fleet else 0),
         )
         if isinstance(outcome, Unknown):
             self._report_unknown(outcome.reason, change_id, base)
@@ -132,6 +135,8 @@
             return
         print("\n".join(lines or ["no differences"]))
         print(f"revision {accepted.revision} is accepted")
+        if self.after and self.store:
+            print("the keys are those of the store; withdraw what should not work")
 
     def _report_conflict(self, base: int, latest: Snapshot, tables: Tables) -> NoReturn:
         lines = self._differences(latest, tables)
--- /dev/null
+++ b/mulberryport/cli/tests/test_repair.py
@@ -0,0 +1,48 @@
+"""Test of the repair of a store that was restored from an old copy."""
+
+from ...outcomes import Done
+from ...standins.fleet import Fleet, wait_until
+from ...tables import find_key, issue_key, key_digest, read_snapshot, withdraw_key
+from ...tables.head import HEAD_KEY
+from ...tables.tests.builders import TABLES_TEXT
+from .test_program import run
+
+
+def test_repair_keeps_withdrawn_keys_withdrawn(tmp_path):
+    # Guards against keys that come back with an old copy of the store.
+    tables = tmp_path / "tables.ini"
+    tables.write_text(TABLES_TEXT)
+    fleet = Fleet(tmp_path)
+    try:
+        fleet.start_platform()
+        fleet.add_daemons(["rosario"])
+        fleet.start_daemons()
+        (daemon,) = fleet.daemons
+        at = ["--settings", daemon.settings_file]
+        assert run("apply", *at, tables)[0] == 0
+        store = fleet.store
+        withdrawn, _ = issue_key(store, "roads", change_id="a")
+        old = store.read(HEAD_KEY).value.value
+        assert isinstance(
+            withdraw_key(store, key_digest(withdrawn)[:12], change_id="b"), Done
+        )
+        kept, _ = issue_key(store, "roads", change_id="c")
+        fleet.wait_ready(4)
+        store.write(HEAD_KEY, old, store.read(HEAD_KEY).value.version)
+        assert run("apply", *at, tables, "--after", 4)[0] == 0
+        snapshot = read_snapshot(store).value
+        assert snapshot.revision == 5
+        assert find_key(snapshot.tables, withdrawn) is None
+        assert find_key(snapshot.tables, kept) is not None
+        wait_until(
+            lambda: fleet.operator(daemon, "/state")["revision"] == 5, 5, "adoption"
+        )
+        code, output, _ = run("status", daemon.settings_file)
+        assert code == 0
+        assert "fleet: 1 daemons, revision 5" in output
+        assert "desk: 1 targets" in output
+        fleet.kill(daemon.vm)
+        code, _, error = run("apply", *at, tables, "--after", 9)
+        assert code == 1 and "cannot be asked" in error
+    finally:
+        fleet.close()
--- a/mulberryport/distribution/__init__.py
+++ b/mulberryport/distribution/__init__.py
@@ -1,6 +1,7 @@
 """Distribution of accepted revisions, and whether keys can be trusted here."""
 
 from .cleanup import CLEANUP_PERIOD_S, ShardCleanup
+from .fetching import fetch_snapshot
 from .freshness import FleetView, keys_usable
 from .service import Distribution
 
@@ -9,5 +10,6 @@
     "Distribution",
     "FleetView",
     "ShardCleanup",
+    "fetch_snapshot",
     "keys_usable",
 ]
--- a/mulberryport/distribution/service.py
+++ b/mulberryport/distribution/service.py
@@ -17,6 +17,7 @@
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .access import StoreAccess
+from .fetching import shard_finder
 from .freshness import CONFIRMATION_LIMIT_S, FleetView, keys_usable
 from .probes import Probes
 
@@ -265,7 +266,7 @@
             head = decode_head(reply.head)
         except ValueError as error:
             return Malformed(str(error))
-        followed = self._follow(head, lambda digest: _find_shard(reply, digest))
+        followed = self._follow(head, shard_finder(reply))
         current = self.holder.snapshot
         if (head.revision, head.change_id) == (current.revision, current.change_id):
             self._refusals.pop(vm, None)
@@ -299,9 +300,3 @@
         if self._refusals.get(source) != reason:
             self._refusals[source] = reason
             log(CONFIGURATION_REFUSED, source=source, reason=reason)
-
-
-def _find_shard(reply: Any, digest: str) -> Outcome[bytes]:
-    if digest in reply.shards:
-        return Done(reply.shards[digest])
-    return Malformed(f"shard {digest} was not sent")
