Take only the expected answers of the store for done

Cause: a write that was answered with 404, as by a wrong address, passed for an accepted one, and an answer that is a list or a number raised.

Change: each call names the statuses that answer it; any other one refuses the call, and an answer of another form is unknown.

With 404 among the answers of a write the test of a missing path fails; without the attribute error 12 cases of malformed answers raise.

--- a/mulberryport/store/client.py
+++ b/mulberryport/store/client.py
@@ -21,6 +21,9 @@
 __all__ = ["Conflict", "Entry", "Lease", "StoreClient", "MAX_VALUE_BYTES"]
 
 MAX_VALUE_BYTES = 1_000_000
+# Statuses that answer a call; any other one refuses it.
+FOUND_OR_NOT = (200, 404)
+DONE_OR_CONFLICT = (200, 409)
 
 
 @frozen
@@ -79,7 +82,7 @@
     def read(self, key: str) -> Outcome[Entry]:
         """Read a key."""
         reply = self._call("GET", f"/kv/{quote(key)}")
-        return _map(reply, _entry)
+        return _map(reply, _entry_or_none, FOUND_OR_NOT)
 
     def write(self, key: str, value: bytes, expected: int) -> Outcome[Entry | Conflict]:
         """Write a key if it still has an expected version.
@@ -102,17 +105,17 @@
             return NotDone(f"value of {key} has {len(value)} bytes; the limit is 1 MB")
         body = {"value": base64.b64encode(value).decode(), "expected": expected}
         reply = self._call("PUT", f"/kv/{quote(key)}", body)
-        return _map(reply, _entry_or_conflict)
+        return _map(reply, _entry_or_conflict, DONE_OR_CONFLICT)
 
     def remove(self, key: str, expected: int) -> Outcome[Entry | Conflict]:
         """Remove a key if it still has an expected version."""
         reply = self._call("DELETE", f"/kv/{quote(key)}?expected={expected}")
-        return _map(reply, _entry_or_conflict)
+        return _map(reply, _entry_or_conflict, DONE_OR_CONFLICT)
 
     def list_keys(self, prefix: str) -> Outcome[list[str]]:
         """Return the keys that start with a prefix, in order."""
         reply = self._call("GET", f"/keys?prefix={quote(prefix, safe='')}")
-        return _map(reply, lambda r: [str(key) for key in r.body["keys"]])
+        return _map(reply, lambda r: [str(key) for key in r.body["keys"]], (200,))
 
     def watch(self, key: str, seen: int, wait: float) -> Outcome[Entry]:
         """Return the key as soon as its version differs from the one seen.
@@ -128,7 +131,7 @@
         """
         path = f"/kv/{quote(key)}?seen={seen}&wait={wait}"
         reply = self._call("GET", path, timeout=wait + self.timeout)
-        return _map(reply, _entry)
+        return _map(reply, _entry_or_none, FOUND_OR_NOT)
 
     def acquire_lease(
         self, name: str, holder: str, ttl: float
@@ -142,7 +145,7 @@
         """
         body = {"holder": holder, "ttl": ttl}
         reply = self._call("POST", f"/leases/{quote(name)}", body)
-        return _map(reply, lambda r: _lease(name, ttl, r))
+        return _map(reply, lambda r: _lease(name, ttl, r), DONE_OR_CONFLICT)
 
     def renew_lease(
         self, name: str, holder: str, fencing: int, ttl: float
@@ -150,12 +153,13 @@
         """Extend a lease that the holder still has under the same fencing number."""
         body = {"holder": holder, "ttl": ttl, "fencing": fencing}
         reply = self._call("PUT", f"/leases/{quote(name)}", body)
-        return _map(reply, lambda r: _lease(name, ttl, r))
+        return _map(reply, lambda r: _lease(name, ttl, r), DONE_OR_CONFLICT)
 
     def release_lease(self, name: str, holder: str, fencing: int) -> Outcome[bool]:
         """Give a lease back; false if the holder no longer has it."""
         path = f"/leases/{quote(name)}?holder={quote(holder)}&fencing={fencing}"
-        return _map(self._call("DELETE", path), lambda r: r.status == 200)
+        reply = self._call("DELETE", path)
+        return _map(reply, lambda r: r.status == 200, DONE_OR_CONFLICT)
 
     def _call(
         self, method: str, path: str, body: object = None, timeout: float | None = None
@@ -171,22 +175,26 @@
         )
 
 
-def _map(outcome: Outcome[JsonReply], convert: Any) -> Outcome[Any]:
+def _map(
+    outcome: Outcome[JsonReply], convert: Any, expected: tuple[int, ...]
+) -> Outcome[Any]:
     """Convert the answer of a call; an answer of another form is unknown."""
     if not isinstance(outcome, Done):
         return outcome
     reply = outcome.value
-    if reply.status not in (200, 404, 409):
+    if reply.status not in expected:
         return NotDone(f"the store refused the call with status {reply.status}")
     try:
         return Done(convert(reply))
-    except (KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         return Unknown(f"malformed answer of the store: {error!r}")
 
 
+def _entry_or_none(reply: JsonReply) -> Entry:
+    return Entry(None, 0) if reply.status == 404 else _entry(reply)
+
+
 def _entry(reply: JsonReply) -> Entry:
-    if reply.status == 404:
-        return Entry(None, 0)
     value = reply.body.get("value")
     decoded = None if value is None else base64.b64decode(value, validate=True)
     return Entry(decoded, int(reply.body["version"]))
