Let the repair of the store replace malformed content

Cause: no change could be made once the head was malformed or one of its shards was missing.

Result: a head of "?" and a missing shard are repaired in two tests; an ordinary apply still refuses both. Keeping the names of the missing shards raises in one.

--- a/mulberryport/cli/tables.py
+++ b/mulberryport/cli/tables.py
@@ -8,8 +8,10 @@
 
 from ..outcomes import Done, Unknown
 from ..settings import InvalidFileError
+from ..store import StoreClient
 from ..tables import (
     Accepted,
+    Malformed,
     RevisionConflict,
     Snapshot,
     Tables,
@@ -17,6 +19,7 @@
     diff_tables,
     new_change_id,
     parse_tables,
+    read_head,
     read_snapshot,
     render_tables,
     with_keys_of,
@@ -88,27 +91,37 @@
             fail("--change-id needs the --revision of the first attempt", EXIT_USAGE)
         tables = read_tables_file(self.file, self.json)
         store = open_store(self)
-        current: Snapshot = unwrap_read(read_snapshot(store))
-        base = current.revision if self.base is None else self.base
-        change_id = self.change_id or new_change_id()
         fleet = read_fleet_snapshot(self) if self.after and not self.store else None
-        lines = self._differences(fleet or current, tables)
+        stored_revision = self._read_revision(store, fleet)
+        base = stored_revision if self.base is None else self.base
+        change_id = self.change_id or new_change_id()
+        current = fleet or unwrap_read(read_snapshot(store))
+        lines = self._differences(current, tables)
         outcome = change_tables(
             store,
             lambda stored: with_keys_of(tables, fleet.tables if fleet else stored),
             change_id=change_id,
             base=base,
             after=max(self.after, fleet.revision if fleet else 0),
+            repair=fleet is not None,
         )
         if isinstance(outcome, Unknown):
             self._report_unknown(outcome.reason, change_id, base)
         if not isinstance(outcome, Done):
             fail(f"nothing was changed: {outcome.reason}")
         if isinstance(outcome.value, RevisionConflict):
-            latest = unwrap_read(read_snapshot(store))
+            latest: Snapshot = unwrap_read(read_snapshot(store))
             self._report_conflict(base, latest, tables)
         self._report_accepted(outcome.value, base, lines)
 
+    def _read_revision(self, store: StoreClient, fleet: Snapshot | None) -> int:
+        """Return the stored revision; 0 if the head is to be repaired from a fleet."""
+        outcome = read_head(store)
+        if fleet is not None and isinstance(outcome, Malformed):
+            return 0
+        head, _ = unwrap_read(outcome)
+        return head.revision
+
     def _differences(self, current: Snapshot, tables: Tables) -> list[str]:
         name = f"revision {current.revision}"
         lines = diff_tables(current.tables, tables, name, self.file)
--- a/mulberryport/cli/tests/test_repair.py
+++ b/mulberryport/cli/tests/test_repair.py
@@ -1,4 +1,4 @@
-"""Test of the repair of a store that was restored from an old copy."""
+"""Test of the repair of a store from the daemons."""
 
 from ...outcomes import Done
 from ...standins.fleet import Fleet, wait_until
@@ -41,6 +41,11 @@
         assert code == 0
         assert "fleet: 1 daemons, revision 5" in output
         assert "desk: 1 targets" in output
+        store.write(HEAD_KEY, b"?", store.read(HEAD_KEY).value.version)
+        assert run("apply", *at, tables)[0] == 1
+        assert run("apply", *at, tables, "--after", 5)[0] == 0
+        tables_now = read_snapshot(store).value.tables
+        assert set(tables_now.keys) == {key_digest(kept)}
         fleet.kill(daemon.vm)
         code, _, error = run("apply", *at, tables, "--after", 9)
         assert code == 1 and "cannot be asked" in error
--- a/mulberryport/tables/__init__.py
+++ b/mulberryport/tables/__init__.py
@@ -27,7 +27,7 @@
     TargetSpec,
     Workspace,
 )
-from .queries import read_head, read_snapshot
+from .queries import Malformed, read_head, read_snapshot
 from .text import parse_tables, render_tables, with_keys_of
 
 __all__ = [
@@ -35,6 +35,7 @@
     "PLAIN_SERVICE",
     "Accepted",
     "KeyRecord",
+    "Malformed",
     "Pool",
     "RevisionConflict",
     "Route",
--- a/mulberryport/tables/commands.py
+++ b/mulberryport/tables/commands.py
@@ -12,7 +12,7 @@
 from .head import HEAD_KEY, HISTORY_LENGTH, SHARD_PREFIX, Head, encode_head
 from .keys import key_digest, new_key
 from .model import KeyRecord, Snapshot, Tables
-from .queries import assemble, read_head, read_shard
+from .queries import Malformed, assemble, read_head, read_shard
 from .shards import cut, shard_digest
 
 __all__ = [
@@ -89,6 +89,7 @@
     change_id: str,
     base: int | None = None,
     after: int = 0,
+    repair: bool = False,
 ) -> Outcome[Accepted | RevisionConflict]:
     """Change the accepted tables.
 
@@ -106,6 +107,9 @@
     after : int
         The new revision is higher than this one, which repairs a store that was
         restored from an old copy.
+    repair : bool
+        Whether a malformed head, which has revision 0, and missing or malformed
+        shards are replaced; the change is then made on empty tables.
 
     Returns
     -------
@@ -115,7 +119,7 @@
     """
     conflict = RevisionConflict(base or 0, 0)
     for _ in range(CONFLICT_RETRIES):
-        prepared = _prepare(store, change, change_id, base, after)
+        prepared = _prepare(store, change, change_id, base, after, repair)
         if not isinstance(prepared, _Prepared):
             return prepared
         outcome = _move_head(store, prepared)
@@ -209,6 +213,7 @@
     change_id: str,
     base: int | None,
     after: int,
+    repair: bool,
 ) -> _Prepared | Outcome[Accepted | RevisionConflict]:
     """Store the shards of a change; return its head, or why there is none.
 
@@ -216,6 +221,8 @@
     failure leaves a doubt.
     """
     outcome = read_head(store)
+    if repair and isinstance(outcome, Malformed):
+        outcome = _read_version(store)
     if not isinstance(outcome, Done):
         return NotDone(outcome.reason)
     head, version = outcome.value
@@ -224,12 +231,13 @@
     if base is not None and head.revision != base:
         return Done(RevisionConflict(base, head.revision))
     current = assemble(head, lambda digest: read_shard(store, digest))
+    named = set(head.shards.values())
+    if repair and isinstance(current, Malformed):
+        current, named = Done((Snapshot(), {})), set()
     if not isinstance(current, Done):
         return NotDone(current.reason)
-    snapshot: Snapshot = current.value[0]
-    shards = cut(change(snapshot.tables))
+    shards = cut(change(current.value[0].tables))
     digests = {name: shard_digest(content) for name, content in shards.items()}
-    named = set(head.shards.values())
     for name, content in shards.items():
         if digests[name] in named:
             continue
@@ -245,6 +253,14 @@
     return _Prepared(new_head, head, version)
 
 
+def _read_version(store: StoreClient) -> Outcome[tuple[Head, int]]:
+    """Return an empty head with the version of the malformed one."""
+    outcome = store.read(HEAD_KEY)
+    if not isinstance(outcome, Done):
+        return outcome
+    return Done((Head(), outcome.value.version))
+
+
 def _store_shard(store: StoreClient, digest: str, content: bytes) -> Outcome[None]:
     """Store a shard that the current head does not name.
 
--- a/mulberryport/tables/tests/test_commands.py
+++ b/mulberryport/tables/tests/test_commands.py
@@ -18,6 +18,7 @@
     read_snapshot,
     withdraw_key,
 )
+from ..head import SHARD_PREFIX
 from ..model import Snapshot
 from .builders import losing_head_writes, running_store, sample_tables
 
@@ -94,6 +95,20 @@
         assert again == Done(Accepted(1, "a"))
 
 
+def test_missing_shard_is_replaced_by_a_repair_only():
+    # Guards against a store that no change can leave once a shard is missing.
+    with running_store() as store:
+        change_tables(store, add_tables, change_id="a")
+        head = read_head(store).value[0]
+        key = SHARD_PREFIX + head.shards["routes"]
+        store.remove(key, store.read(key).value.version)
+        outcome = change_tables(store, add_tables, change_id="b")
+        assert isinstance(outcome, NotDone)
+        outcome = change_tables(store, add_tables, change_id="c", repair=True)
+        assert outcome == Done(Accepted(2, "c"))
+        assert read_snapshot(store).value.tables == sample_tables()
+
+
 def test_issue_replaces_a_key_that_was_never_shown():
     # Guards against keys that nobody knows after a repeated key issue.
     with running_store() as store:
