Merge the configuration, keys, leases and command line

Change: heartbeats carry the report of the distribution in both directions by way of Heartbeats.make instead of wrappers around it; messages and the operators' page are joined.

--- a/mulberryport/daemon/heartbeats.py
+++ b/mulberryport/daemon/heartbeats.py
@@ -61,6 +61,7 @@
             leaving=self.members.self_member.leaving,
             members_complete=told is None,
         )
+        self.distribution.add_report(heartbeat, peer.vm)
         if news is not told:
             before = told or {}
             heartbeat.members.extend(
--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -8,7 +8,7 @@
 import xxhash
 from attrs import define, field
 
-from ..distribution import Distribution
+from ..distribution import CLEANUP_PERIOD_S, Distribution, ShardCleanup
 from ..gateway import Gateway
 from ..leases import DutyKeeper
 from ..membership import HEARTBEAT_PERIOD_S, Member, Members, new_incarnation
@@ -40,6 +40,7 @@
 
 VM_LIST_PERIOD_S = 1.0
 DUTY_PERIOD_S = 0.5
+KEYS_PERIOD_S = 0.5
 WEIGHTS_PERIOD_S = 0.5
 USAGE_PERIOD_S = 1.0
 
@@ -84,7 +85,11 @@
         self.store = StoreClient(
             platform.store, platform.timeout, credentials.platform_token
         )
-        self.distribution = Distribution(self.store, self.holder, self.members)
+        # A client of its own counts the calls that distribution makes.
+        reader = StoreClient(
+            platform.store, platform.timeout, credentials.platform_token
+        )
+        self.distribution = Distribution(reader, self.holder, self.members)
         heartbeats = Heartbeats(self.members, self.holder, self.distribution)
         self.peers = Peers(
             self.members, credentials.peer_token, heartbeats.make, heartbeats.take
@@ -127,7 +132,10 @@
             VM_LIST_PERIOD_S,
             lambda: poll_vm_list(self.directory, platform.vms, platform.timeout),
         )
+        subscribe("keys", KEYS_PERIOD_S, self.distribution.note_keys_usable)
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
+        cleanup = ShardCleanup(self.store, self.keeper.duty("config-cleanup"))
+        subscribe("cleanup", CLEANUP_PERIOD_S, cleanup.turn)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
         for reporter in self.reporters:
             subscribe(f"usage {reporter.shard}", USAGE_PERIOD_S, reporter.turn)
@@ -191,6 +199,7 @@
             "change_id": snapshot.change_id,
             "confirmation_age": min(self.holder.confirmation_age, 1e9),
             "store_readable": self.distribution.store_readable,
+            "configuration_calls": self.distribution.store.calls,
             "keys_usable": self.distribution.keys_usable(),
             "members": [member.vm for member in self.members.live()],
             "duties": [duty.name for duty in self.keeper.duties if duty.held],
--- a/mulberryport/tables/__init__.py
+++ b/mulberryport/tables/__init__.py
@@ -13,7 +13,7 @@
     new_change_id,
     withdraw_key,
 )
-from .diff import diff_tables
+from .diff import diff_tables, withdrawn_keys
 from .holder import SnapshotHolder
 from .keys import find_key, key_digest, new_key
 from .model import (
@@ -27,7 +27,7 @@
     TargetSpec,
     Workspace,
 )
-from .queries import read_head, read_snapshot
+from .queries import Malformed, read_head, read_snapshot
 from .text import parse_tables, render_tables, with_keys_of
 
 __all__ = [
@@ -35,6 +35,7 @@
     "PLAIN_SERVICE",
     "Accepted",
     "KeyRecord",
+    "Malformed",
     "Pool",
     "RevisionConflict",
     "Route",
@@ -56,4 +57,5 @@
     "render_tables",
     "with_keys_of",
     "withdraw_key",
+    "withdrawn_keys",
 ]
