Carry the clock in accepted heads

Cause: a daemon could log the adoption of a revision with an earlier stamp than events before the change, when its wall clock is behind that of the operator.

Change: the head holds the hybrid clock of its change, and daemons observe it before they adopt.

Result: the tests of tables and distribution pass.

--- a/mulberryport/distribution/service.py
+++ b/mulberryport/distribution/service.py
@@ -16,7 +16,7 @@
 from ..tables.head import HEAD_KEY, Head, decode_head, encode_head
 from ..tables.queries import Malformed, assemble, read_shard
 from ..telemetry import define as define_event
-from ..telemetry import log
+from ..telemetry import log, process_clock
 from .access import StoreAccess
 from .fetching import shard_finder
 from .freshness import CONFIRMATION_LIMIT_S, FleetView, keys_usable
@@ -250,6 +250,7 @@
             return assembled
         # Another revision may have been adopted while shards were fetched.
         if head.revision > self.holder.snapshot.revision:
+            process_clock.observe(head.clock)
             self._head, self._adopted_at = head, boottime()
             self.holder.adopt(*assembled.value)
         return Done(None)
--- a/mulberryport/tables/commands.py
+++ b/mulberryport/tables/commands.py
@@ -9,6 +9,7 @@
 
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from ..store import Conflict, StoreClient
+from ..telemetry import process_clock
 from .head import HEAD_KEY, HISTORY_LENGTH, SHARD_PREFIX, Head, encode_head
 from .keys import key_digest, new_key
 from .model import KeyRecord, Snapshot, Tables
@@ -249,6 +250,7 @@
         change_id=change_id,
         shards=digests,
         history=(*head.history, change_id)[-HISTORY_LENGTH:],
+        clock=process_clock.now(),
     )
     return _Prepared(new_head, head, version)
 
--- a/mulberryport/tables/head.py
+++ b/mulberryport/tables/head.py
@@ -39,12 +39,16 @@
         Digest by shard name.
     history : tuple of str
         Ids of the most recent changes, oldest first, this one included.
+    clock : int
+        Hybrid logical clock of the change, so that a time line shows its adoption
+        after everything that came before it.
     """
 
     revision: int = 0
     change_id: str = ""
     shards: Mapping[str, str] = field(factory=dict)
     history: tuple[str, ...] = ()
+    clock: int = 0
 
     def descends_from(self, other: "Head") -> bool:
         """Return whether this head is known to contain the change of another one."""
