--- /dev/null
+++ b/mulberryport/usage/answers.py
@@ -0,0 +1,39 @@
+"""Acts that must come before the last byte of an answer."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+__all__ = ["before_last_byte"]
+
+
+def before_last_byte(
+    parts: Iterable[bytes], length: int | None, act: Callable[[], object]
+) -> Iterator[bytes]:
+    """Yield the parts of an answer and act once before its last byte.
+
+    Parameters
+    ----------
+    parts : iterable of bytes
+        The body as it arrives; no part is held back.
+    length : int or None
+        Bytes of the body. Without it the end marker, which follows the last part,
+        is the last of the answer.
+    act : callable
+        Not called if the body fails before its end.
+
+    Examples
+    --------
+    >>> seen = []
+    >>> for part in before_last_byte([b"ab", b"c"], 3, lambda: seen.append("act")):
+    ...     seen.append(part)
+    >>> seen
+    [b'ab', 'act', b'c']
+    """
+    sent, done = 0, False
+    for part in parts:
+        sent += len(part)
+        if not done and length is not None and sent >= length:
+            done = True
+            act()
+        yield part
+    if not done:
+        act()
--- /dev/null
+++ b/mulberryport/usage/tests/builders.py
@@ -0,0 +1,121 @@
+"""A small fleet for tests of duties, with short leases."""
+
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field
+
+from ...runtime.http import call_json
+from ...standins.fleet import DaemonProcess, Fleet, wait_until
+from ...tables import change_tables, new_change_id, parse_tables
+
+ZONES = ("rosario", "parana", "santa-fe")
+USAGE_SETTINGS = "[usage]\nwindow = 1\ngrace = 0.2"
+TABLES = """
+[workspace hauliers]
+[workspace roads]
+[route filing]
+path = /filing/
+pool = desk
+workspaces = hauliers
+open = yes
+[pool desk]
+kind = plain-service
+concurrency = 64
+targets = desk1 {desk} rosario
+"""
+
+
+@contextmanager
+def running_fleet(
+    folder: Path, tables: str = TABLES, settings: str = USAGE_SETTINGS
+) -> Iterator[Fleet]:
+    """Run a platform, a plain service and three daemons with short leases."""
+    fleet = Fleet(folder, program="mulberryport.usage.tests.short_leases")
+    try:
+        fleet.start_platform()
+        desk = fleet.start_target("desk1", "service")
+        fleet.add_daemons(ZONES, settings, vm_extra="drain-delay = 0")
+        fleet.start_daemons()
+        parsed = parse_tables(tables.format(desk=desk), "test")
+        outcome = change_tables(
+            fleet.store, lambda current: parsed, change_id=new_change_id()
+        )
+        fleet.wait_ready(outcome.value.revision)
+        yield fleet
+    except BaseException:
+        for file in folder.glob("*.out"):
+            sys.stderr.write(f"--- {file.name}\n{file.read_text()[-1000:]}\n")
+        raise
+    finally:
+        fleet.close()
+
+
+def pause_file(settings_file: str | Path) -> Path:
+    """Return the file that asks a daemon with short leases to pause."""
+    return Path(settings_file).with_suffix(".pause-at-guard")
+
+
+def platform_log(fleet: Fleet, name: str) -> list[dict[str, Any]]:
+    """Return a log of the platform's stand-in."""
+    outcome = call_json("GET", f"{fleet.platform_url}/{name}", timeout=5.0)
+    return outcome.value.body
+
+
+def set_faults(fleet: Fleet, **faults: object) -> None:
+    """Set the faults of the platform's stand-in; without any, it is healthy."""
+    call_json("POST", f"{fleet.platform_url}/faults", faults, timeout=5.0)
+
+
+def holder(fleet: Fleet, duty: str, timeout: float = 10.0) -> DaemonProcess:
+    """Return the daemon that holds a duty, as soon as one does."""
+
+    def held() -> DaemonProcess | None:
+        for daemon in fleet.daemons:
+            if daemon.vm in fleet.running:
+                state = fleet.operator(daemon, "/state")
+                if state and duty in state["duties"]:
+                    return daemon
+        return None
+
+    return wait_until(held, timeout, f"{duty} is held")
+
+
+@define(eq=False)
+class Callers:
+    """Calls daemons in turn from a thread and counts the answers."""
+
+    urls: list[str]
+    answered: int = 0
+    unknown: int = 0
+    not_run: int = 0
+    _stop: threading.Event = field(factory=threading.Event)
+    _thread: threading.Thread | None = None
+
+    def __enter__(self) -> "Callers":
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        if self._thread is not None:
+            self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            for url in list(self.urls):
+                outcome = call_json("POST", f"{url}/filing/a", {}, timeout=1.0)
+                reply = getattr(outcome, "value", None)
+                if reply is not None and reply.status == 200:
+                    self.answered += 1
+                elif reply is not None:
+                    self.not_run += 1
+                else:
+                    self.unknown += 1
+            time.sleep(0.01)
--- /dev/null
+++ b/mulberryport/usage/tests/short_leases.py
@@ -0,0 +1,49 @@
+"""The program with leases of 2 s, and a pause between a guard and its act.
+
+Tests start it instead of the program itself, so that a change of holders takes
+seconds. If the file ``pause-at-guard`` exists beside the log of a daemon and holds
+the name of a duty, the daemon stops itself (SIGSTOP) right after that duty's guard
+has permitted an act, once.
+"""
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+from mulberryport.runtime.hub import install
+
+install()
+
+from mulberryport.cli import main  # noqa: E402
+from mulberryport.leases import duty, keeper  # noqa: E402
+from mulberryport.leases.duty import Duty  # noqa: E402
+from mulberryport.usage.tests.builders import pause_file  # noqa: E402
+
+TTL_S = 2.0
+for module in (duty, keeper):
+    module.LEASE_TTL_S = TTL_S
+duty.LEASE_MARGIN_S = 0.4
+keeper.RENEWAL_PERIOD_S = 0.4
+
+
+def install_pause(file: Path) -> None:
+    """Stop this process after the next guard of the duty that a file names."""
+    checked = Duty.guard
+
+    def guard(self: Duty, seconds: float = 0.0) -> None:
+        checked(self, seconds)
+        if seconds and file.exists() and file.read_text() == self.name:
+            file.unlink()
+            os.kill(os.getpid(), signal.SIGSTOP)
+
+    Duty.guard = guard
+
+
+if __name__ == "__main__":
+    from mulberryport.usage import reporter
+
+    reporter.SEND_TIMEOUT_S = 0.5
+    if sys.argv[1] == "daemon":
+        install_pause(pause_file(sys.argv[2]))
+    main()
