Replicate usage counters and report each window once, in order

Cause: Counters were lost with their daemon, late increments were not reported, a successor could skip windows, and the report was not tied to the figure that was frozen.

A frozen window keeps how much of each counter it reports; later windows carry only what is beyond that, marked with the window it belongs to. The reporter works through all windows in order, sends the stored bytes under a fixed id after checking their digest, and waits for the former holder's longest send. Settled windows are dropped from memory and from the store. The platform's stand-in records sender and fencing number of each report.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -5,14 +5,13 @@
 
 import eventlet
 import eventlet.event
-import xxhash
 from attrs import define, field
 
 from ..distribution import Distribution
 from ..gateway import Gateway
 from ..leases import DutyKeeper
 from ..membership import Member, Members, new_incarnation
-from ..peering import HEARTBEAT_PERIOD_S, Peers, PeerServer, peer_pb2
+from ..peering import HEARTBEAT_PERIOD_S, Peers, PeerServer
 from ..rollouts import RolloutService
 from ..rollouts.app import TrainerInterface
 from ..runtime import TimerService
@@ -24,8 +23,7 @@
 from ..targets.poller import POLL_PERIOD_S, poll_loads, poll_vm_list
 from ..telemetry import configure, log
 from ..telemetry import define as define_event
-from ..usage import UsageCounters, UsageReporter
-from ..usage.messages import to_message
+from ..usage import UsageCounters, UsageReplicator, UsageReporter, WindowArchive
 from ..weights import WeightService
 from .heartbeats import Heartbeats
 from .operator import OperatorInterface
@@ -42,6 +40,7 @@
 DUTY_PERIOD_S = 0.5
 WEIGHTS_PERIOD_S = 0.5
 USAGE_PERIOD_S = 1.0
+USAGE_FLUSH_TIMEOUT_S = 2.0
 
 
 @define(eq=False)
@@ -65,6 +64,7 @@
     peer_server: PeerServer = field(init=False)
     keeper: DutyKeeper = field(init=False)
     counters: UsageCounters = field(init=False)
+    replicator: UsageReplicator = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     rollouts: RolloutService = field(init=False)
     weights: WeightService = field(init=False)
@@ -93,8 +93,9 @@
         self.peer_server = PeerServer(vm.peer_address, credentials.peer_token)
         self.keeper = DutyKeeper(self.store, self.members)
         self.counters = UsageCounters(
-            vm.id, self.members.self_member.incarnation, usage.window
+            vm.id, self.members.self_member.incarnation, usage.window, usage.shards
         )
+        self.replicator = UsageReplicator(self.counters, self.members, self.peers)
         self.dispatcher = Dispatcher(self.directory, vm.zone)
         self.rollouts = RolloutService(
             self.members, self.peers, self.dispatcher, self.counters
@@ -103,7 +104,7 @@
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
         self.holder.subscribe(self.directory.use_snapshot)
         self.peer_server.register("Exchange", heartbeats.answer)
-        self.peer_server.register("CollectUsage", self._serve_collect)
+        self.replicator.register(self.peer_server)
         self.distribution.register(self.peer_server)
         self.rollouts.register(self.peer_server)
 
@@ -129,6 +130,7 @@
         )
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
+        subscribe("usage replicas", USAGE_PERIOD_S, self.replicator.turn)
         for reporter in self.reporters:
             subscribe(f"usage {reporter.shard}", USAGE_PERIOD_S, reporter.turn)
         serve(
@@ -163,6 +165,7 @@
         log(DAEMON_STOPPING)
         self.members.leave()
         eventlet.sleep(self.settings.vm.drain_delay)
+        self.replicator.flush(USAGE_FLUSH_TIMEOUT_S)
         self.keeper.release_all()
         self.timers.stop()
         self.peers.stop()
@@ -214,25 +217,15 @@
 
     def _reporter(self, shard: int) -> UsageReporter:
         usage = self.settings.usage
-
-        def belongs(workspace: str) -> bool:
-            return xxhash.xxh64_intdigest(workspace.encode()) % usage.shards == shard
-
         return UsageReporter(
-            shard,
             self.keeper.duty(f"usage/{shard}"),
-            self.store,
+            WindowArchive(shard, self.store),
             self.counters,
             self.members,
             self.peers,
             self.settings.platform.usage,
             usage.grace,
-            belongs,
         )
 
-    def _serve_collect(self, request: peer_pb2.CollectUsageRequest) -> Any:
-        items = self.counters.items(request.up_to_window)
-        return peer_pb2.CollectUsageReply(counters=[to_message(*i) for i in items])
-
     def _on_signal(self, *_: object) -> None:
         eventlet.spawn_n(self.stop)
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -19,7 +19,7 @@
 )
 from ..telemetry import define as define_event
 from ..telemetry import log
-from ..usage import UsageCounters
+from ..usage import UsageCounters, before_last_byte
 from .access import Access, authorize, match_route
 from .credentials import find_credential, forwardable_headers, forwardable_query
 from .forwarding import forward
@@ -129,8 +129,18 @@
                     access.route.timeout,
                 )
                 start_response(f"{answer.status} {answer.reason}", answer.headers)
-                yield from answer.body
-                self.counters.add(access.workspace, access.route.pool, requests=1)
+                lengths = [
+                    v for n, v in answer.headers if n.lower() == "content-length"
+                ]
+                yield from before_last_byte(
+                    answer.body,
+                    int(lengths[0]) if lengths else None,
+                    lambda: self.counters.settle(
+                        self.counters.add(
+                            access.workspace, access.route.pool, requests=1
+                        )
+                    ),
+                )
                 log(REQUEST_SERVED, route=access.route.name, target=view.id)
         except ShedError as error:
             raise RefusalError(503, str(error)) from error
@@ -152,8 +162,10 @@
                         offset=offset, tokens=chunk.tokens, version=chunk.version
                     )
                     offset += len(chunk.tokens)
-                self.counters.add(
-                    access.workspace, access.route.pool, requests=1, tokens=offset
+                self.counters.settle(
+                    self.counters.add(
+                        access.workspace, access.route.pool, requests=1, tokens=offset
+                    )
                 )
                 log(REQUEST_SERVED, route=access.route.name, target=view.id)
                 yield _line(done=True, length=offset)
--- a/mulberryport/rollouts/service.py
+++ b/mulberryport/rollouts/service.py
@@ -133,11 +133,11 @@
         step = StepState(spec)
 
         def count(sample: Sample) -> None:
-            self.counters.add(
-                spec.id.workspace,
-                spec.pool,
-                samples=1,
-                tokens=len(sample.tokens),
+            tokens = len(sample.tokens)
+            self.counters.settle(
+                self.counters.add(
+                    spec.id.workspace, spec.pool, samples=1, tokens=tokens
+                )
             )
 
         runner = StepRunner(step, self.dispatcher, count)
--- a/mulberryport/standins/fleet.py
+++ b/mulberryport/standins/fleet.py
@@ -88,9 +88,12 @@
     ----------
     folder : Path
         Where settings and logs are kept.
+    program : str
+        Module that is run; a test may start a build of its own.
     """
 
     folder: Path
+    program: str = "mulberryport"
     platform_address: str = field(factory=free_address)
     daemons: list[DaemonProcess] = field(factory=list)
     _processes: dict[str, subprocess.Popen[bytes]] = field(factory=dict)
@@ -100,6 +103,11 @@
         """Base URL of the platform's interfaces."""
         return f"http://{self.platform_address}"
 
+    @property
+    def running(self) -> tuple[str, ...]:
+        """Names of the processes that were started and not ended since."""
+        return tuple(self._processes)
+
     @property
     def store(self) -> StoreClient:
         """A client of the platform's store."""
@@ -214,7 +222,7 @@
         """Start a process of the program under a name."""
         output = open(self.folder / f"{name}.out", "ab")  # noqa: SIM115
         self._processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "mulberryport", *arguments],
+            [sys.executable, "-m", self.program, *arguments],
             stdout=output,
             stderr=subprocess.STDOUT,
             env={**os.environ, "EVENTLET_NO_GREENDNS": "yes"},
--- a/mulberryport/standins/platform.py
+++ b/mulberryport/standins/platform.py
@@ -128,7 +128,15 @@
     report = read_json(environ)
     report_id = unquote(environ["PATH_INFO"])[len("/usage/") :]
     earlier = [r for r in platform.usage_log if r["id"] == report_id]
-    platform.usage_log.append({"id": report_id, "at": time.time(), **report})
+    platform.usage_log.append(
+        {
+            "id": report_id,
+            "at": time.time(),
+            "reporter": environ.get("HTTP_X_MULBERRYPORT_REPORTER", ""),
+            "fencing": int(environ.get("HTTP_X_MULBERRYPORT_FENCING", 0)),
+            **report,
+        }
+    )
     return respond(start_response, 200, {"known": bool(earlier)})
 
 
--- a/mulberryport/usage/reporter.py
+++ b/mulberryport/usage/reporter.py
@@ -1,25 +1,29 @@
 """The reporter: freezes the figures of each window and sends them."""
 
-from collections import defaultdict
-from collections.abc import Callable
-from typing import Any
-
-import orjson
-from attrs import asdict, define
+import eventlet
+from attrs import define, field
 
 from ..leases import Duty, LeaseLostError
 from ..membership import Members
 from ..outcomes import Done
 from ..peering import Peers, peer_pb2
 from ..runtime.clock import wall_time
-from ..store import StoreClient
+from ..runtime.invariants import require
 from ..telemetry import define as define_event
 from ..telemetry import log
-from .counters import Figures, UsageCounters
+from .archive import WindowArchive
+from .counters import CounterKey, Figures, UsageCounters, merge_counters
 from .messages import from_message
 from .sink_client import send_report
+from .windows import (
+    LATE_WINDOWS,
+    FrozenWindow,
+    counted_so_far,
+    freeze_window,
+    report_digest,
+)
 
-__all__ = ["UsageReporter"]
+__all__ = ["SEND_TIMEOUT_S", "UsageReporter"]
 
 WINDOW_FROZEN = define_event(
     1100, "usage_window_frozen", "info", "The figures of a usage window were frozen."
@@ -27,116 +31,177 @@
 WINDOW_REPORTED = define_event(
     1101, "usage_window_reported", "info", "A usage window was reported."
 )
+REPORT_DELAYED = define_event(
+    1102,
+    "usage_report_delayed",
+    "warning",
+    "A usage window could not be frozen or sent yet; it is tried again.",
+)
 
 COLLECT_TIMEOUT_S = 2.0
+# A successor waits for this time, since the former holder's last report can still
+# be under way.
 SEND_TIMEOUT_S = 2.0
+COLLECTIONS = 64
 
 
 @define(eq=False)
 class UsageReporter:
-    """Reports closed windows while this daemon holds the duty of a shard."""
+    """Reports closed windows while this daemon holds the duty of a shard.
+
+    Parameters
+    ----------
+    duty : Duty
+        The duty of the shard.
+    archive : WindowArchive
+        The shard's frozen windows in the store.
+    counters : UsageCounters
+        Counters of this daemon, and copies.
+    sink : str
+        Base URL of the platform's interface.
+    grace : float
+        Seconds after the end of a window until it is frozen.
+    """
 
-    shard: int
     duty: Duty
-    store: StoreClient
+    archive: WindowArchive
     counters: UsageCounters
     members: Members
     peers: Peers
     sink: str
     grace: float
-    belongs: Callable[[str], bool]
+    _term: int = 0
     _next_window: int | None = None
+    _unmarked: int | None = None
+    _frozen: dict[int, FrozenWindow] | None = None
+    _collected: dict[CounterKey, Figures] = field(factory=dict)
+
+    @property
+    def shard(self) -> int:
+        """The shard that is reported."""
+        return self.archive.shard
 
     def turn(self) -> None:
-        """Freeze and send the windows that are due."""
+        """Freeze and send the windows that are due, in order."""
         if not self.duty.held:
-            self._next_window = None
+            self._forget()
+            return
+        if self._term != self.duty.fencing:
+            self._forget()
+            self._term = self.duty.fencing
+        if self.duty.held_for < SEND_TIMEOUT_S:
             return
         closed = self.counters.window_at(wall_time() - self.grace) - 1
-        if self._next_window is None:
-            self._next_window = self._first_unsent(closed)
+        if not self._prepare(closed):
+            return
         while self._next_window is not None and self._next_window <= closed:
-            if not self._report(self._next_window):
+            try:
+                if not self._report(self._next_window, closed):
+                    log(REPORT_DELAYED, shard=self.shard, window=self._next_window)
+                    return
+            except LeaseLostError:
+                self._forget()
                 return
             self._next_window += 1
 
-    def _first_unsent(self, closed: int) -> int | None:
-        outcome = self.store.read(self._sent_key)
-        if not isinstance(outcome, Done):
-            return None
-        value = outcome.value.value
-        return closed if value is None else int(value) + 1
-
-    def _report(self, window: int) -> bool:
-        frozen = self._frozen(window)
-        if frozen is None:
-            return False
-        try:
-            self.duty.guard(SEND_TIMEOUT_S)
-        except LeaseLostError:
-            return False
-        report_id = f"{self.shard}/{window}"
-        sent = send_report(self.sink, report_id, orjson.loads(frozen), SEND_TIMEOUT_S)
-        if not isinstance(sent, Done):
+    def _prepare(self, closed: int) -> bool:
+        """Learn what former reporters did; what is frozen never changes."""
+        if self._unmarked is not None:
+            if not self.archive.mark_sent(self._unmarked):
+                return False
+            self._unmarked = None
+        if self._next_window is None:
+            self._next_window = self.archive.first_window(closed)
+            self._frozen = None
+        if self._frozen is None and self._next_window is not None:
+            self._frozen = self.archive.read_late(self._next_window)
+        return self._frozen is not None
+
+    def _report(self, window: int, closed: int) -> bool:
+        frozen = self._settle(window, closed)
+        if frozen is None or not self._send(window, frozen):
             return False
         log(WINDOW_REPORTED, window=window, shard=self.shard)
-        current = self.store.read(self._sent_key)
-        if isinstance(current, Done):
-            self.store.write(
-                self._sent_key, str(window).encode(), current.value.version
-            )
+        if not self.archive.mark_sent(window):
+            self._unmarked = window
         return True
 
-    def _frozen(self, window: int) -> bytes | None:
-        key = f"usage/{self.shard}/{window}"
-        known = self.store.read(key)
-        if not isinstance(known, Done):
+    def _settle(self, window: int, closed: int) -> FrozenWindow | None:
+        """Return the frozen window; freeze it if nobody did so before."""
+        assert self._frozen is not None
+        known = self._frozen.get(window) or self.archive.read(window)
+        if known is None:
             return None
-        if known.value.value is not None:
-            return known.value.value
-        figures = self._collect(window)
-        content = orjson.dumps(self._render(window, figures))
-        try:
-            self.duty.guard()
-        except LeaseLostError:
-            return None
-        written = self.store.write(key, content, 0)
-        if not isinstance(written, Done):
-            return None
-        log(WINDOW_FROZEN, window=window, shard=self.shard)
-        # Another holder may have frozen it first; what the store has is sent.
-        settled = self.store.read(key)
-        return settled.value.value if isinstance(settled, Done) else None
-
-    def _collect(self, window: int) -> dict[tuple[str, str], Figures]:
-        for member in self.members.live():
-            if member.vm == self.members.self_member.vm:
-                continue
-            request = peer_pb2.CollectUsageRequest(up_to_window=window)
-            outcome = self.peers.call(
-                member.vm, "CollectUsage", request, COLLECT_TIMEOUT_S
+        if known is False:
+            self._collect(window - LATE_WINDOWS, closed)
+            proposed = freeze_window(
+                self.shard,
+                window,
+                self.counters.window_length,
+                self._collected,
+                counted_so_far(self._frozen.values()),
             )
-            if isinstance(outcome, Done):
-                self.counters.merge(from_message(c) for c in outcome.value.counters)
-        totals: dict[tuple[str, str], Figures] = defaultdict(Figures)
-        for key, figures in self.counters.items(window):
-            if key.window == window and self.belongs(key.workspace):
-                totals[key.workspace, key.pool] += figures
-        return totals
-
-    def _render(
-        self, window: int, totals: dict[tuple[str, str], Figures]
-    ) -> dict[str, Any]:
-        return {
-            "shard": self.shard,
-            "window": window,
-            "window_length": self.counters.window_length,
-            "figures": [
-                {"workspace": workspace, "pool": pool, **asdict(figures)}
-                for (workspace, pool), figures in sorted(totals.items())
-            ],
+            known = self.archive.freeze(window, proposed, self.duty)
+            if known is None:
+                return None
+            log(WINDOW_FROZEN, window=window, shard=self.shard, digest=known.digest)
+        assert isinstance(known, FrozenWindow)
+        self._frozen[window] = known
+        for number in [n for n in self._frozen if n < window - LATE_WINDOWS]:
+            del self._frozen[number]
+        return known
+
+    def _send(self, window: int, frozen: FrozenWindow) -> bool:
+        require(
+            report_digest(frozen.report) == frozen.digest,
+            "usage_window_one_figure",
+            shard=self.shard,
+            window=window,
+        )
+        member = self.members.self_member
+        sent = send_report(
+            self.sink,
+            f"{self.shard}/{window}",
+            frozen.report,
+            guard=lambda: self.duty.guard(SEND_TIMEOUT_S),
+            sender=f"{member.vm}/{member.incarnation}",
+            fencing=self.duty.fencing,
+            timeout=SEND_TIMEOUT_S,
+        )
+        return isinstance(sent, Done)
+
+    def _collect(self, from_window: int, up_to_window: int) -> None:
+        """Ask all members for the counters of the windows that can be reported."""
+        own = self.counters.hand_over(self.shard, from_window, up_to_window)
+        collected = {
+            key: figures
+            for key, figures in self._collected.items()
+            if key.window >= from_window
         }
-
-    @property
-    def _sent_key(self) -> str:
-        return f"usage/{self.shard}/sent"
+        merge_counters(collected, own)
+        pool = eventlet.GreenPool(COLLECTIONS)
+        for member in self.members.live()[1:]:
+            pool.spawn_n(self._ask, member.vm, from_window, up_to_window, collected)
+        pool.waitall()
+        self._collected = collected
+
+    def _ask(
+        self,
+        vm: str,
+        from_window: int,
+        up_to_window: int,
+        collected: dict[CounterKey, Figures],
+    ) -> None:
+        request = peer_pb2.CollectUsageRequest(
+            from_window=max(0, from_window),
+            up_to_window=up_to_window,
+            shard=self.shard,
+            shards=self.counters.shards,
+        )
+        outcome = self.peers.call(vm, "CollectUsage", request, COLLECT_TIMEOUT_S)
+        if isinstance(outcome, Done):
+            merge_counters(collected, (from_message(c) for c in outcome.value.counters))
+
+    def _forget(self) -> None:
+        self._next_window = self._frozen = self._unmarked = None
+        self._collected = {}
--- a/mulberryport/usage/tests/builders.py
+++ b/mulberryport/usage/tests/builders.py
@@ -10,8 +10,10 @@
 
 from attrs import define, field
 
+from ...outcomes import Done, Unknown
 from ...runtime.http import call_json
 from ...standins.fleet import DaemonProcess, Fleet, wait_until
+from ...store import Conflict, Entry
 from ...tables import change_tables, new_change_id, parse_tables
 
 ZONES = ("rosario", "parana", "santa-fe")
@@ -86,6 +88,26 @@
     return wait_until(held, timeout, f"{duty} is held")
 
 
+@define
+class FakeStore:
+    """A store in memory that can lose the answers to its writes."""
+
+    entries: dict[str, Entry] = field(factory=dict)
+    lose_answers: bool = False
+
+    def read(self, key: str) -> Any:
+        """Read a key."""
+        return Done(self.entries.get(key, Entry(None, 0)))
+
+    def write(self, key: str, value: bytes, expected: int) -> Any:
+        """Write by compare-and-swap."""
+        current = self.entries.get(key, Entry(None, 0))
+        if current.version != expected:
+            return Done(Conflict(current.version))
+        self.entries[key] = Entry(value, current.version + 1)
+        return Unknown("lost") if self.lose_answers else Done(self.entries[key])
+
+
 @define(eq=False)
 class Callers:
     """Calls daemons in turn from a thread and counts the answers."""
