Poll targets by two daemons of their zone and share reports

Cause: Every daemon polled every target, which grows with the product of both numbers, and one lost poll made a target unhealthy.

Change: While more than 12 daemons are live, two daemons of a target's zone poll it. Reports are shared in heartbeats: changes at once for leaving marks and health (repeated, since a heartbeat can be lost), load when there is room. Relays pass them on between zones. Two lost polls in a row make a target unhealthy unless it carries traffic; the newest report resolves a disagreement. The directory counts work that cannot be run again and knows the age of the list of VMs.

Result: 57 daemons with 60 targets in one zone: at most 9 KB in a round of heartbeats in which all loads change, nothing in a round without changes; a leaving mark is known in its zone after one heartbeat and in the other zones after three.

--- a/mulberryport/daemon/heartbeats.py
+++ b/mulberryport/daemon/heartbeats.py
@@ -1,6 +1,8 @@
 """Content of the heartbeats: what this daemon tells its peers and learns."""
 
-from attrs import define
+from collections.abc import Callable
+
+from attrs import define, field
 
 from ..distribution import Distribution
 from ..membership import Member, Members
@@ -21,13 +23,17 @@
     holder: SnapshotHolder
     distribution: Distribution
     peers: Peers | None = None
+    contributors: list[Callable[[peer_pb2.Heartbeat, Member | None], None]] = field(
+        factory=list
+    )
+    listeners: list[Callable[[peer_pb2.Heartbeat], None]] = field(factory=list)
 
     def make(self, member: Member | None = None) -> peer_pb2.Heartbeat:
         """Return the heartbeat to send now."""
         assert self.peers is not None
         age_ms = self.holder.confirmation_age * 1000
         now = boottime()
-        return peer_pb2.Heartbeat(
+        heartbeat = peer_pb2.Heartbeat(
             sender=self.peers.sender(),
             revision=self.holder.snapshot.revision,
             confirmation_age_ms=int(min(age_ms, MAX_AGE_MS)),
@@ -45,6 +51,9 @@
                 for other in self.members.live()[1:]
             ],
         )
+        for contribute in self.contributors:
+            contribute(heartbeat, member)
+        return heartbeat
 
     def take(self, heartbeat: peer_pb2.Heartbeat) -> None:
         """Learn from a heartbeat."""
@@ -66,8 +75,10 @@
             if self.members.get(info.vm) is None:
                 self.members.add_seed(info.vm, info.zone, info.peer_address)
         self.distribution.heard(heartbeat)
+        for listen in self.listeners:
+            listen(heartbeat)
 
     def answer(self, heartbeat: peer_pb2.Heartbeat) -> peer_pb2.Heartbeat:
         """Learn from a heartbeat and return the one to answer with."""
         self.take(heartbeat)
-        return self.make()
+        return self.make(self.members.get(heartbeat.sender.vm))
--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -20,7 +20,8 @@
 from ..store import StoreClient
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
-from ..targets.poller import POLL_PERIOD_S, poll_loads, poll_vm_list
+from ..targets.poller import POLL_PERIOD_S, LoadPoller, poll_vm_list
+from ..targets.sharing import LoadSharing
 from ..telemetry import configure, log
 from ..telemetry import define as define_event
 from ..usage import UsageCounters, UsageReplicator, UsageReporter, WindowArchive
@@ -68,6 +69,8 @@
     dispatcher: Dispatcher = field(init=False)
     rollouts: RolloutService = field(init=False)
     weights: WeightService = field(init=False)
+    poller: LoadPoller = field(init=False)
+    sharing: LoadSharing = field(init=False)
     reporters: list[UsageReporter] = field(init=False)
     _stopping: bool = False
     _stopped: eventlet.event.Event = field(factory=eventlet.event.Event)
@@ -101,6 +104,10 @@
             self.members, self.peers, self.dispatcher, self.counters
         )
         self.weights = WeightService(self.store, self.keeper, self.directory)
+        self.poller = LoadPoller(self.directory, self.members)
+        self.sharing = LoadSharing(self.directory, self.members, self.poller)
+        heartbeats.contributors.append(self.sharing.contribute)
+        heartbeats.listeners.append(self.sharing.take)
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
         self.holder.subscribe(self.directory.use_snapshot)
         self.peer_server.register("Exchange", heartbeats.answer)
@@ -122,7 +129,8 @@
         subscribe = self.timers.subscribe
         subscribe("peers", HEARTBEAT_PERIOD_S, self.peers.update)
         subscribe("members", HEARTBEAT_PERIOD_S, self.members.expire)
-        subscribe("loads", POLL_PERIOD_S, lambda: poll_loads(self.directory))
+        subscribe("loads", POLL_PERIOD_S, self.poller.turn)
+        subscribe("told loads", POLL_PERIOD_S, self.sharing.forget)
         subscribe(
             "vms",
             VM_LIST_PERIOD_S,
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -11,7 +11,7 @@
 from ..telemetry import log
 from .vm_list import ListedVm
 
-__all__ = ["TargetDirectory"]
+__all__ = ["TargetDirectory", "TargetState"]
 
 TARGET_LEAVING = define_event(
     800, "target_leaving", "info", "A target is leaving and gets no new work."
@@ -23,6 +23,11 @@
     802, "target_healthy", "info", "A target answers polls again."
 )
 
+# A single poll can be lost on the network.
+MISSED_POLLS = 2
+# A target that answered a request this recently is not silent.
+TRAFFIC_PROOF_S = 2.0
+
 
 @define(eq=False)
 class TargetState:
@@ -32,7 +37,11 @@
     reported_at: float = float("-inf")
     healthy: bool = True
     leaving: bool = False
+    missed_polls: int = 0
+    silent_since: float = float("-inf")
+    carried_at: float = float("-inf")
     in_flight: int = 0
+    fixed: int = 0
 
 
 @define(eq=False)
@@ -41,6 +50,7 @@
 
     _pools: dict[str, Pool] = field(factory=dict)
     _listed: tuple[ListedVm, ...] = ()
+    _listed_at: float = float("-inf")
     _states: dict[str, TargetState] = field(factory=dict)
 
     def use_snapshot(self, snapshot: Snapshot) -> None:
@@ -51,6 +61,7 @@
     def use_vm_list(self, vms: Iterable[ListedVm]) -> None:
         """Take over the platform's list of VMs."""
         self._listed = tuple(vms)
+        self._listed_at = boottime()
         self._forget()
 
     def report(self, target: str, report: LoadReport, received_at: float) -> None:
@@ -65,20 +76,84 @@
         state.report, state.reported_at = report, received_at
         state.healthy, state.leaving = True, report.leaving
 
-    def mark_unhealthy(self, target: str) -> None:
-        """Send no new work to a target until it reports its load again."""
+    def report_silence(self, target: str, since: float) -> None:
+        """Send no new work to a target that pollers found silent.
+
+        Parameters
+        ----------
+        target : str
+            Id of the target.
+        since : float
+            Boot time of the judgement; a newer report of its load outweighs it,
+            and so does an answer to a request.
+        """
         state = self._state(target)
-        if state.healthy:
-            log(TARGET_UNHEALTHY, target=target)
-        state.healthy = False
+        if since <= max(state.reported_at, state.carried_at) or not state.healthy:
+            return
+        self._fell_silent(target, since)
+
+    def poll_answered(self, target: str, report: LoadReport) -> None:
+        """Take over the answer to a poll of this daemon."""
+        self._state(target).missed_polls = 0
+        self.report(target, report, boottime())
+
+    def poll_missed(self, target: str) -> None:
+        """Note a poll of this daemon that was not answered.
+
+        One lost poll means nothing. After two in a row the target is unhealthy,
+        unless it carries traffic.
+        """
+        state = self._state(target)
+        state.missed_polls += 1
+        if state.missed_polls < MISSED_POLLS:
+            return
+        if boottime() - state.carried_at > TRAFFIC_PROOF_S:
+            self._fell_silent(target, boottime())
+
+    def not_polled(self, target: str) -> None:
+        """Note that other daemons poll a target; their judgement counts alone."""
+        self._state(target).missed_polls = 0
 
-    def started(self, target: str) -> None:
-        """Count a request that was given to a target."""
-        self._state(target).in_flight += 1
+    def carried(self, target: str) -> None:
+        """Note that a target answered a request of this daemon."""
+        state = self._state(target)
+        state.carried_at = boottime()
+        if state.missed_polls and not state.healthy:
+            log(TARGET_HEALTHY, target=target)
+            state.healthy = True
+
+    def judgement(self, target: str) -> "TargetState | None":
+        """Return what is known of a target, for other daemons."""
+        return self._states.get(target)
+
+    def started(self, target: str, restartable: bool = False) -> None:
+        """Count a request that was given to a target.
+
+        Parameters
+        ----------
+        target : str
+            Id of the target.
+        restartable : bool
+            Whether it can be run again from the start.
+        """
+        state = self._state(target)
+        state.in_flight += 1
+        state.fixed += not restartable
 
-    def finished(self, target: str) -> None:
+    def finished(self, target: str, restartable: bool = False) -> None:
         """Stop counting a request of a target."""
-        self._state(target).in_flight -= 1
+        state = self._state(target)
+        state.in_flight -= 1
+        state.fixed -= not restartable
+
+    def fixed_in_flight(self, pool: str) -> int:
+        """Return the requests of this daemon in a pool that cannot be run again."""
+        return sum(self._state(view.id).fixed for view in self.views(pool))
+
+    @property
+    def list_age(self) -> float:
+        """Seconds since the list of VMs was read; infinite before that."""
+        return boottime() - self._listed_at
 
     def pool(self, name: str) -> Pool | None:
         """Return a pool by its name."""
@@ -148,6 +223,12 @@
             limit=pool.concurrency,
         )
 
+    def _fell_silent(self, target: str, at: float) -> None:
+        state = self._state(target)
+        if state.healthy:
+            log(TARGET_UNHEALTHY, target=target)
+        state.healthy, state.silent_since = False, at
+
     def _state(self, target: str) -> TargetState:
         return self._states.setdefault(target, TargetState())
 
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -80,11 +80,16 @@
             The queue is full, the deadline passed or the pool does not exist.
         """
         view = self._wait(request)
-        self.directory.started(view.id)
+        self.directory.started(view.id, request.restartable)
         try:
             yield view
+            self.directory.carried(view.id)
         finally:
-            self.directory.finished(view.id)
+            self.directory.finished(view.id, request.restartable)
+
+    def queued(self, pool: str) -> int:
+        """Return how many requests wait here for a pool."""
+        return self._waiting.get(pool, 0)
 
     def _wait(self, request: WorkRequest) -> TargetView:
         view = self._choose(request)
--- /dev/null
+++ b/mulberryport/targets/tests/test_polling.py
@@ -0,0 +1,152 @@
+"""Polling at the planned size, sharing of reports, and health."""
+
+from ...membership import Member, Members
+from ...membership.ranking import rendezvous_order
+from ...peering import peer_pb2
+from ...routing import LoadReport
+from ...runtime.clock import boottime
+from ...tables import Pool, Snapshot, Tables, TargetSpec
+from ..directory import MISSED_POLLS, TargetDirectory
+from ..poller import LoadPoller, choose_pollers
+from ..sharing import LoadSharing
+
+ZONES = ("rosario", "parana", "santa-fe")
+REPORT = LoadReport(running=4, waiting=0, capacity=16, version=1)
+LEAVING = LoadReport(running=4, waiting=0, capacity=16, version=1, leaving=True)
+
+
+def make_directory(zone: str = "rosario", count: int = 1) -> TargetDirectory:
+    targets = tuple(
+        TargetSpec(f"engine{n}", f"127.0.0.1:{n + 1}", zone) for n in range(count)
+    )
+    pool = Pool(name="drafting", kind="model-engine", targets=targets)
+    directory = TargetDirectory()
+    directory.use_snapshot(Snapshot(1, "c", Tables(pools={"drafting": pool})))
+    return directory
+
+
+def make_fleet(per_zone: int, targets: int) -> dict[str, LoadSharing]:
+    """Return what each daemon of a fleet shares; all targets are in rosario."""
+    now = boottime() + 60
+    members = [
+        Member(f"{zone}-{n}", zone, "127.0.0.1:1", 1, False, now)
+        for zone in ZONES
+        for n in range(per_zone)
+    ]
+    fleet = {}
+    for self_member in members:
+        known = Members(self_member)
+        for member in members:
+            known.heard(member)
+        directory = make_directory(count=targets)
+        poller = LoadPoller(directory, known)
+        fleet[self_member.vm] = LoadSharing(directory, known, poller)
+    return fleet
+
+
+def exchange(fleet: dict[str, LoadSharing]) -> dict[str, int]:
+    """Let all daemons send a heartbeat on their streams; return bytes by sender."""
+    own = [sharing.members.self_member for sharing in fleet.values()]
+    relays = {
+        member.vm
+        for zone in ZONES
+        for member in rendezvous_order(
+            f"relay/{zone}", [m for m in own if m.zone == zone]
+        )[:2]
+    }
+    sent, messages = dict.fromkeys(fleet, 0), []
+    for vm, sharing in fleet.items():
+        zone = sharing.members.self_member.zone
+        for other in fleet:
+            if other != vm and (other.startswith(zone) or {vm, other} <= relays):
+                heartbeat = peer_pb2.Heartbeat()
+                sharing.contribute(heartbeat, sharing.members.get(other))
+                messages.append((other, heartbeat))
+                sent[vm] += heartbeat.ByteSize()
+    for receiver, heartbeat in messages:
+        fleet[receiver].take(heartbeat)
+    return sent
+
+
+def poll(fleet: dict[str, LoadSharing], report: LoadReport) -> None:
+    """Let the pollers of all targets get an answer."""
+    for sharing in fleet.values():
+        for view in sharing.poller.assign():
+            sharing.directory.poll_answered(view.id, report)
+
+
+def test_two_daemons_of_its_zone_poll_a_target_in_a_large_fleet():
+    # Guards against polls that grow with daemons times targets (13,000 a second
+    # per zone at the planned size), and against targets that nobody polls.
+    live = [Member(f"vm{n}", ZONES[n % 3], "127.0.0.1:1") for n in range(510)]
+    for number in range(40):
+        chosen = choose_pollers(f"engine{number}", "parana", live)
+        assert [member.zone for member in chosen] == ["parana", "parana"]
+    assert len(choose_pollers("engine1", "parana", live[:12])) == 12
+    # A zone without daemons is polled from elsewhere.
+    assert len(choose_pollers("engine1", "another", live)) == 2
+
+
+def test_a_leaving_mark_reaches_all_zones_in_three_heartbeats():
+    """Guards against new work for a leaving target in zones that do not poll it."""
+    fleet = make_fleet(per_zone=6, targets=3)
+    poll(fleet, REPORT)
+    for _ in range(3):
+        exchange(fleet)
+    poll(fleet, LEAVING)
+    exchange(fleet)
+    near = [s for vm, s in fleet.items() if vm.startswith("rosario")]
+    assert all(v.leaving for s in near for v in s.directory.all_views())
+    exchange(fleet)
+    exchange(fleet)
+    assert all(v.leaving for s in fleet.values() for v in s.directory.all_views())
+
+
+def test_shared_reports_stay_within_the_budget_of_a_daemon():
+    # The planned size has 19 daemons and 60 targets in a zone; a heartbeat leaves
+    # each second, and control work may use 9 KB a second.
+    fleet = make_fleet(per_zone=19, targets=60)
+    poll(fleet, REPORT)
+    for _ in range(4):
+        exchange(fleet)
+    poll(fleet, LoadReport(running=9, waiting=0, capacity=16, version=1))
+    changed = exchange(fleet)
+    assert max(changed.values()) <= 9 * 1024
+    for _ in range(10):
+        exchange(fleet)
+    # The same load again is not news before the next refresh.
+    poll(fleet, LoadReport(running=9, waiting=0, capacity=16, version=1))
+    assert sum(exchange(fleet).values()) == 0
+
+
+def test_two_lost_polls_in_a_row_make_a_silent_target_unhealthy():
+    # Guards against ejecting a target for one lost datagram, and against sending
+    # work to one that is gone.
+    directory = make_directory()
+    healthy = lambda: directory.views("drafting")[0].healthy  # noqa: E731
+    directory.poll_answered("engine0", REPORT)
+    directory.poll_missed("engine0")
+    assert healthy()
+    directory.poll_answered("engine0", REPORT)
+    directory.poll_missed("engine0")
+    assert healthy()
+    directory.poll_missed("engine0")
+    assert not healthy()
+    directory.carried("engine0")
+    assert healthy()
+    for _ in range(MISSED_POLLS):
+        directory.poll_missed("engine0")
+    assert healthy()
+
+
+def test_the_newest_report_resolves_a_disagreement_of_pollers():
+    # Guards against an old judgement of one poller that outlives a newer answer.
+    directory = make_directory()
+    now = boottime()
+    directory.report("engine0", REPORT, now)
+    directory.report_silence("engine0", now - 1)
+    assert directory.views("drafting")[0].healthy
+    directory.report_silence("engine0", now + 1)
+    assert not directory.views("drafting")[0].healthy
+    directory.report("engine0", REPORT, now + 2)
+    assert directory.views("drafting")[0].healthy
