--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -112,9 +112,7 @@
         self.sharing = LoadSharing(self.directory, self.members, self.poller)
         heartbeats.contributors.append(self.sharing.contribute)
         heartbeats.listeners.append(self.sharing.take)
-        self.demands = DemandBoard(
-            vm.id, vm.zone, self.directory, self.dispatcher.queued
-        )
+        self.demands = DemandBoard(vm.id, self.directory, self.dispatcher.queued)
         self.demands.connect(heartbeats.contributors, heartbeats.listeners)
         self.orders = OrderService(
             self.store,
--- a/mulberryport/orders/plan.py
+++ b/mulberryport/orders/plan.py
@@ -5,14 +5,13 @@
 from ..runtime.clock import boottime
 from ..tables import Pool
 from ..targets import TargetDirectory
-from .demand import DemandBoard, on_demand
+from .demand import DemandBoard
 from .sizing import (
     DEFAULT_POLICY,
     PoolBounds,
     SizeState,
     SizingPolicy,
     Wanted,
-    ZoneState,
     needed_targets,
     next_size,
     plan_pool,
@@ -28,7 +27,7 @@
 
 @define(eq=False)
 class Planner:
-    """Sizes of the zones, with the memory that hysteresis needs.
+    """Sizes of the pools, with the memory that hysteresis needs.
 
     Parameters
     ----------
@@ -43,12 +42,12 @@
     directory: TargetDirectory
     demands: DemandBoard
     policy: SizingPolicy = DEFAULT_POLICY
-    _sizes: dict[tuple[str, str], SizeState] = field(factory=dict)
+    _sizes: dict[str, SizeState] = field(factory=dict)
     _unavailable_until: dict[tuple[str, str], float] = field(factory=dict)
     _short_since: dict[tuple[str, str], float] = field(factory=dict)
 
     def forget(self) -> None:
-        """Drop the memory; the next plan starts from the declared sizes."""
+        """Drop the memory; the next plan starts from the targets that there are."""
         self._sizes = {}
 
     def wanted(self, pool: Pool, zone: str, declared: Wanted | None) -> Wanted | None:
@@ -68,47 +67,39 @@
         Wanted or None
             None if too little is known to change anything.
         """
-        demand = self.demands.zone_demand(pool.name, zone)
+        demand = self.demands.pool_demand(pool.name)
         if not demand.known:
             return None
         self._note_availability(pool, zone, declared)
-        views = self.directory.views(pool.name)
-        zones: dict[str, ZoneState] = {}
-        for name in pool.zones:
-            # Targets without an order serve as well and need not be ordered.
-            fixed = sum(t.zone == name for t in pool.targets)
-            state = self._sizes.get((pool.name, name))
-            if state is None:
-                ordered = sum(v.zone == name for v in views if v.selectable) - fixed
-                if name == zone and declared is not None:
-                    ordered = declared.total
-                state = SizeState(max(pool.minimum, ordered) + fixed)
-            of_zone = self.demands.zone_demand(pool.name, name)
-            state = next_size(
-                state, of_zone.demand, of_zone.capacity, boottime(), self.policy
-            )
-            limit = pool.maximum * len(pool.zones) + fixed
-            state = evolve(
-                state, size=min(max(state.size, pool.minimum + fixed), limit)
-            )
-            self._sizes[pool.name, name] = state
-            zones[name] = ZoneState(
-                state.size - fixed, self._is_available(pool.name, name)
-            )
+        # Targets without an order serve as well and need not be ordered.
+        static = {target.id for target in pool.targets}
+        views = [v for v in self.directory.views(pool.name) if v.selectable]
+        unordered = sum(view.id in static for view in views)
+        state = self._sizes.get(pool.name, SizeState(len(views)))
+        weighted = demand.running + self.policy.queue_weight * demand.queued
+        state = next_size(state, weighted, demand.capacity, boottime(), self.policy)
+        limit = pool.maximum * len(pool.zones) + unordered
+        state = evolve(state, size=min(state.size, limit))
+        self._sizes[pool.name] = state
         floor = needed_targets(
             self.demands.fixed_peak(pool.name),
             demand.capacity,
             self.policy.utilisation,
         )
-        static = {target.id for target in pool.targets}
-        fixed_needed = max(0, floor - on_demand(v for v in views if v.id in static))
+        unordered_floor = sum(view.id in static and not view.cheap for view in views)
         bounds = PoolBounds(
             minimum=pool.minimum,
             maximum=pool.maximum,
             cheap_share=pool.cheap_share,
             spending=pool.spending,
         )
-        return plan_pool(bounds, zones, fixed_needed, self.policy)[zone]
+        return plan_pool(
+            bounds,
+            state.size - unordered,
+            {name: self._is_available(pool.name, name) for name in pool.zones},
+            max(0, floor - unordered_floor),
+            self.policy,
+        )[zone]
 
     def _is_available(self, pool: str, zone: str) -> bool:
         """Whether cheap targets can be had; a reclaim shows that they cannot."""
--- a/mulberryport/orders/sizing.py
+++ b/mulberryport/orders/sizing.py
@@ -1,8 +1,12 @@
 """How many targets are wanted in each zone, and at which price class.
 
-Pure policy. ``next_size`` turns the demand of one zone into a size with
-hysteresis; ``plan_pool`` fits the sizes of all zones into the bounds of the pool
-table and splits them into on-demand and cheap targets.
+Pure policy. ``next_size`` turns the demand for a pool into a size with hysteresis;
+``plan_pool`` spreads it evenly over the zones of the pool, within the bounds of
+the pool table, and splits it into on-demand and cheap targets.
+
+Sizes are those of the pool: rounding up in each of three zones would add up to two
+targets to a pool of five. A pool that must not spread over distant zones is
+declared as several pools.
 """
 
 import math
@@ -16,7 +20,6 @@
     "SizeState",
     "SizingPolicy",
     "Wanted",
-    "ZoneState",
     "needed_targets",
     "next_size",
     "plan_pool",
@@ -30,6 +33,9 @@
 
     Parameters
     ----------
+    queue_weight : float
+        Part of the waiting requests that counts as demand. Work that waits for at
+        most one service time needs no target of its own.
     utilisation : float
         Part of the capacity that the demand fills after scaling up.
     low_utilisation : float
@@ -44,8 +50,9 @@
         Price of a cheap target, relative to an on-demand one.
     """
 
-    utilisation: float = 0.75
-    low_utilisation: float = 0.65
+    queue_weight: float = 0.5
+    utilisation: float = 0.85
+    low_utilisation: float = 0.75
     down_after: float = 120.0
     down_interval: float = 30.0
     cheap_price: float = 0.35
@@ -61,7 +68,7 @@
     Parameters
     ----------
     minimum, maximum : int
-        Ordered targets in each zone.
+        Ordered targets in each zone of the pool.
     cheap_share : float
         Largest part of the pool's ordered targets that may be cheap.
     spending : float
@@ -76,7 +83,7 @@
 
 @frozen
 class SizeState:
-    """Size of a zone and since when a smaller one would do.
+    """Size of a pool and until when a smaller one must still do.
 
     Parameters
     ----------
@@ -90,22 +97,6 @@
     down_at: float | None = None
 
 
-@frozen
-class ZoneState:
-    """One zone as the plan of a pool sees it.
-
-    Parameters
-    ----------
-    size : int
-        Targets that the demand of the zone asks for; may exceed the bounds.
-    cheap_available : bool
-        Whether the platform starts cheap targets there now.
-    """
-
-    size: int
-    cheap_available: bool = True
-
-
 @frozen
 class Wanted:
     """Wanted ordered targets of a pool in a zone."""
@@ -171,7 +162,8 @@
 
 def plan_pool(
     bounds: PoolBounds,
-    zones: Mapping[str, ZoneState],
+    size: int,
+    zones: Mapping[str, bool],
     fixed_needed: int,
     policy: SizingPolicy = DEFAULT_POLICY,
 ) -> dict[str, Wanted]:
@@ -181,8 +173,10 @@
     ----------
     bounds : PoolBounds
         From the pool table. Its minimum and maximum always hold.
-    zones : mapping of str to ZoneState
-        Demand of the zones.
+    size : int
+        Targets that the demand asks for; may exceed the bounds.
+    zones : mapping of str to bool
+        Whether the platform starts cheap targets in each zone now.
     fixed_needed : int
         On-demand targets that would carry the work that cannot be run again, if
         all cheap targets vanished. This floor comes before the spending bound.
@@ -190,22 +184,19 @@
     Examples
     --------
     >>> bounds = PoolBounds(minimum=1, maximum=4, cheap_share=0.5)
-    >>> plan_pool(bounds, {"a": ZoneState(2), "b": ZoneState(2, False)}, 1)
+    >>> plan_pool(bounds, 4, {"a": True, "b": False}, 1)
     {'a': Wanted(on_demand=1, cheap=2), 'b': Wanted(on_demand=1, cheap=0)}
     """
-    sizes = _fit(bounds, {name: zone.size for name, zone in zones.items()})
-    sizes = _fill(bounds, sizes, fixed_needed - sum(sizes.values()))
+    least = dict.fromkeys(sorted(zones), bounds.minimum)
+    lowest = sum(least.values())
+    size = min(max(size, fixed_needed, lowest), bounds.maximum * len(zones))
     while True:
+        sizes = _fill(bounds, least, size - lowest)
         plan = _split(bounds, sizes, zones, fixed_needed)
-        smaller = {n: s for n, s in sizes.items() if s > bounds.minimum}
-        if (
-            not bounds.spending
-            or spending(plan, policy) <= bounds.spending + 1e-9
-            or not smaller
-            or sum(sizes.values()) <= fixed_needed
-        ):
+        affordable = spending(plan, policy) <= bounds.spending + 1e-9
+        if not bounds.spending or affordable or size <= max(lowest, fixed_needed):
             return plan
-        sizes[max(smaller, key=lambda name: (smaller[name], name))] -= 1
+        size -= 1
 
 
 def spending(
@@ -217,16 +208,6 @@
     )
 
 
-def _fit(bounds: PoolBounds, sizes: Mapping[str, int]) -> dict[str, int]:
-    """Fit sizes into the bounds; what exceeds a zone goes to zones with room."""
-    beyond = sum(max(0, size - bounds.maximum) for size in sizes.values())
-    fitted = {
-        name: max(bounds.minimum, min(bounds.maximum, size))
-        for name, size in sorted(sizes.items())
-    }
-    return _fill(bounds, fitted, beyond)
-
-
 def _fill(bounds: PoolBounds, sizes: dict[str, int], more: int) -> dict[str, int]:
     """Add targets one by one where there is most room."""
     sizes = dict(sizes)
@@ -241,7 +222,7 @@
 def _split(
     bounds: PoolBounds,
     sizes: Mapping[str, int],
-    zones: Mapping[str, ZoneState],
+    zones: Mapping[str, bool],
     fixed_needed: int,
 ) -> dict[str, Wanted]:
     """Choose price classes: the cheap share, spread evenly over the zones.
@@ -261,11 +242,11 @@
         cheap[name] += 1
     plan = {name: Wanted(sizes[name] - cheap[name], cheap[name]) for name in sizes}
     for name in sorted(sizes):
-        if zones[name].cheap_available:
+        if zones[name]:
             continue
         for _ in range(plan[name].cheap):
             other = _least(
-                {n: plan[n].cheap for n in plan if zones[n].cheap_available},
+                {n: plan[n].cheap for n in plan if zones[n]},
                 lambda n: plan[n].total < bounds.maximum,
             )
             # The minimum of a zone stays in the zone.
