Let only the last byte of an answer wait for usage replication

Cause: A short answer is one part, so its first byte waited too. With messages 40 ms apart a whole answer took 15 ms longer in the median.

--- a/mulberryport/usage/answers.py
+++ b/mulberryport/usage/answers.py
@@ -13,7 +13,7 @@
     Parameters
     ----------
     parts : iterable of bytes
-        The body as it arrives; no part is held back.
+        The body as it arrives; nothing but its last byte is held back.
     length : int or None
         Bytes of the body. Without it the end marker, which follows the last part,
         is the last of the answer.
@@ -23,17 +23,22 @@
     Examples
     --------
     >>> seen = []
-    >>> for part in before_last_byte([b"ab", b"c"], 3, lambda: seen.append("act")):
+    >>> for part in before_last_byte([b"a", b"bc"], 3, lambda: seen.append("act")):
     ...     seen.append(part)
     >>> seen
-    [b'ab', 'act', b'c']
+    [b'a', b'b', 'act', b'c']
     """
     sent, done = 0, False
     for part in parts:
         sent += len(part)
-        if not done and length is not None and sent >= length:
-            done = True
-            act()
-        yield part
+        if done or length is None or sent < length:
+            yield part
+            continue
+        # The first bytes need not wait; only the very last does.
+        if part[:-1]:
+            yield part[:-1]
+        done = True
+        act()
+        yield part[-1:]
     if not done:
         act()
--- a/mulberryport/usage/replicator.py
+++ b/mulberryport/usage/replicator.py
@@ -22,8 +22,9 @@
 REPLICAS = 2
 MAX_WAIT_S = 0.05
 # A message follows the one before no sooner than this, so that the number of
-# messages does not grow with the rate of requests; it fits into MAX_WAIT_S.
-MESSAGE_INTERVAL_S = 0.04
+# messages does not grow with the rate of requests. With 40 ms, whole answers took
+# 15 ms longer in the median at 33 requests a second.
+MESSAGE_INTERVAL_S = 0.02
 CALL_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.5
 
