Order down the targets of removed pools from any daemon

Cause: Only daemons that had seen the pool contended for its zones, so after their restart the targets of a removed pool stayed and were paid for.

Change: Daemons also contend for the zones in which the list of VMs has targets.

Result: test_service.py removes the pool at its end; 0 targets are ordered. The restart of all daemons after a removal was not run.

--- a/mulberryport/orders/service.py
+++ b/mulberryport/orders/service.py
@@ -95,11 +95,12 @@
 
     def turn(self) -> None:
         """Contend for the zones of the pool table and act where the duty is held."""
-        for pool in self.directory.pools():
-            for zone in pool.zones:
-                if zone not in self._zones:
-                    duty = self.keeper.duty(f"orders/{zone}")
-                    self._zones[zone] = ZoneOrders(duty)
+        zones = {zone for pool in self.directory.pools() for zone in pool.zones}
+        # Targets of a pool that was removed are ordered down, by whichever daemon.
+        for zone in zones | self.directory.listed_zones:
+            if zone not in self._zones:
+                duty = self.keeper.duty(f"orders/{zone}")
+                self._zones[zone] = ZoneOrders(duty)
         running = eventlet.GreenPool(max(1, len(self._zones)))
         for zone in self._zones:
             running.spawn_n(self._guarded, self._turn, zone)
--- a/mulberryport/orders/tests/test_service.py
+++ b/mulberryport/orders/tests/test_service.py
@@ -150,3 +150,6 @@
         set_faults(fleet)
         set_minimum(fleet, 5)
         wait_ordered(fleet, 5)
+        # Targets of a pool that is removed must not be paid for any longer.
+        apply(fleet, TABLES.partition("[pool drafting]")[0])
+        wait_ordered(fleet, 0)
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -150,6 +150,11 @@
         """Return the requests of this daemon in a pool that cannot be run again."""
         return sum(self._state(view.id).fixed for view in self.views(pool))
 
+    @property
+    def listed_zones(self) -> frozenset[str]:
+        """Zones in which the list of VMs has targets."""
+        return frozenset(vm.zone for vm in self._listed)
+
     @property
     def list_age(self) -> float:
         """Seconds since the list of VMs was read; infinite before that."""
