--- a/mulberryport/daemon/heartbeats.py
+++ b/mulberryport/daemon/heartbeats.py
@@ -1,5 +1,7 @@
 """Content of the heartbeats: what this daemon tells its peers and learns."""
 
+from collections.abc import Callable
+
 from attrs import define, evolve, field, frozen
 
 from ..distribution import Distribution
@@ -36,6 +38,10 @@
     holder: SnapshotHolder
     distribution: Distribution
     peers: Peers | None = None
+    contributors: list[Callable[[peer_pb2.Heartbeat, Member], object]] = field(
+        factory=list
+    )
+    listeners: list[Callable[[peer_pb2.Heartbeat], object]] = field(factory=list)
     _news: dict[str, CachedNews] = field(factory=dict)
 
     def make(
@@ -61,7 +67,8 @@
             leaving=self.members.self_member.leaving,
             members_complete=told is None,
         )
-        self.distribution.add_report(heartbeat, peer.vm)
+        for contribute in self.contributors:
+            contribute(heartbeat, peer)
         if news is not told:
             before = told or {}
             heartbeat.members.extend(
@@ -84,6 +91,8 @@
                 complete=heartbeat.members_complete,
             )
         self.distribution.heard(heartbeat)
+        for listen in self.listeners:
+            listen(heartbeat)
 
     def answer(
         self, heartbeat: peer_pb2.Heartbeat, told: ToldMembers | None
--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -5,14 +5,14 @@
 
 import eventlet
 import eventlet.event
-import xxhash
 from attrs import define, field
 
 from ..distribution import CLEANUP_PERIOD_S, Distribution, ShardCleanup
 from ..gateway import Gateway
 from ..leases import DutyKeeper
 from ..membership import HEARTBEAT_PERIOD_S, Member, Members, new_incarnation
-from ..peering import Peers, PeerServer, peer_pb2
+from ..orders import DemandBoard, OrderService, Planner
+from ..peering import Peers, PeerServer
 from ..rollouts import RolloutService
 from ..rollouts.app import TrainerInterface
 from ..runtime import TimerService
@@ -21,11 +21,11 @@
 from ..store import StoreClient
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
-from ..targets.poller import POLL_PERIOD_S, poll_loads, poll_vm_list
+from ..targets.poller import POLL_PERIOD_S, LoadPoller, poll_vm_list
+from ..targets.sharing import LoadSharing
 from ..telemetry import configure, log
 from ..telemetry import define as define_event
-from ..usage import UsageCounters, UsageReporter
-from ..usage.messages import to_message
+from ..usage import UsageCounters, UsageReplicator, UsageReporter, WindowArchive
 from ..weights import WeightService
 from .heartbeats import Heartbeats
 from .operator import OperatorInterface
@@ -42,7 +42,9 @@
 DUTY_PERIOD_S = 0.5
 KEYS_PERIOD_S = 0.5
 WEIGHTS_PERIOD_S = 0.5
+ORDERS_PERIOD_S = 1.0
 USAGE_PERIOD_S = 1.0
+USAGE_FLUSH_TIMEOUT_S = 2.0
 
 
 @define(eq=False)
@@ -66,9 +68,14 @@
     peer_server: PeerServer = field(init=False)
     keeper: DutyKeeper = field(init=False)
     counters: UsageCounters = field(init=False)
+    replicator: UsageReplicator = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     rollouts: RolloutService = field(init=False)
     weights: WeightService = field(init=False)
+    poller: LoadPoller = field(init=False)
+    sharing: LoadSharing = field(init=False)
+    demands: DemandBoard = field(init=False)
+    orders: OrderService = field(init=False)
     reporters: list[UsageReporter] = field(init=False)
     _stopping: bool = False
     _stopped: eventlet.event.Event = field(factory=eventlet.event.Event)
@@ -98,17 +105,35 @@
         self.peer_server = PeerServer(vm.peer_address, credentials.peer_token)
         self.keeper = DutyKeeper(self.store, self.members)
         self.counters = UsageCounters(
-            vm.id, self.members.self_member.incarnation, usage.window
+            vm.id, self.members.self_member.incarnation, usage.window, usage.shards
         )
+        self.replicator = UsageReplicator(self.counters, self.members, self.peers)
         self.dispatcher = Dispatcher(self.directory, vm.zone)
         self.rollouts = RolloutService(
             self.members, self.peers, self.dispatcher, self.counters
         )
         self.weights = WeightService(self.store, self.keeper, self.directory)
+        self.poller = LoadPoller(self.directory, self.members)
+        self.sharing = LoadSharing(self.directory, self.members, self.poller)
+        heartbeats.contributors.append(
+            lambda heartbeat, peer: self.distribution.add_report(heartbeat, peer.vm)
+        )
+        heartbeats.contributors.append(self.sharing.contribute)
+        heartbeats.listeners.append(self.sharing.take)
+        self.demands = DemandBoard(vm.id, self.directory, self.dispatcher.queued)
+        self.demands.connect(heartbeats.contributors, heartbeats.listeners)
+        self.orders = OrderService(
+            self.store,
+            self.keeper,
+            self.directory,
+            Planner(self.directory, self.demands),
+            platform.orders,
+            platform.orders_check_fencing,
+        )
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
         self.holder.subscribe(self.directory.use_snapshot)
         self.peer_server.register("Exchange", heartbeats.answer)
-        self.peer_server.register("CollectUsage", self._serve_collect)
+        self.replicator.register(self.peer_server)
         self.distribution.register(self.peer_server)
         self.rollouts.register(self.peer_server)
 
@@ -126,7 +151,8 @@
         subscribe = self.timers.subscribe
         subscribe("peers", HEARTBEAT_PERIOD_S, self.peers.update)
         subscribe("members", HEARTBEAT_PERIOD_S, self.members.expire)
-        subscribe("loads", POLL_PERIOD_S, lambda: poll_loads(self.directory))
+        subscribe("loads", POLL_PERIOD_S, self.poller.turn)
+        subscribe("told loads", POLL_PERIOD_S, self.sharing.forget)
         subscribe(
             "vms",
             VM_LIST_PERIOD_S,
@@ -137,6 +163,8 @@
         cleanup = ShardCleanup(self.store, self.keeper.duty("config-cleanup"))
         subscribe("cleanup", CLEANUP_PERIOD_S, cleanup.turn)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
+        subscribe("orders", ORDERS_PERIOD_S, self.orders.turn)
+        subscribe("usage replicas", USAGE_PERIOD_S, self.replicator.turn)
         for reporter in self.reporters:
             subscribe(f"usage {reporter.shard}", USAGE_PERIOD_S, reporter.turn)
         serve(
@@ -171,6 +199,7 @@
         log(DAEMON_STOPPING)
         self.members.leave()
         eventlet.sleep(self.settings.vm.drain_delay)
+        self.replicator.flush(USAGE_FLUSH_TIMEOUT_S)
         self.keeper.release_all()
         self.timers.stop()
         self.peers.stop()
@@ -215,6 +244,7 @@
                 }
                 for view in self.directory.all_views()
             ],
+            "orders": self.orders.state(),
             "steps": [
                 {"step": step.spec.id.key, "remaining": step.remaining}
                 for step in self.rollouts.open_steps()
@@ -223,25 +253,15 @@
 
     def _reporter(self, shard: int) -> UsageReporter:
         usage = self.settings.usage
-
-        def belongs(workspace: str) -> bool:
-            return xxhash.xxh64_intdigest(workspace.encode()) % usage.shards == shard
-
         return UsageReporter(
-            shard,
             self.keeper.duty(f"usage/{shard}"),
-            self.store,
+            WindowArchive(shard, self.store),
             self.counters,
             self.members,
             self.peers,
             self.settings.platform.usage,
             usage.grace,
-            belongs,
         )
 
-    def _serve_collect(self, request: peer_pb2.CollectUsageRequest) -> Any:
-        items = self.counters.items(request.up_to_window)
-        return peer_pb2.CollectUsageReply(counters=[to_message(*i) for i in items])
-
     def _on_signal(self, *_: object) -> None:
         eventlet.spawn_n(self.stop)
