Fix heartbeats that failed at their receiver

Cause: DemandBoard.heard kept a parameter that its caller no longer passed since pools are sized as a whole, so every heartbeat ended its stream. Reconnections hid that from the tests; bin/quickstart failed once with a daemon that was not ready within 20 s.

Change: The parameter is gone.

--- a/mulberryport/orders/demand.py
+++ b/mulberryport/orders/demand.py
@@ -84,9 +84,9 @@
                 )
         return demands
 
-    def heard(self, vm: str, zone: str, demands: Iterable[peer_pb2.PoolDemand]) -> None:
+    def heard(self, vm: str, demands: Iterable[peer_pb2.PoolDemand]) -> None:
         """Take over what a daemon reports."""
-        self._heard[vm] = (boottime(), zone, tuple(demands))
+        self._heard[vm] = (boottime(), tuple(demands))
 
     def pool_demand(self, pool: str) -> PoolDemand:
         """Return the demand for a pool."""
--- a/mulberryport/usage/tests/builders.py
+++ b/mulberryport/usage/tests/builders.py
@@ -56,6 +56,9 @@
         fleet.start_daemons()
         fleet.wait_ready(apply(fleet, tables))
         yield fleet
+        # A handler that raises ends its stream, which reconnects would hide.
+        failed = [f for f in folder.glob("vm*.out") if "TypeError" in f.read_text()]
+        assert not failed, failed
     except BaseException:
         for file in folder.glob("*.out"):
             sys.stderr.write(f"--- {file.name}\n{file.read_text()[-1000:]}\n")
