Make steps cheap, checked and owned by one member at a time

Cause: a pull, a fill and the search for the next slot each scanned all slots; a bitmap that was too long, a wrong type or a step opened again with another specification passed or became a server error; samples were lost with their owner; a broken stream was generated from the start.

Change: the step keeps finished samples by age, the received set as a number and a queue of slots. Pulls wait for a signal and a newer pull supersedes a waiting one. Bodies are checked before anything is done. Finished samples go to a replica in batches; a new owner adopts what the former owner and the replica hold, and a former or stopping owner hands over. Streams resume at their offset elsewhere; labels must be positive and may not go back within one engine's stream. Attempts that cannot be delivered any more are cancelled, stragglers are hedged within a budget, and scoring is retried before a slot is filled. The client repeats any call, keeps the received set over runs of one step and says what failed last.

The property test fails without put_back (a slot is never generated again), without the discarding at the pull (invariant sample_within_staleness_bound), when received samples are kept, and when stale samples fill a slot.

--- a/mulberryport/client/trainer.py
+++ b/mulberryport/client/trainer.py
@@ -14,13 +14,16 @@
 
 from ..outcomes import Done
 from ..runtime.http import JsonReply, call_json
+from .received import ReceivedSet
 
 __all__ = ["Group", "ReceivedSample", "StepFailedError", "TrainerClient"]
 
 PULL_WAIT_S = 5.0
 CALL_TIMEOUT_S = 10.0
 RETRY_DELAY_S = 0.2
-NOT_FOUND = 404
+OK, NOT_FOUND = 200, 404
+# Malformed, no or unknown key, no access, no such route, another specification.
+REFUSED_FOR_GOOD = (400, 401, 403, 404, 409)
 
 
 class StepFailedError(Exception):
@@ -96,6 +99,8 @@
     route: str
     weight_version: Callable[[], int]
     _turn: int = 0
+    _last_failure: str = "no answer"
+    _received: dict[int, ReceivedSet] = field(factory=dict)
 
     def run_step(
         self,
@@ -137,24 +142,25 @@
                 for g in groups
             ],
         }
-        offsets, slots = _number_slots(groups)
-        received = bytearray((slots + 7) // 8)
-        missing = slots
-        self._open(path, body, until)
-        while missing:
-            reply = self._pull(path, bytes(received), until)
+        # Kept until the step is complete, so that a second run of the same step,
+        # after an error or beside the first, yields only what is missing.
+        received = self._received.setdefault(
+            step, ReceivedSet([group.samples for group in groups])
+        )
+        if list(received.sizes) != [group.samples for group in groups]:
+            raise StepFailedError(f"step {step} was run with other groups before")
+        self._open(path, body, received, until)
+        while received.missing:
+            reply = self._pull(path, received, until)
             if reply is None:
-                self._open(path, body, until)
+                self._open(path, body, received, until)
                 continue
             for sample in map(_decode_sample, reply["samples"]):
-                number = offsets[sample.group] + sample.index
-                oldest = min(version for version, _ in sample.versions)
-                known = received[number // 8] >> (number % 8) & 1
-                if known or self.weight_version() - oldest > staleness_bound:
-                    continue
-                received[number // 8] |= 1 << (number % 8)
-                missing -= 1
-                yield sample
+                if self._fresh(sample, staleness_bound) and received.add(
+                    sample.group, sample.index
+                ):
+                    yield sample
+        self._received.pop(step, None)
         self._call("DELETE", path, {"route": self.route})
 
     def announce(self, pool: str, version: int) -> bool:
@@ -163,36 +169,80 @@
         reply = self._call("POST", f"/v1/weights/{pool}", body)
         return reply is not None and reply.status == 200
 
-    def _open(self, path: str, body: dict[str, Any], until: float) -> None:
-        while time.monotonic() < until:
-            reply = self._call(
-                "PUT", path, {**body, "weight_version": self.weight_version()}
-            )
-            if reply is not None and reply.status == 200:
-                return
-            if reply is not None and reply.status in (400, 401, 403):
-                raise StepFailedError(f"step refused: {reply.body}")
-            time.sleep(RETRY_DELAY_S)
-        raise StepFailedError("the step could not be opened before its deadline")
+    def _fresh(self, sample: ReceivedSample, staleness_bound: int) -> bool:
+        """Whether a sample is labelled and within the bound on receipt."""
+        if not sample.versions or any(v < 1 or n < 1 for v, n in sample.versions):
+            return False
+        if sum(count for _, count in sample.versions) != len(sample.tokens):
+            return False
+        oldest = min(version for version, _ in sample.versions)
+        return self.weight_version() - oldest <= staleness_bound
+
+    def _open(
+        self, path: str, body: dict[str, Any], received: ReceivedSet, until: float
+    ) -> None:
+        def make_body() -> dict[str, Any]:
+            return {
+                **body,
+                "weight_version": self.weight_version(),
+                "received": base64.b64encode(received.bitmap).decode(),
+            }
+
+        self._repeat("PUT", path, make_body, until, "the step could not be opened")
 
-    def _pull(self, path: str, received: bytes, until: float) -> dict[str, Any] | None:
+    def _pull(
+        self, path: str, received: ReceivedSet, until: float
+    ) -> dict[str, Any] | None:
         """Return the answer of a pull; None if the step must be opened again."""
-        while time.monotonic() < until:
-            body = {
+
+        def make_body() -> dict[str, Any]:
+            left = max(0.0, until - time.monotonic())
+            return {
                 "route": self.route,
                 "weight_version": self.weight_version(),
-                "received": base64.b64encode(received).decode(),
-                "wait": PULL_WAIT_S,
+                "received": base64.b64encode(received.bitmap).decode(),
+                "wait": min(PULL_WAIT_S, left),
             }
-            reply = self._call("POST", f"{path}/pull", body)
-            if reply is not None and reply.status == 200:
-                return reply.body
-            if reply is not None and reply.status == NOT_FOUND:
-                return None
-            if reply is not None and reply.status in (400, 401, 403):
-                raise StepFailedError(f"pull refused: {reply.body}")
+
+        reply = self._repeat(
+            "POST", f"{path}/pull", make_body, until, "the step is not complete"
+        )
+        return reply.body if reply.status == OK else None
+
+    def _repeat(
+        self,
+        method: str,
+        path: str,
+        make_body: Callable[[], dict[str, Any]],
+        until: float,
+        failure: str,
+    ) -> JsonReply:
+        """Repeat a call until it is answered, at the next entry VM each time.
+
+        Returns an answer of 200, or of 404 if the owner does not know the step.
+
+        Raises
+        ------
+        StepFailedError
+            The call was refused for good, or the deadline passed.
+        """
+        while time.monotonic() < until:
+            reply = self._call(method, path, make_body())
+            if reply is not None and reply.status == OK:
+                return reply
+            if reply is not None:
+                details = reply.body if isinstance(reply.body, dict) else {}
+                if reply.status == NOT_FOUND and details.get("known") is False:
+                    return reply
+                self._last_failure = (
+                    f"status {reply.status}: {details.get('error', reply.body)}"
+                )
+                if reply.status in REFUSED_FOR_GOOD:
+                    raise StepFailedError(f"refused with {self._last_failure}")
             time.sleep(RETRY_DELAY_S)
-        raise StepFailedError("the step is not complete at its deadline")
+        raise StepFailedError(
+            f"{failure} before its deadline; last failure: {self._last_failure}"
+        )
 
     def _call(self, method: str, path: str, body: object) -> JsonReply | None:
         """Call the next entry VM; None without an answer.
@@ -207,18 +257,10 @@
         if isinstance(outcome, Done):
             return outcome.value
         self._turn += 1
+        self._last_failure = outcome.reason
         return None
 
 
-def _number_slots(groups: Sequence[Group]) -> tuple[list[int], int]:
-    """Return the number of the first slot of each group, and of all slots."""
-    offsets, total = [], 0
-    for group in groups:
-        offsets.append(total)
-        total += group.samples
-    return offsets, total
-
-
 def _decode_sample(value: dict[str, Any]) -> ReceivedSample:
     return ReceivedSample(
         group=int(value["group"]),
--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -40,6 +40,7 @@
 
 VM_LIST_PERIOD_S = 1.0
 DUTY_PERIOD_S = 0.5
+STEPS_PERIOD_S = 0.5
 WEIGHTS_PERIOD_S = 0.5
 USAGE_PERIOD_S = 1.0
 
@@ -97,7 +98,7 @@
         )
         self.dispatcher = Dispatcher(self.directory, vm.zone)
         self.rollouts = RolloutService(
-            self.members, self.peers, self.dispatcher, self.counters
+            self.members, self.peers, self.dispatcher, self.counters, self.holder
         )
         self.weights = WeightService(self.store, self.keeper, self.directory)
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
@@ -128,6 +129,7 @@
             lambda: poll_vm_list(self.directory, platform.vms, platform.timeout),
         )
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
+        subscribe("steps", STEPS_PERIOD_S, self.rollouts.review)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
         for reporter in self.reporters:
             subscribe(f"usage {reporter.shard}", USAGE_PERIOD_S, reporter.turn)
@@ -163,6 +165,7 @@
         log(DAEMON_STOPPING)
         self.members.leave()
         eventlet.sleep(self.settings.vm.drain_delay)
+        self.rollouts.review()
         self.keeper.release_all()
         self.timers.stop()
         self.peers.stop()
--- a/mulberryport/rollouts/__init__.py
+++ b/mulberryport/rollouts/__init__.py
@@ -1,11 +1,13 @@
 """Rollouts: steps, groups and samples, from generation to delivery."""
 
 from .model import GroupSpec, Sample, StepId, StepSpec, VersionSpan
-from .service import PullResult, RolloutService
-from .step import StepState
+from .service import OpenResult, PullResult, RolloutService
+from .step import InvalidPullError, StepState
 
 __all__ = [
     "GroupSpec",
+    "InvalidPullError",
+    "OpenResult",
     "PullResult",
     "RolloutService",
     "Sample",
--- a/mulberryport/rollouts/app.py
+++ b/mulberryport/rollouts/app.py
@@ -4,8 +4,6 @@
 ``DELETE`` closes it, and ``POST /v1/weights/<pool>`` announces a weight version.
 """
 
-import base64
-import binascii
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -17,17 +15,23 @@
 from ..gateway.refusals import OutcomeUnknownError, RefusalError
 from ..outcomes import Done, NotDone
 from ..runtime.wsgi import BadRequestError, StartResponse, read_json, respond
-from ..tables import MODEL_ENGINE, SnapshotHolder, Tables
+from ..tables import MODEL_ENGINE, PLAIN_SERVICE, SnapshotHolder, Tables
 from ..weights import WeightService
 from .messages import sample_to_json
-from .model import GroupSpec, StepId, StepSpec
+from .model import StepId, StepSpec
+from .requests import (
+    parse_pull,
+    parse_received,
+    parse_spec,
+    parse_step_id,
+    parse_version,
+    read_object,
+)
 from .service import RolloutService
+from .step import InvalidPullError
 
 __all__ = ["TrainerInterface"]
 
-MAX_SLOTS = 65536
-DEFAULT_LIMIT = 256
-
 
 @define(eq=False)
 class TrainerInterface:
@@ -47,120 +51,122 @@
         try:
             match (method, parts):
                 case ("PUT", ["v1", "steps", trainer, step]):
-                    return self._open(environ, start_response, trainer, int(step))
+                    answer = self._open
                 case ("POST", ["v1", "steps", trainer, step, "pull"]):
-                    return self._pull(environ, start_response, trainer, int(step))
+                    answer = self._pull
                 case ("DELETE", ["v1", "steps", trainer, step]):
-                    return self._close(environ, start_response, trainer, int(step))
+                    answer = self._close
                 case ("POST", ["v1", "weights", pool]):
-                    return self._announce(environ, start_response, pool)
-        except (BadRequestError, KeyError, TypeError, ValueError) as error:
-            raise RefusalError(400, f"malformed request: {error!r}") from error
-        raise RefusalError(404, "no such path in the trainers' interface")
+                    body = read_object(read_json(environ))
+                    status, result = self._announce(environ, body, pool)
+                    return respond(start_response, status, result)
+                case _:
+                    raise RefusalError(404, "no such path in the trainers' interface")
+            body = read_object(read_json(environ))
+            access = self._authorize(environ, body)
+            step_id = parse_step_id(access.workspace, trainer, step)
+            status, result = answer(body, access, step_id)
+            return respond(start_response, status, result)
+        except (BadRequestError, InvalidPullError) as error:
+            raise RefusalError(400, f"malformed request: {error}") from error
 
     def _open(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        trainer: str,
-        step: int,
-    ) -> Iterable[bytes]:
-        body = read_json(environ)
-        access = self._authorize(environ, str(body["route"]))
-        spec = self._spec(body, access, StepId(access.workspace, trainer, step))
-        outcome = self.rollouts.open(spec)
+        self, body: dict[str, Any], access: Access, step_id: StepId
+    ) -> tuple[int, Any]:
+        spec = self._spec(body, access, step_id)
+        outcome = self.rollouts.open(spec, parse_received(body))
         if isinstance(outcome, NotDone):
             raise RefusalError(503, outcome.reason)
         if not isinstance(outcome, Done):
             raise OutcomeUnknownError(502, outcome.reason)
-        return respond(start_response, 200, {"slots": spec.slots})
+        if outcome.value.conflict:
+            raise RefusalError(
+                409, f"step {step_id.key} is open with another specification"
+            )
+        return 200, {"slots": spec.slots}
 
     def _spec(self, body: dict[str, Any], access: Access, step_id: StepId) -> StepSpec:
-        pool = self.holder.snapshot.tables.pools[access.route.pool]
+        tables = self.holder.snapshot.tables
+        pool = tables.pools[access.route.pool]
         if pool.kind != MODEL_ENGINE:
             raise RefusalError(400, f"route {access.route.name} has no model engines")
-        groups = tuple(
-            GroupSpec(str(g["prompt"]), int(g["samples"]), int(g["max_tokens"]))
-            for g in body["groups"]
-        )
-        spec = StepSpec(
-            id=step_id,
-            route=access.route.name,
-            pool=pool.name,
-            staleness_bound=int(body["staleness_bound"]),
-            weight_version=int(body["weight_version"]),
-            groups=groups,
-            scoring_route=str(body.get("scoring_route", "")),
-        )
-        if not 0 < spec.slots <= MAX_SLOTS or any(g.samples < 1 for g in groups):
-            raise BadRequestError(f"a step has from 1 to {MAX_SLOTS} samples")
+        spec = parse_spec(body, step_id, access.route.name, pool.name)
+        if spec.scoring_route:
+            scoring = tables.routes.get(spec.scoring_route)
+            if scoring is None:
+                raise RefusalError(
+                    400, f"scoring route {spec.scoring_route!r} does not exist"
+                )
+            if tables.pools[scoring.pool].kind != PLAIN_SERVICE:
+                raise RefusalError(
+                    400, f"scoring route {scoring.name} has no plain service"
+                )
+            self._admit(tables, access, scoring.name)
         return spec
 
+    def _admit(self, tables: Tables, access: Access, route_name: str) -> None:
+        """Refuse a workspace that has no access to a further route."""
+        route = tables.routes[route_name]
+        if not (
+            route.open
+            or "*" in route.workspaces
+            or access.workspace in route.workspaces
+        ):
+            raise RefusalError(
+                403, f"the key's workspace has no access to {route.name}"
+            )
+
     def _pull(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        trainer: str,
-        step: int,
-    ) -> Iterable[bytes]:
-        body = read_json(environ)
-        access = self._authorize(environ, str(body["route"]))
-        try:
-            received = base64.b64decode(body.get("received", ""), validate=True)
-        except binascii.Error as error:
-            raise BadRequestError(f"received is not base64: {error}") from error
+        self, body: dict[str, Any], access: Access, step_id: StepId
+    ) -> tuple[int, Any]:
+        pull = parse_pull(body)
         outcome = self.rollouts.pull(
-            StepId(access.workspace, trainer, step),
-            int(body["weight_version"]),
-            received,
-            float(body.get("wait", 0.0)),
-            int(body.get("limit", DEFAULT_LIMIT)),
+            step_id, pull.weight_version, pull.received, pull.wait, pull.limit
         )
         if not isinstance(outcome, Done):
             # A pull changes nothing, so its loss is always safe to repeat.
             raise RefusalError(503, outcome.reason)
         result = outcome.value
-        return respond(
-            start_response,
-            200 if result.known else 404,
-            {
-                "known": result.known,
-                "remaining": result.remaining,
-                "samples": [sample_to_json(sample) for sample in result.samples],
-            },
-        )
+        if result.superseded:
+            raise RefusalError(503, "a newer pull of the step took its place")
+        return 200 if result.known else 404, {
+            "known": result.known,
+            "remaining": result.remaining,
+            "samples": [sample_to_json(sample) for sample in result.samples],
+        }
 
     def _close(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        trainer: str,
-        step: int,
-    ) -> Iterable[bytes]:
-        body = read_json(environ)
-        access = self._authorize(environ, str(body["route"]))
-        self.rollouts.close(StepId(access.workspace, trainer, step))
-        return respond(start_response, 200, {})
+        self, body: dict[str, Any], access: Access, step_id: StepId
+    ) -> tuple[int, Any]:
+        self.rollouts.close(step_id)
+        return 200, {}
 
     def _announce(
-        self, environ: dict[str, Any], start_response: StartResponse, pool: str
-    ) -> Iterable[bytes]:
-        body = read_json(environ)
-        access = self._authorize(environ, str(body["route"]))
+        self, environ: dict[str, Any], body: dict[str, Any], pool: str
+    ) -> tuple[int, Any]:
+        access = self._authorize(environ, body)
         if access.route.pool != pool:
             raise RefusalError(403, f"route {access.route.name} has another pool")
-        outcome = self.weights.announce(pool, int(body["version"]))
+        version = parse_version(body, "version")
+        if not version:
+            raise BadRequestError("weight versions start with 1")
+        outcome = self.weights.announce(pool, version)
         if isinstance(outcome, NotDone):
             raise RefusalError(503, outcome.reason)
         if not isinstance(outcome, Done):
             raise OutcomeUnknownError(502, outcome.reason)
-        return respond(start_response, 200, {"version": outcome.value})
-
-    def _authorize(self, environ: dict[str, Any], route_name: str) -> Access:
+        return 200, {"version": outcome.value}
+
+    def _authorize(self, environ: dict[str, Any], body: dict[str, Any]) -> Access:
+        route_name = body.get("route")
+        if not isinstance(route_name, str):
+            raise BadRequestError("route must be text")
+        if not self.holder.snapshot.revision:
+            raise RefusalError(503, "no configuration was received yet")
         tables: Tables = self.holder.snapshot.tables
         route = tables.routes.get(route_name)
         if route is None:
-            raise RefusalError(404, f"route {route_name!r} does not exist")
+            raise RefusalError(404, f"route {route_name[:80]!r} does not exist")
         query = environ.get("QUERY_STRING", "")
         key = find_credential(request_headers(environ), query)
         access = authorize(tables, route, key, self.keys_usable())
--- a/mulberryport/rollouts/attempts.py
+++ b/mulberryport/rollouts/attempts.py
@@ -1,126 +1,203 @@
-"""Attempts to generate the samples of a step."""
+"""One attempt to generate a sample: a stream that may continue at other engines."""
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from contextlib import AbstractContextManager
+from typing import Any
 
 import eventlet
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..runtime.clock import boottime
-from ..targets import Dispatcher, ShedError, WorkRequest
+from ..targets import TargetView, WorkRequest
 from ..targets.engine_client import (
     GenerationRequest,
     NotStartedError,
     StreamError,
     TokenChunk,
+    cancel_generation,
     generate,
 )
-from ..telemetry import define as define_event
-from ..telemetry import log
-from .model import Sample, VersionSpan
-from .step import Slot, StepState
+from .labels import check_next, merge_spans
+from .model import Sample
+from .step import StepState
+
+__all__ = [
+    "Attempt",
+    "AttemptCancelledError",
+    "AttemptMovedError",
+    "EngineAccess",
+    "generate_sample",
+]
+
+# Engines send a chunk every few tens of milliseconds; a dead one is also noticed by
+# the polls of its load, within 2 s.
+READ_TIMEOUT_S = 10.0
+QUEUE_TIMEOUT_S = 5.0
+# A stream that broke this often is generated from the start.
+MAX_MOVES = 5
 
-__all__ = ["StepRunner", "merge_spans"]
 
-ATTEMPT_FAILED = define_event(
-    900, "attempt_failed", "info", "An attempt to generate a sample failed."
-)
+class AttemptCancelledError(Exception):
+    """The result of the attempt is not wanted any more."""
 
-READ_TIMEOUT_S = 10.0
-QUEUE_TIMEOUT_S = 30.0
-RETRY_DELAY_S = 0.1
-IDLE_DELAY_S = 0.05
-# Attempts of one step at the same time; the limits of the targets are lower.
-WORKERS = 256
-# An open step that its trainer does not pull for this time is dropped.
-ABANDONED_AFTER_S = 900.0
-
-
-def merge_spans(chunks: list[TokenChunk]) -> tuple[VersionSpan, ...]:
-    """Return the version spans of a stream, neighbours of one version joined.
-
-    Examples
-    --------
-    >>> merge_spans([TokenChunk(("a", "b"), 1), TokenChunk(("c",), 1)])
-    (VersionSpan(version=1, tokens=3),)
+
+class AttemptMovedError(Exception):
+    """The attempt must continue at another engine."""
+
+
+@frozen
+class EngineAccess:
+    """How attempts reach engines.
+
+    Parameters
+    ----------
+    assign : callable
+        ``Dispatcher.assign``.
+    views : callable
+        Returns the targets of a pool.
+    generate, cancel : callable
+        Of ``targets.engine_client``.
     """
-    spans: list[VersionSpan] = []
-    for chunk in chunks:
-        count = len(chunk.tokens)
-        if spans and spans[-1].version == chunk.version:
-            spans[-1] = VersionSpan(chunk.version, spans[-1].tokens + count)
-        else:
-            spans.append(VersionSpan(chunk.version, count))
-    return tuple(spans)
+
+    assign: Callable[[WorkRequest], AbstractContextManager[TargetView]]
+    views: Callable[[str], Sequence[TargetView]]
+    generate: Callable[..., Any] = generate
+    cancel: Callable[[str, str], None] = cancel_generation
 
 
 @define(eq=False)
-class StepRunner:
-    """Generates the samples of one step until it is closed.
+class Attempt:
+    """An attempt to fill a slot.
 
     Parameters
     ----------
-    step : StepState
-        The step.
-    dispatcher : Dispatcher
-        Gives attempts to engines.
-    on_sample : callable
-        Called with each sample that filled a slot.
+    number : int
+        The slot.
+    priority : int
+        0 to 9, for queues and engines.
+    hedge : bool
+        Whether another attempt of the slot was running when it started.
+    exclude : set of str
+        Targets that it must not use.
     """
 
-    step: StepState
-    dispatcher: Dispatcher
-    on_sample: Callable[[Sample], None]
-    _closed: bool = False
-    _workers: eventlet.GreenPool = field(factory=lambda: eventlet.GreenPool(WORKERS))
-
-    def start(self) -> None:
-        """Start to generate."""
-        eventlet.spawn_n(self._run)
-
-    def close(self) -> None:
-        """Start no further attempts."""
-        self._closed = True
-
-    def _run(self) -> None:
-        while not self._closed and self.step.remaining:
-            if boottime() - self.step.touched_at > ABANDONED_AFTER_S:
-                return
-            slot = self.step.next_slot()
-            if slot is None:
-                eventlet.sleep(IDLE_DELAY_S)
-                continue
-            slot.running += 1
-            self._workers.spawn_n(self._attempt, slot)
-
-    def _attempt(self, slot: Slot) -> None:
+    number: int
+    priority: int
+    hedge: bool = False
+    exclude: set[str] = field(factory=set)
+    target: str = ""
+    streaming: bool = False
+    started_at: float | None = None
+    progress_at: float = 0.0
+    chunks: list[TokenChunk] = field(factory=list)
+    targets: list[str] = field(factory=list)
+    thread: Any = None
+
+    @property
+    def oldest_version(self) -> int | None:
+        """The oldest version among its tokens, None before the first."""
+        return min((chunk.version for chunk in self.chunks), default=None)
+
+    @property
+    def running_for(self) -> float:
+        """Seconds since an engine took it; 0 while it is queued."""
+        return 0.0 if self.started_at is None else boottime() - self.started_at
+
+
+def generate_sample(
+    attempt: Attempt, step: StepState, engines: EngineAccess, pool: str
+) -> Sample:
+    """Generate the sample of an attempt.
+
+    A stream that breaks, or that must leave its engine, is resumed elsewhere at its
+    offset; the spans of all engines together label the sample.
+
+    Raises
+    ------
+    ShedError, NotStartedError, StreamError
+        No engine finished it.
+    UnattestedError
+        The engine's version labels are missing or contradict each other.
+    """
+    moves = 0
+    while True:
+        try:
+            _stream(attempt, step, engines, pool)
+            break
+        except (AttemptMovedError, NotStartedError, StreamError):
+            moves += 1
+            if moves > MAX_MOVES:
+                raise
+            attempt.exclude.add(attempt.target)
+    group, index = step.position(attempt.number)
+    tokens = tuple(token for chunk in attempt.chunks for token in chunk.tokens)
+    spans = merge_spans(attempt.chunks)
+    return Sample(group, index, tokens, spans, ",".join(attempt.targets))
+
+
+def _stream(
+    attempt: Attempt, step: StepState, engines: EngineAccess, pool: str
+) -> None:
+    """Generate the rest of the sample at one engine."""
+    group, index = step.position(attempt.number)
+    spec = step.spec.groups[group]
+    offset = sum(len(chunk.tokens) for chunk in attempt.chunks)
+    # The prompt is shared by the group; the suffix makes samples differ, as a
+    # sampling seed does in a real engine.
+    request = GenerationRequest(
+        secrets.token_hex(8),
+        f"{spec.prompt}#{index}",
+        spec.max_tokens,
+        attempt.priority,
+        offset,
+    )
+    work = WorkRequest(
+        pool=pool,
+        workspace=step.spec.id.workspace,
+        priority=attempt.priority,
+        deadline=boottime() + QUEUE_TIMEOUT_S,
+        prefix=spec.prompt[:32],
+        restartable=True,
+        exclude=_excluded(attempt, step, engines.views(pool)),
+    )
+    with engines.assign(work) as view:
+        attempt.target, attempt.streaming = view.id, True
+        attempt.progress_at = boottime()
+        if attempt.started_at is None:
+            attempt.started_at = attempt.progress_at
+        finished = False
         try:
-            sample = self._generate(slot)
-        except (ShedError, NotStartedError, StreamError) as error:
-            log(ATTEMPT_FAILED, slot=slot.number, error=str(error))
-            eventlet.sleep(RETRY_DELAY_S)
-        else:
-            if self.step.fill(sample):
-                self.on_sample(sample)
+            previous = None
+            for chunk in engines.generate(view.address, request, READ_TIMEOUT_S):
+                check_next(previous, chunk)
+                if view.id not in attempt.targets:
+                    attempt.targets.append(view.id)
+                attempt.chunks.append(chunk)
+                attempt.progress_at = boottime()
+                previous = chunk
+            finished = True
         finally:
-            slot.running -= 1
-
-    def _generate(self, slot: Slot) -> Sample:
-        spec = self.step.spec
-        group = spec.groups[slot.group]
-        # The prompt is shared by the group; the suffix makes samples differ, as a
-        # sampling seed does in a real engine.
-        request = GenerationRequest(
-            secrets.token_hex(8), f"{group.prompt}#{slot.index}", group.max_tokens
-        )
-        work = WorkRequest(
-            pool=spec.pool,
-            workspace=spec.id.workspace,
-            deadline=boottime() + QUEUE_TIMEOUT_S,
-            prefix=group.prompt[:32],
-            restartable=True,
-        )
-        with self.dispatcher.assign(work) as view:
-            chunks = list(generate(view.address, request, READ_TIMEOUT_S))
-        tokens = tuple(token for chunk in chunks for token in chunk.tokens)
-        return Sample(slot.group, slot.index, tokens, merge_spans(chunks), view.id)
+            attempt.streaming = False
+            if not finished:
+                eventlet.spawn_n(engines.cancel, view.address, request.id)
+
+
+def _excluded(
+    attempt: Attempt, step: StepState, views: Sequence[TargetView]
+) -> frozenset[str]:
+    """Return the targets that an attempt must not use now.
+
+    An engine whose version is already too old for the trainer would produce a
+    sample that is discarded. Targets that failed an attempt are used again if no
+    other is left.
+    """
+    old = {
+        view.id
+        for view in views
+        if view.report is not None and 0 < view.report.version < step.oldest_allowed
+    }
+    selectable = {view.id for view in views if view.selectable} - old
+    if selectable <= attempt.exclude:
+        return frozenset(old)
+    return frozenset(old | attempt.exclude)
--- a/mulberryport/rollouts/model.py
+++ b/mulberryport/rollouts/model.py
@@ -1,6 +1,6 @@
 """Steps, groups and samples."""
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 __all__ = ["GroupSpec", "Sample", "StepId", "StepSpec", "VersionSpan"]
 
@@ -73,6 +73,13 @@
         """The number of samples of the step."""
         return sum(group.samples for group in self.groups)
 
+    def same_request(self, other: "StepSpec") -> bool:
+        """Whether another specification asks for the same samples.
+
+        The trainer's version and the route's pool may have changed since.
+        """
+        return self == evolve(other, weight_version=self.weight_version, pool=self.pool)
+
 
 @frozen
 class VersionSpan:
@@ -111,3 +118,7 @@
     def oldest_version(self) -> int:
         """The oldest weight version in the sample."""
         return min(span.version for span in self.spans)
+
+    def scored(self, score: float) -> "Sample":
+        """Return the sample with its score."""
+        return evolve(self, score=score)
--- /dev/null
+++ b/mulberryport/rollouts/stragglers.py
@@ -0,0 +1,71 @@
+"""Policy for stragglers: priority at a step's tail, and hedged attempts."""
+
+from attrs import define, field, frozen
+from ddsketch import DDSketch
+
+__all__ = ["Hedging", "StragglerPolicy"]
+
+# Below this number of finished attempts a quantile says little.
+MIN_DURATIONS = 10
+
+
+@frozen
+class StragglerPolicy:
+    """How stragglers are treated.
+
+    Parameters
+    ----------
+    quantile : float
+        An attempt that takes longer than this quantile of the step's attempts,
+        per token, may be hedged.
+    budget : float
+        Hedged attempts as a part of the step's slots; 0 for none.
+    tail_share : float
+        Part of the slots that may be unfilled when the tail begins.
+    priority, tail_priority : int
+        Priority of attempts before and at the tail, 0 to 9.
+    move : bool
+        Whether attempts leave targets that are leaving or do not answer.
+    """
+
+    quantile: float = 0.9
+    budget: float = 0.05
+    tail_share: float = 0.1
+    priority: int = 5
+    tail_priority: int = 8
+    move: bool = True
+
+
+@define(eq=False)
+class Hedging:
+    """Durations of a step's attempts, and how many hedges were started.
+
+    Parameters
+    ----------
+    policy : StragglerPolicy
+        Quantile and budget.
+    slots : int
+        Slots of the step.
+    """
+
+    policy: StragglerPolicy
+    slots: int
+    started: int = 0
+    _durations: DDSketch = field(factory=lambda: DDSketch(0.02))
+
+    def finished(self, seconds: float, tokens: int) -> None:
+        """Note the duration of a whole attempt."""
+        self._durations.add(seconds / max(1, tokens))
+
+    def allowed(self) -> bool:
+        """Whether the budget has room for a hedge."""
+        if not self.policy.budget:
+            return False
+        return self.started < max(1, int(self.slots * self.policy.budget))
+
+    def threshold(self, tokens: int) -> float:
+        """Return the seconds after which an attempt of a length is a straggler."""
+        if self._durations.count < MIN_DURATIONS:
+            return float("inf")
+        quantile = self._durations.get_quantile_value(self.policy.quantile)
+        return float(quantile or 0.0) * max(1, tokens)
