Judge steps by the engines' logs while processes are killed and paused

Cause: nothing showed from the outside that slots arrive once, within the bound and truthfully labelled. The server of every port also held back the first 4096 bytes of a stream, so that a broken stream had nothing to resume from.

Change: the engine stand-in logs which version produced which tokens of which request. Streams leave without delay. A forwarded pull waits in slices of 1 s, so that a paused owner holds up its trainer for 3 s and not for 10 s.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -209,10 +209,7 @@
                 }
                 for view in self.directory.all_views()
             ],
-            "steps": [
-                {"step": step.spec.id.key, "remaining": step.remaining}
-                for step in self.rollouts.open_steps()
-            ],
+            "steps": self.rollouts.describe(),
         }
 
     def _reporter(self, shard: int) -> UsageReporter:
--- a/mulberryport/rollouts/replicas.py
+++ b/mulberryport/rollouts/replicas.py
@@ -135,9 +135,15 @@
     peers: Peers
     closed: Callable[[], bool]
     _unsent: list[Sample] = field(factory=list)
+    _sending: int = 0
     _replica: str = ""
     _wake: Signal = field(factory=Signal)
 
+    @property
+    def waiting(self) -> int:
+        """Finished samples that the replica has not confirmed."""
+        return len(self._unsent) + self._sending
+
     def add(self, sample: Sample) -> None:
         """Send a sample with the next batch."""
         self._unsent.append(sample)
@@ -167,7 +173,9 @@
                 continue
             samples, self._unsent = self._unsent, []
             wanted = [sample for sample in samples if self.step.holds(sample)]
+            self._sending = len(wanted)
             outcome = send_samples(self.peers, replica, self.step, wanted)
+            self._sending = 0
             if not isinstance(outcome, Done):
                 self._unsent = wanted + self._unsent
                 eventlet.sleep(RETRY_S)
--- a/mulberryport/rollouts/service.py
+++ b/mulberryport/rollouts/service.py
@@ -13,6 +13,7 @@
 from ..membership import Members
 from ..outcomes import Done, NotDone, Outcome
 from ..peering import Peers, PeerServer, peer_pb2
+from ..runtime.clock import boottime
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher
 from ..usage import UsageCounters
@@ -39,6 +40,10 @@
 
 CALL_TIMEOUT_S = 5.0
 MAX_WAIT_S = 30.0
+# A forwarded pull waits in slices, so that an owner that died or was paused is noticed
+# within seconds and the trainer is not kept waiting for it.
+FORWARD_SLICE_S = 1.0
+PULL_TIMEOUT_S = 2.0
 ADOPTION_TIMEOUT_S = 10.0
 
 
@@ -114,19 +119,35 @@
         InvalidPullError
             The owner refused the pull.
         """
-        wait = min(wait, MAX_WAIT_S)
-        owner = self._owner(step_id)
-        if owner == self.members.self_member.vm:
-            result = self._pull_here(step_id, weight_version, received, wait, limit)
-            return Done(result)
-        request = peer_pb2.PullSamplesRequest(
-            id=id_to_message(step_id),
-            weight_version=weight_version,
-            received=received,
-            wait=wait,
-            limit=limit,
-        )
-        outcome = self._call_owner(owner, "PullSamples", request, wait + CALL_TIMEOUT_S)
+        deadline = boottime() + min(wait, MAX_WAIT_S)
+        while True:
+            left = max(0.0, deadline - boottime())
+            owner = self._owner(step_id)
+            if owner == self.members.self_member.vm:
+                return Done(
+                    self._pull_here(step_id, weight_version, received, left, limit)
+                )
+            request = peer_pb2.PullSamplesRequest(
+                id=id_to_message(step_id),
+                weight_version=weight_version,
+                received=received,
+                wait=min(left, FORWARD_SLICE_S),
+                limit=limit,
+            )
+            outcome = self._forward_pull(owner, request)
+            if not isinstance(outcome, Done) or left <= FORWARD_SLICE_S:
+                return outcome
+            result = outcome.value
+            if result.samples or result.superseded or not result.known:
+                return outcome
+            if not result.remaining:
+                return outcome
+
+    def _forward_pull(
+        self, owner: str, request: peer_pb2.PullSamplesRequest
+    ) -> Outcome[PullResult]:
+        timeout = request.wait + PULL_TIMEOUT_S
+        outcome = self._call_owner(owner, "PullSamples", request, timeout)
         if not isinstance(outcome, Done):
             return outcome
         reply = outcome.value
@@ -156,9 +177,20 @@
             if owner != me:
                 hand_over(self.owned, owned, self.peers, owner)
 
-    def open_steps(self) -> tuple[StepState, ...]:
-        """Return the steps that this daemon owns."""
-        return tuple(owned.step for owned in self.owned.all())
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the steps that this daemon owns, for operators."""
+        return [
+            {
+                "step": owned.step.spec.id.key,
+                "remaining": owned.step.remaining,
+                "unfilled": owned.step.unfilled,
+                "unreplicated": owned.replicator.waiting,
+                "attempts": len(owned.runner.attempts),
+                "hedges": owned.runner.hedging.started,
+                "trainer_version": owned.step.trainer_version,
+            }
+            for owned in self.owned.all()
+        ]
 
     def _owner(self, step_id: StepId) -> str:
         return self.members.owners(step_id.key, 1)[0].vm
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -90,6 +90,8 @@
         "log": _server_log,
         "max_size": 4096,
         "socket_timeout": 600,
+        # The default of 4096 bytes holds back the first parts of a stream.
+        "minimum_chunk_size": 1,
         **options,
     }
     return eventlet.spawn(eventlet.wsgi.server, listener, application, **settings)
--- a/mulberryport/standins/engine.py
+++ b/mulberryport/standins/engine.py
@@ -9,7 +9,8 @@
 
 Further paths: ``POST /cancel``, ``GET /load`` (lagging), ``GET /cache-events`` (late
 and with gaps), ``PUT /version`` (an order with a fencing number and an expiry),
-``POST /kv/export`` and ``/kv/import``, and ``GET /log`` of all that was seen.
+``POST /kv/export`` and ``/kv/import``, and ``GET /log`` of all that was seen; there
+``produced`` lists offset, number and weight version of the tokens of a request.
 """
 
 import itertools
@@ -140,11 +141,16 @@
     request = read_json(environ)
     headers = {k[5:]: v for k, v in environ.items() if k.startswith("HTTP_")}
     query = environ.get("QUERY_STRING", "")
-    state.requests.append(
-        {"at": time.time(), "headers": headers, "query": query, **request}
-    )
+    entry = {
+        "at": time.time(),
+        "headers": headers,
+        "query": query,
+        **request,
+        "produced": [],
+    }
+    state.requests.append(entry)
     start_response("200 OK", [("Content-Type", "application/x-ndjson")])
-    return _stream(state, request)
+    return _stream(state, entry)
 
 
 def _stream(state: EngineState, request: dict[str, Any]) -> Iterator[bytes]:
@@ -166,6 +172,7 @@
             slow = 1.0 + state.running / state.batch
             eventlet.sleep(state.token_time * len(part) * slow)
             state.generated += len(part)
+            request["produced"].append([offset, len(part), version])
             yield _line(request_id, offset=offset, tokens=part, version=version)
             offset += len(part)
         yield _line(request_id, done=True, length=length, finish="stop")
--- a/mulberryport/standins/service.py
+++ b/mulberryport/standins/service.py
@@ -85,6 +85,8 @@
         state.requests.append(entry)
         eventlet.sleep(float(query_values(environ).get("duration", state.duration)))
         answer = {name: entry[name] for name in entry if name != "headers"}
+        # For trainers' steps that are scored; a function of the request alone.
+        answer["score"] = int(entry["digest"][:8], 16) / 2**32
         return respond(start_response, 200, answer)
     finally:
         state.running -= 1
