--- a/mulberryport/rollouts/runner.py
+++ b/mulberryport/rollouts/runner.py
@@ -227,16 +227,13 @@
             return
         if self.step.unfilled > len(self._attempts):
             return
-        single = [group[0] for group in self._attempts.values() if len(group) == 1]
-        for attempt in sorted(single, key=lambda a: a.running_for, reverse=True):
-            group, _ = self.step.position(attempt.number)
-            tokens = self.step.spec.groups[group].max_tokens
-            if not attempt.streaming:
-                continue
-            if (
-                attempt.running_for <= self.hedging.threshold(tokens)
-                or not self.hedging.allowed()
-            ):
+        overdue = [
+            (ratio, group[0])
+            for group in self._attempts.values()
+            if len(group) == 1 and (ratio := self._overdue(group[0])) > 1.0
+        ]
+        for _, attempt in sorted(overdue, key=lambda item: item[0], reverse=True):
+            if not self.hedging.allowed():
                 return
             self.hedging.started += 1
             log(ATTEMPT_HEDGED, slot=attempt.number, target=attempt.target)
@@ -249,6 +246,14 @@
                 )
             )
 
+    def _overdue(self, attempt: Attempt) -> float:
+        """Return an attempt's time at its engine as a part of the hedging threshold."""
+        if not attempt.streaming:
+            return 0.0
+        group, _ = self.step.position(attempt.number)
+        tokens = self.step.spec.groups[group].max_tokens
+        return attempt.running_for / self.hedging.threshold(tokens)
+
     def _allowed_attempts(self) -> int:
         """Return how many attempts the pool's limits let run, looked up at times."""
         until, allowed = self._allowed
--- a/mulberryport/rollouts/stragglers.py
+++ b/mulberryport/rollouts/stragglers.py
@@ -15,9 +15,10 @@
 
     Parameters
     ----------
-    quantile : float
-        An attempt that takes longer than this quantile of the step's attempts,
-        per token, may be hedged.
+    quantile, factor : float
+        An attempt that takes ``factor`` times as long as this quantile of the
+        step's attempts, per token, may be hedged. At the quantile itself most
+        attempts are about to finish, and hedging them would spend the budget.
     budget : float
         Hedged attempts as a part of the step's slots; 0 for none.
     tail_share : float
@@ -29,6 +30,7 @@
     """
 
     quantile: float = 0.9
+    factor: float = 1.5
     budget: float = 0.05
     tail_share: float = 0.1
     priority: int = 5
@@ -68,4 +70,4 @@
         if self._durations.count < MIN_DURATIONS:
             return float("inf")
         quantile = self._durations.get_quantile_value(self.policy.quantile)
-        return float(quantile or 0.0) * max(1, tokens)
+        return max(1e-9, quantile or 0.0) * self.policy.factor * max(1, tokens)
