--- a/mulberryport/client/trainer.py
+++ b/mulberryport/client/trainer.py
@@ -90,7 +90,22 @@
     route : str
         Route whose pool generates the samples.
     weight_version : callable
-        Returns the trainer's weight version at the moment.
+        Returns the trainer's weight version at the moment; it may only rise.
+
+    Examples
+    --------
+    >>> client = TrainerClient(
+    ...     ["http://127.0.0.1:1"], "key", "warnings", "drafting", lambda: 7
+    ... )
+    >>> groups = [Group("draft a warning", samples=8, max_tokens=200)]
+    >>> try:
+    ...     for sample in client.run_step(
+    ...         1, groups, staleness_bound=2, deadline=0.1
+    ...     ):
+    ...         print(sample.group, sample.index, sample.versions)
+    ... except StepFailedError as error:
+    ...     print(str(error).partition(";")[0])
+    the step could not be opened before its deadline
     """
 
     urls: Sequence[str]
