--- a/mulberryport/rollouts/attempts.py
+++ b/mulberryport/rollouts/attempts.py
@@ -76,23 +76,23 @@
         The slot.
     priority : int
         0 to 9, for queues and engines.
-    hedge : bool
-        Whether another attempt of the slot was running when it started.
     exclude : set of str
         Targets that it must not use.
+    charged : int
+        Tokens that it may cost as a hedge; 0 for other attempts.
     """
 
     number: int
     priority: int
-    hedge: bool = False
     exclude: set[str] = field(factory=set)
     target: str = ""
     streaming: bool = False
-    started_at: float | None = None
     progress_at: float = 0.0
+    _paced_from: tuple[float, int] = (0.0, 0)
     chunks: list[TokenChunk] = field(factory=list)
     targets: list[str] = field(factory=list)
     thread: Any = None
+    charged: int = 0
 
     @property
     def oldest_version(self) -> int | None:
@@ -100,9 +100,43 @@
         return min((chunk.version for chunk in self.chunks), default=None)
 
     @property
-    def running_for(self) -> float:
-        """Seconds since an engine took it; 0 while it is queued."""
-        return 0.0 if self.started_at is None else boottime() - self.started_at
+    def tokens(self) -> int:
+        """Tokens that it has so far."""
+        return sum(len(chunk.tokens) for chunk in self.chunks)
+
+    def hedge(self, priority: int, charged: int) -> "Attempt":
+        """Return a second attempt, which resumes elsewhere where this one is now."""
+        return Attempt(
+            self.number,
+            priority,
+            exclude={self.target},
+            chunks=list(self.chunks),
+            targets=list(self.targets),
+            charged=charged,
+        )
+
+    def assigned(self, target: str) -> None:
+        """Note that an engine takes the attempt."""
+        self.target, self.streaming = target, True
+        self.progress_at = boottime()
+        self._paced_from = (self.progress_at, self.tokens)
+
+    def add(self, chunk: TokenChunk, *, first: bool) -> None:
+        """Note tokens; the pace counts from the first, after the engine's queue."""
+        if self.target not in self.targets:
+            self.targets.append(self.target)
+        self.chunks.append(chunk)
+        self.progress_at = boottime()
+        if first:
+            self._paced_from = (self.progress_at, self.tokens)
+
+    def pace(self) -> tuple[float, int]:
+        """Return the time since the first tokens from its engine, and tokens since.
+
+        Before the first tokens, the time counts from the assignment.
+        """
+        since, tokens = self._paced_from
+        return boottime() - since, self.tokens - tokens
 
 
 def generate_sample(
@@ -142,7 +176,7 @@
     """Generate the rest of the sample at one engine."""
     group, index = step.position(attempt.number)
     spec = step.spec.groups[group]
-    offset = sum(len(chunk.tokens) for chunk in attempt.chunks)
+    offset = attempt.tokens
     # The prompt is shared by the group; the suffix makes samples differ, as a
     # sampling seed does in a real engine.
     request = GenerationRequest(
@@ -162,19 +196,13 @@
         exclude=_excluded(attempt, step, engines.views(pool)),
     )
     with engines.assign(work) as view:
-        attempt.target, attempt.streaming = view.id, True
-        attempt.progress_at = boottime()
-        if attempt.started_at is None:
-            attempt.started_at = attempt.progress_at
+        attempt.assigned(view.id)
         finished = False
         try:
             previous = None
             for chunk in engines.generate(view.address, request, READ_TIMEOUT_S):
                 check_next(previous, chunk)
-                if view.id not in attempt.targets:
-                    attempt.targets.append(view.id)
-                attempt.chunks.append(chunk)
-                attempt.progress_at = boottime()
+                attempt.add(chunk, first=previous is None)
                 previous = chunk
             finished = True
         finally:
--- a/mulberryport/rollouts/runner.py
+++ b/mulberryport/rollouts/runner.py
@@ -6,6 +6,8 @@
 from attrs import define, field
 
 from ..runtime.clock import boottime
+from ..targets import ShedError
+from ..targets.engine_client import NotStartedError, StreamError
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .attempts import (
@@ -39,6 +41,10 @@
     903, "attempt_hedged", "info", "A straggler got a second attempt."
 )
 
+ATTEMPT_BROKEN = define_event(
+    905, "attempt_broken", "error", "An attempt ended with an unexpected error."
+)
+
 RETRY_DELAY_S = 0.1
 # Attempts of one step at the same time; the limits of the targets are lower.
 MAX_ATTEMPTS = 256
@@ -89,7 +95,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Start with an empty record of durations."""
-        self.hedging = Hedging(self.policy, self.step.slots)
+        groups = self.step.spec.groups
+        wanted = sum(group.samples * group.max_tokens for group in groups)
+        self.hedging = Hedging(self.policy, wanted)
 
     @property
     def closed(self) -> bool:
@@ -151,10 +159,11 @@
                 self._spawn(Attempt(number, self._priority()))
 
     def _priority(self) -> int:
+        return self.policy.tail_priority if self._in_tail() else self.policy.priority
+
+    def _in_tail(self) -> bool:
         tail = max(1, int(self.step.slots * self.policy.tail_share))
-        if self.step.unfilled <= tail:
-            return self.policy.tail_priority
-        return self.policy.priority
+        return self.step.unfilled <= tail
 
     def _spawn(self, attempt: Attempt) -> None:
         self._attempts.setdefault(attempt.number, []).append(attempt)
@@ -166,7 +175,7 @@
     def _attempt(self, attempt: Attempt) -> None:
         try:
             sample = generate_sample(attempt, self.step, self.engines, self.pool)
-            self.hedging.finished(attempt.running_for, len(sample.tokens))
+            self.hedging.finished(*attempt.pace())
             if self.score is not None and self.step.wanted(attempt.number):
                 sample = sample.scored(self.score(sample))
             if not self._closed and self.fill(sample):
@@ -176,9 +185,12 @@
         except UnattestedError as error:
             log(SAMPLE_UNATTESTED, target=attempt.target, error=str(error))
             self._pause()
+        except (ShedError, NotStartedError, StreamError) as error:
+            log(ATTEMPT_FAILED, slot=attempt.number, error=str(error))
+            self._pause()
         except Exception as error:
             # Whatever went wrong, the slot stays wanted and is tried again.
-            log(ATTEMPT_FAILED, slot=attempt.number, error=repr(error))
+            log(ATTEMPT_BROKEN, slot=attempt.number, error=repr(error))
             self._pause()
 
     def _pause(self) -> None:
@@ -192,6 +204,8 @@
         group = self._attempts[attempt.number]
         group.remove(attempt)
         self._running -= 1
+        if attempt.charged:
+            self.hedging.refund(self._tokens_of(attempt) - attempt.tokens)
         if not group:
             del self._attempts[attempt.number]
             self.step.put_back(attempt.number)
@@ -222,37 +236,41 @@
         return {view.id: view.leaving for view in views if not view.selectable}
 
     def _hedge(self) -> None:
-        """Start second attempts of stragglers once all slots were started."""
-        if self._closed or self._running >= MAX_ATTEMPTS or not self.hedging.allowed():
-            return
-        if self.step.unfilled > len(self._attempts):
+        """Start second attempts of stragglers at the step's tail.
+
+        Before the tail, a hedge would take the place of an attempt that is needed
+        anyway, and the budget would be gone when the last samples are awaited.
+        """
+        if self._closed or not self.policy.budget or not self._in_tail():
             return
         overdue = [
-            (ratio, group[0])
+            (left, group[0])
             for group in self._attempts.values()
-            if len(group) == 1 and (ratio := self._overdue(group[0])) > 1.0
+            if len(group) == 1 and (left := self._overdue(group[0])) > 0.0
         ]
         for _, attempt in sorted(overdue, key=lambda item: item[0], reverse=True):
-            if not self.hedging.allowed():
-                return
-            self.hedging.started += 1
+            tokens = self._tokens_of(attempt) - attempt.tokens
+            if not self.hedging.start(tokens):
+                continue
             log(ATTEMPT_HEDGED, slot=attempt.number, target=attempt.target)
-            self._spawn(
-                Attempt(
-                    attempt.number,
-                    self.policy.tail_priority,
-                    hedge=True,
-                    exclude={attempt.target},
-                )
-            )
+            self._spawn(attempt.hedge(self.policy.tail_priority, tokens))
 
     def _overdue(self, attempt: Attempt) -> float:
-        """Return an attempt's time at its engine as a part of the hedging threshold."""
+        """Return the seconds a straggler still needs; 0 for other attempts."""
         if not attempt.streaming:
             return 0.0
+        elapsed, done = attempt.pace()
+        left = self._tokens_of(attempt) - attempt.tokens
+        # Without tokens since the first there is no pace to go by, only the time.
+        needed = elapsed * left / done if done else elapsed
+        if elapsed + needed <= self.hedging.threshold(done + left):
+            return 0.0
+        # A second attempt resumes at the same offset at the usual pace.
+        return needed if needed > self.hedging.usual(left) else 0.0
+
+    def _tokens_of(self, attempt: Attempt) -> int:
         group, _ = self.step.position(attempt.number)
-        tokens = self.step.spec.groups[group].max_tokens
-        return attempt.running_for / self.hedging.threshold(tokens)
+        return self.step.spec.groups[group].max_tokens
 
     def _allowed_attempts(self) -> int:
         """Return how many attempts the pool's limits let run, looked up at times."""
--- a/mulberryport/rollouts/stragglers.py
+++ b/mulberryport/rollouts/stragglers.py
@@ -16,11 +16,11 @@
     Parameters
     ----------
     quantile, factor : float
-        An attempt that takes ``factor`` times as long as this quantile of the
+        An attempt that will take ``factor`` times as long as this quantile of the
         step's attempts, per token, may be hedged. At the quantile itself most
         attempts are about to finish, and hedging them would spend the budget.
     budget : float
-        Hedged attempts as a part of the step's slots; 0 for none.
+        Tokens of hedging attempts as a part of the step's tokens; 0 for none.
     tail_share : float
         Part of the slots that may be unfilled when the tail begins.
     priority, tail_priority : int
@@ -46,24 +46,32 @@
     ----------
     policy : StragglerPolicy
         Quantile and budget.
-    slots : int
-        Slots of the step.
+    wanted : int
+        Tokens of the whole step.
     """
 
     policy: StragglerPolicy
-    slots: int
+    wanted: int
     started: int = 0
+    spent: int = 0
     _durations: DDSketch = field(factory=lambda: DDSketch(0.02))
 
     def finished(self, seconds: float, tokens: int) -> None:
-        """Note the duration of a whole attempt."""
-        self._durations.add(seconds / max(1, tokens))
+        """Note how long an attempt that finished took for its last tokens."""
+        if tokens:
+            self._durations.add(seconds / tokens)
 
-    def allowed(self) -> bool:
-        """Whether the budget has room for a hedge."""
-        if not self.policy.budget:
+    def start(self, tokens: int) -> bool:
+        """Charge a hedge that generates so many tokens, if the budget has room."""
+        if self.spent + tokens > self.wanted * self.policy.budget:
             return False
-        return self.started < max(1, int(self.slots * self.policy.budget))
+        self.started += 1
+        self.spent += tokens
+        return True
+
+    def refund(self, tokens: int) -> None:
+        """Give back what a hedge did not generate because it was cancelled."""
+        self.spent -= tokens
 
     def threshold(self, tokens: int) -> float:
         """Return the seconds after which an attempt of a length is a straggler."""
@@ -71,3 +79,7 @@
             return float("inf")
         quantile = self._durations.get_quantile_value(self.policy.quantile)
         return max(1e-9, quantile or 0.0) * self.policy.factor * max(1, tokens)
+
+    def usual(self, tokens: int) -> float:
+        """Return the median of the seconds that so many tokens take."""
+        return float(self._durations.get_quantile_value(0.5) or 0.0) * tokens
--- a/mulberryport/rollouts/tests/test_runner.py
+++ b/mulberryport/rollouts/tests/test_runner.py
@@ -75,7 +75,7 @@
     # Guards against engine time spent on samples that the pull will discard.
     def behave(name, request):
         yield from chunks_of(1)
-        eventlet.sleep(4.0)
+        eventlet.sleep(30.0)
 
     def raise_version(step, engines):
         step.pull(5, b"", 1)
@@ -92,7 +92,7 @@
             yield from chunks_of(1, 1, 1)
         else:
             yield from chunks_of(1)
-            eventlet.sleep(4.0)
+            eventlet.sleep(30.0)
 
     def leave(step, engines):
         engines.leaving.update(name for name, _ in engines.requests[:1])
@@ -113,11 +113,11 @@
         first = slot not in slow
         if slot in ("p0#37", "p0#38", "p0#39") and first:
             slow.add(slot)
-            yield from chunks_of(1, delay=0.01)
-            eventlet.sleep(4.0)
-        yield from chunks_of(1, 1, 1, 1, delay=0.002)
+            yield from chunks_of(1)
+            eventlet.sleep(30.0)
+        yield from chunks_of(*[1] * (4 - request.offset // 2), delay=0.002)
 
-    policy = StragglerPolicy(budget=0.05)
+    policy = StragglerPolicy(budget=0.05, factor=5.0)
     step, engines, runner = run(
         behave,
         make_spec(40),
@@ -129,6 +129,8 @@
     hedges = engines.requests[40:]
     assert len(hedges) == 2
     assert all(r.priority == policy.tail_priority for _, r in hedges)
+    # A hedge resumes where the straggler is, and is charged only for the rest.
+    assert all(r.offset == 2 for _, r in hedges) and runner.hedging.spent == 12
     for name, request in hedges:
         losers = [n for n, r in engines.requests[:40] if r.prompt == request.prompt]
         assert name not in losers
