Test ownership of steps over two daemons in one process

Cause: adoption, hand-over, refusals and superseded pulls were tested only through whole fleets, or not at all.

Change: two services joined without a network.

--- a/mulberryport/rollouts/service.py
+++ b/mulberryport/rollouts/service.py
@@ -177,6 +177,10 @@
             if owner != me:
                 hand_over(self.owned, owned, self.peers, owner)
 
+    def open_steps(self) -> tuple[StepState, ...]:
+        """Return the steps that this daemon owns."""
+        return tuple(owned.step for owned in self.owned.all())
+
     def describe(self) -> list[dict[str, Any]]:
         """Return the steps that this daemon owns, for operators."""
         return [
--- /dev/null
+++ b/mulberryport/rollouts/tests/test_service.py
@@ -0,0 +1,199 @@
+"""Steps over two daemons in this process, joined without a network."""
+
+from types import SimpleNamespace
+
+import eventlet
+import pytest
+from attrs import evolve
+
+from ...membership import Member, Members
+from ...outcomes import Done, NotDone
+from ...runtime.clock import boottime
+from ...tables import Pool, Route, Snapshot, Tables, Workspace
+from ...targets.engine_client import TokenChunk
+from ...usage import UsageCounters
+from .. import GroupSpec, InvalidPullError, OpenResult, RolloutService
+from ..review import ABANDONED_AFTER_S
+from .builders import FakeEngines, make_spec
+
+TABLES = Tables(
+    workspaces={"roads": Workspace(name="roads")},
+    routes={
+        "drafting": Route(
+            name="drafting", path="/d/", pool="drafting", workspaces=("roads",)
+        )
+    },
+    pools={"drafting": Pool(name="drafting", kind="model-engine")},
+)
+
+
+class Daemons:
+    """Two daemons; ``down`` holds those that no call reaches."""
+
+    def __init__(self, engines):
+        self.handlers, self.down = {}, set()
+        self.engines = engines
+        self.first, self.second = self.make("vm1", "za"), self.make("vm2", "zb")
+
+    def make(self, vm, zone):
+        """Return a daemon's service."""
+        handlers = self.handlers[vm] = {}
+        holder = SimpleNamespace(snapshot=Snapshot(1, "c", TABLES))
+        dispatcher = SimpleNamespace(
+            assign=None, directory=SimpleNamespace(views=self.engines.views)
+        )
+        service = RolloutService(
+            Members(Member(vm, zone, "127.0.0.1:1", 1)),
+            SimpleNamespace(call=self.call),
+            dispatcher,
+            UsageCounters(vm, 1, 60),
+            holder,
+        )
+        service.register(SimpleNamespace(register=handlers.__setitem__))
+        return service
+
+    def call(self, vm, method, request, timeout):
+        """Call a handler of the other daemon."""
+        eventlet.sleep(0)
+        if vm in self.down:
+            return NotDone(f"{vm} is down")
+        return Done(self.handlers[vm][method](request))
+
+    def meet(self):
+        """Let both daemons know each other."""
+        for service, other in ((self.first, self.second), (self.second, self.first)):
+            member = evolve(other.members.self_member, heard_at=boottime())
+            service.members.heard(member)
+
+
+@pytest.fixture
+def daemons(monkeypatch):
+    def behave(name, request):
+        eventlet.sleep(0.01)
+        yield TokenChunk(("x",) * request.max_tokens, 1)
+
+    engines = FakeEngines(behave)
+    monkeypatch.setattr(
+        "mulberryport.rollouts.service.EngineAccess", lambda *_: engines.access()
+    )
+    running = Daemons(engines)
+    yield running
+    for service in (running.first, running.second):
+        for owned in service.owned.all():
+            service.owned.close(owned.step.spec.id, "end of the test")
+    eventlet.sleep(0.05)
+
+
+def spec_owned_by(service):
+    """Return a step that a daemon owns once both know each other."""
+    for number in range(100):
+        spec = make_spec(6)
+        spec = evolve(spec, id=evolve(spec.id, step=number))
+        owner = service.members.owners(spec.id.key, 1)[0].vm
+        if owner == service.members.self_member.vm:
+            return spec
+    raise LookupError("no such step")
+
+
+def wait_for(condition):
+    with eventlet.Timeout(5.0):
+        while not condition():
+            eventlet.sleep(0.01)
+
+
+def test_a_new_owner_adopts_what_the_former_owner_finished(daemons):
+    # Guards against samples that are generated again, or sent by two owners, when a
+    # daemon joins that owns an open step.
+    daemons.meet()
+    spec = spec_owned_by(daemons.second)
+    alone = daemons.first
+    alone.members._members.clear()
+    assert alone.open(spec) == Done(OpenResult())
+    wait_for(lambda: not alone.open_steps()[0].unfilled)
+    first = alone.pull(spec.id, 1, b"", 0, 2).value.samples
+    received = b"\x03"
+    daemons.meet()
+    result = alone.pull(spec.id, 1, received, 1.0, 10).value
+    indexes = [sample.index for sample in (*first, *result.samples)]
+    assert sorted(indexes) == list(range(6)) and result.remaining == 4
+    alone.review()
+    assert not alone.open_steps()
+    assert daemons.second.open_steps()[0].remaining == 4
+    assert len(daemons.engines.requests) == 6
+
+
+def test_a_replica_serves_after_the_owner_is_lost(daemons):
+    # Guards against finished samples lost with their owner.
+    daemons.meet()
+    spec = spec_owned_by(daemons.second)
+    daemons.first.open(spec)
+    (owned,) = daemons.second.owned.all()
+    wait_for(lambda: not owned.step.unfilled and not owned.replicator.waiting)
+    daemons.down.add("vm2")
+    daemons.first.members._members.clear()
+    result = daemons.first.pull(spec.id, 1, b"\x01", 0, 10).value
+    assert sorted(s.index for s in result.samples) == [1, 2, 3, 4, 5]
+    assert len(daemons.engines.requests) == 6
+
+
+def test_a_step_that_its_trainer_closed_stays_closed(daemons):
+    # Guards against a step that a late hand-over or a late pull brings back.
+    daemons.meet()
+    spec = spec_owned_by(daemons.second)
+    daemons.first.open(spec)
+    (owned,) = daemons.second.owned.all()
+    wait_for(lambda: not owned.step.unfilled and not owned.replicator.waiting)
+    daemons.first.close(spec.id)
+    wait_for(lambda: daemons.first.replicas.get(spec.id) is None)
+    # What a former owner, paused until now, hands over late.
+    daemons.first.replicas.merge(spec, owned.step.finished(), b"")
+    assert not daemons.first.pull(spec.id, 1, b"", 0, 10).value.known
+    assert not daemons.second.open_steps()
+
+
+def test_another_specification_and_malformed_pulls_are_refused(daemons):
+    # Guards against a step whose slots change meaning while it runs, and against a
+    # hostile pull that changes it.
+    daemons.meet()
+    spec = spec_owned_by(daemons.second)
+    for service in (daemons.first, daemons.second):
+        assert service.open(evolve(spec, weight_version=2)).value == OpenResult()
+        other = evolve(spec, groups=(GroupSpec("other", 6, 8),))
+        assert service.open(other).value == OpenResult(conflict=True)
+        for version, received in ((2, b"\xff"), (2, b"\0\0"), (1, b"")):
+            with pytest.raises(InvalidPullError):
+                service.pull(spec.id, version, received, 0, 10)
+    assert daemons.second.open_steps()[0].remaining == 6
+
+
+def test_a_newer_pull_supersedes_one_that_waits(daemons):
+    # Guards against the same samples in two answers: the earlier pull's trainer is
+    # gone, or pulled again.
+    daemons.meet()
+    spec = spec_owned_by(daemons.second)
+    daemons.engines.limit = 0
+    daemons.first.open(spec)
+    for service in (daemons.first, daemons.second):
+        waiting = eventlet.spawn(service.pull, spec.id, 1, b"", 20.0, 10)
+        eventlet.sleep(0.05)
+        assert not service.pull(spec.id, 1, b"", 0, 10).value.superseded
+        with eventlet.Timeout(1.0):
+            assert waiting.wait().value.superseded
+
+
+def test_withdrawn_routes_and_silent_trainers_end_their_steps(daemons):
+    # Guards against engine time for a route that operators withdrew, and for
+    # trainers that are gone.
+    daemons.meet()
+    spec = spec_owned_by(daemons.second)
+    owner = daemons.second
+    owner.open(spec)
+    owner.open_steps()[0].touched_at -= ABANDONED_AFTER_S + 1
+    owner.review()
+    assert not owner.open_steps()
+    owner.open(spec)
+    owner.review()
+    assert owner.open_steps()
+    owner.holder.snapshot = Snapshot(2, "d", evolve(TABLES, routes={}))
+    owner.review()
+    assert not owner.open_steps()
