End cancelled attempts with an exit instead of an error

Cause: an attempt that is cancelled or moved leaves the dispatcher's context with an exception, from which the dispatcher cannot tell the caller's wish from a fault of the target; the losers of hedges would count as failures of healthy engines.

Change: both exceptions are kinds of GreenletExit.

--- a/mulberryport/rollouts/attempts.py
+++ b/mulberryport/rollouts/attempts.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import eventlet
+import greenlet
 from attrs import define, field, frozen
 
 from ..runtime.clock import boottime
@@ -38,11 +39,13 @@
 MAX_MOVES = 5
 
 
-class AttemptCancelledError(Exception):
+# GreenletExit tells everything on the way, such as the dispatcher, that the caller
+# ended the request and the target did not fail; ``except Exception`` lets it pass.
+class AttemptCancelledError(greenlet.GreenletExit):
     """The result of the attempt is not wanted any more."""
 
 
-class AttemptMovedError(Exception):
+class AttemptMovedError(greenlet.GreenletExit):
     """The attempt must continue at another engine."""
 
 
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -67,7 +67,11 @@
 
 def listen(address: str) -> socket.socket:
     """Return a listening socket bound to an address."""
-    return eventlet.listen(split_address(address), backlog=1024)
+    listener = eventlet.listen(split_address(address), backlog=1024)
+    # Accepted connections inherit this. Otherwise a part that follows another
+    # closely waits for the caller's delayed acknowledgement, 40 ms.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
 
 
 def serve(
@@ -90,7 +94,7 @@
         "log": _server_log,
         "max_size": 4096,
         "socket_timeout": 600,
-        # The default of 4096 bytes holds back the first parts of a stream.
+        # By default parts are collected up to 4096 bytes, which delays streams.
         "minimum_chunk_size": 1,
         **options,
     }
