Return the place of a request that is cancelled as it gets it

Cause: an engine of the rollout measurement lost a place when a waiting request was cancelled after the place had been given to it.

Change: the place passes on to the next request.

--- a/measurements/rollouts.py
+++ b/measurements/rollouts.py
@@ -102,20 +102,27 @@
             self.waiting.append(entry)
             try:
                 entry[2].wait()
-            finally:
+            except BaseException:
+                # Cancelled, perhaps after the place was given to it.
                 if entry in self.waiting:
                     self.waiting.remove(entry)
+                else:
+                    self._pass_on()
+                raise
         else:
             self.running += 1
         try:
             yield
         finally:
-            if self.waiting:
-                entry = min(self.waiting, key=lambda e: e[:2])
-                self.waiting.remove(entry)
-                entry[2].send(True)
-            else:
-                self.running -= 1
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        if self.waiting:
+            entry = min(self.waiting, key=lambda e: e[:2])
+            self.waiting.remove(entry)
+            entry[2].send(True)
+        else:
+            self.running -= 1
 
 
 @define(eq=False)
