--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -41,6 +41,7 @@
 VM_LIST_PERIOD_S = 1.0
 DUTY_PERIOD_S = 0.5
 KEYS_PERIOD_S = 0.5
+STEPS_PERIOD_S = 0.5
 WEIGHTS_PERIOD_S = 0.5
 ORDERS_PERIOD_S = 1.0
 USAGE_PERIOD_S = 1.0
@@ -110,7 +111,7 @@
         self.replicator = UsageReplicator(self.counters, self.members, self.peers)
         self.dispatcher = Dispatcher(self.directory, vm.zone)
         self.rollouts = RolloutService(
-            self.members, self.peers, self.dispatcher, self.counters
+            self.members, self.peers, self.dispatcher, self.counters, self.holder
         )
         self.weights = WeightService(self.store, self.keeper, self.directory)
         self.poller = LoadPoller(self.directory, self.members)
@@ -162,6 +163,7 @@
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
         cleanup = ShardCleanup(self.store, self.keeper.duty("config-cleanup"))
         subscribe("cleanup", CLEANUP_PERIOD_S, cleanup.turn)
+        subscribe("steps", STEPS_PERIOD_S, self.rollouts.review)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
         subscribe("orders", ORDERS_PERIOD_S, self.orders.turn)
         subscribe("usage replicas", USAGE_PERIOD_S, self.replicator.turn)
@@ -199,6 +201,7 @@
         log(DAEMON_STOPPING)
         self.members.leave()
         eventlet.sleep(self.settings.vm.drain_delay)
+        self.rollouts.review()
         self.replicator.flush(USAGE_FLUSH_TIMEOUT_S)
         self.keeper.release_all()
         self.timers.stop()
@@ -245,10 +248,7 @@
                 for view in self.directory.all_views()
             ],
             "orders": self.orders.state(),
-            "steps": [
-                {"step": step.spec.id.key, "remaining": step.remaining}
-                for step in self.rollouts.open_steps()
-            ],
+            "steps": self.rollouts.describe(),
         }
 
     def _reporter(self, shard: int) -> UsageReporter:
--- a/mulberryport/membership/members.py
+++ b/mulberryport/membership/members.py
@@ -137,6 +137,12 @@
         }
         self._vouched = {vm: v for vm, v in self._vouched.items() if vm in live}
 
+    def forget(self, vm: str) -> None:
+        """Drop a member at once, as if it had never been heard."""
+        self._members.pop(vm, None)
+        self._vouched.pop(vm, None)
+        self._cached_until = float("-inf")
+
     def leave(self) -> None:
         """Mark this daemon as stopping."""
         self.self_member = evolve(self.self_member, leaving=True)
--- a/mulberryport/membership/tests/test_members.py
+++ b/mulberryport/membership/tests/test_members.py
@@ -43,8 +43,7 @@
     members = fleet_members(9)
     keys = [str(number) for number in range(200)]
     before = {key: members.owners(key, 1)[0].vm for key in keys}
-    members._members.pop("vm004")
-    members._cached_until = float("-inf")
+    members.forget("vm004")
     after = {key: members.owners(key, 1)[0].vm for key in keys}
     assert {key for key in keys if before[key] != after[key]} == {
         key for key in keys if before[key] == "vm004"
