--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -1,8 +1,12 @@
-"""What the routing policy knows of a target."""
+"""What the routing policy knows of requests and targets."""
 
 from attrs import frozen
 
-__all__ = ["LoadReport", "TargetView"]
+__all__ = ["LoadReport", "ShedError", "TargetView", "WorkRequest"]
+
+
+class ShedError(Exception):
+    """The request was refused before any of it was sent to a target."""
 
 
 @frozen
@@ -53,7 +57,8 @@
     in_flight : int
         Requests of this daemon that run there.
     limit : int
-        Requests of this daemon that may run there at the same time.
+        Largest number of requests of this daemon that may run there at the same
+        time; the policy may set a lower one.
     """
 
     id: str
@@ -74,3 +79,41 @@
     def selectable(self) -> bool:
         """Whether new work may be sent there."""
         return self.healthy and not self.leaving
+
+
+@frozen
+class WorkRequest:
+    """What a request needs, for queues and selection.
+
+    Parameters
+    ----------
+    pool : str
+        Pool that serves it.
+    workspace : str
+        On whose behalf it runs; empty for callers without a key.
+    priority : int
+        0 to 9; a higher value is served first among the requests of its workspace.
+    deadline : float
+        Boot time after which it need not start.
+    prefix : str
+        Start of the prompt, for prefix caches; empty if there is none.
+    restartable : bool
+        Whether it can be run again from the start, as work on cheap targets must.
+    exclude : frozenset of str
+        Targets that were tried already.
+    affinity : str
+        Requests of a workspace with the same key share a target where possible,
+        as the samples of a group do; replaces the prefix in this role.
+    cost : float
+        Expected work, relative to other requests of the pool (above 0).
+    """
+
+    pool: str
+    workspace: str
+    priority: int = 5
+    deadline: float = float("inf")
+    prefix: str = ""
+    restartable: bool = False
+    exclude: frozenset[str] = frozenset()
+    affinity: str = ""
+    cost: float = 1.0
