Join selection, limits, queue and ejection in one policy per pool

Cause: selection ignored prefixes, other daemons' load and failures; waiters polled every 10 ms and read all views of the pool each time.

Change: PoolScheduler holds the policy without I/O. Selection compares two random targets of the zone and of the pool, then the owners of the prefix or group within a bound. The dispatcher reads views at most ten times a second, wakes waiters by events and reports results through the assignment. Work that cannot be restarted never runs on cheap targets of a pool that lists on-demand ones.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -40,6 +40,7 @@
 
 VM_LIST_PERIOD_S = 1.0
 DUTY_PERIOD_S = 0.5
+QUEUE_PERIOD_S = 0.1
 WEIGHTS_PERIOD_S = 0.5
 USAGE_PERIOD_S = 1.0
 
@@ -102,6 +103,7 @@
         self.weights = WeightService(self.store, self.keeper, self.directory)
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
         self.holder.subscribe(self.directory.use_snapshot)
+        self.holder.subscribe(self.dispatcher.use_snapshot)
         self.peer_server.register("Exchange", heartbeats.answer)
         self.peer_server.register("CollectUsage", self._serve_collect)
         self.distribution.register(self.peer_server)
@@ -122,6 +124,7 @@
         subscribe("peers", HEARTBEAT_PERIOD_S, self.peers.update)
         subscribe("members", HEARTBEAT_PERIOD_S, self.members.expire)
         subscribe("loads", POLL_PERIOD_S, lambda: poll_loads(self.directory))
+        subscribe("queues", QUEUE_PERIOD_S, self.dispatcher.refresh)
         subscribe(
             "vms",
             VM_LIST_PERIOD_S,
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -1,6 +1,28 @@
 """Routing policy: which target serves a request, and when it must wait."""
 
-from .model import LoadReport, TargetView
-from .selection import choose_target, expected_load
+from .candidates import Candidate, CandidateSet
+from .ejection import Ejector
+from .limits import ConcurrencyLimit
+from .model import LoadReport, ShedError, TargetView, WorkRequest
+from .queue import FairQueue, Ticket
+from .retries import RetryBudget
+from .scheduler import Grant, PoolScheduler, Result
+from .selection import choose_target
 
-__all__ = ["LoadReport", "TargetView", "choose_target", "expected_load"]
+__all__ = [
+    "Candidate",
+    "CandidateSet",
+    "ConcurrencyLimit",
+    "Ejector",
+    "FairQueue",
+    "Grant",
+    "LoadReport",
+    "PoolScheduler",
+    "Result",
+    "RetryBudget",
+    "ShedError",
+    "TargetView",
+    "Ticket",
+    "WorkRequest",
+    "choose_target",
+]
--- a/mulberryport/routing/selection.py
+++ b/mulberryport/routing/selection.py
@@ -1,71 +1,119 @@
 """Selection of a target for a request.
 
-Pure policy: functions of target views and a random generator, without I/O.
+Pure policy: functions of candidates and a random generator, without I/O.
 """
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 
-from .model import TargetView
+from .candidates import Candidate, CandidateSet
+from .model import WorkRequest
 
-__all__ = ["choose_target", "expected_load"]
+__all__ = ["choose_target", "score"]
 
+# Targets that are compared, of the own zone and of the whole pool (Mitzenmacher,
+# "The power of two choices in randomized load balancing", IEEE TPDS 2001).
+CHOICES = 2
+# Part of the capacity by which an owner of a prefix may be busier than the best
+# of the compared targets before the request spills over to another one.
+AFFINITY_BOUND = 0.3
+# Part of the capacity by which the own zone may be busier than another one.
+ZONE_BOUND = 0.1
+# Part of the capacity by which cheap targets may be busier than on-demand ones.
+CHEAP_BOUND = 0.1
+# Largest random addition for an old report, as a part of the capacity. It keeps
+# daemons from sending all their requests to the same apparently idle target.
+UNCERTAINTY = 0.2
 
-def expected_load(view: TargetView) -> float:
-    """Return the expected load of a target as a part of its capacity.
 
-    The larger of the daemon's own count and the lagged report is used, because
-    the report misses what was sent since it was taken.
+def score(
+    candidate: Candidate, work: WorkRequest, targets: CandidateSet, draw: float
+) -> float:
+    """Return how unsuitable a target is, in parts of its capacity.
 
-    Examples
-    --------
-    >>> view = TargetView(id="a", address="127.0.0.1:1", zone="z", pool="p",
-    ...                   kind="model-engine", in_flight=4, limit=16)
-    >>> expected_load(view)
-    0.25
+    Parameters
+    ----------
+    candidate : Candidate
+        The target.
+    work : WorkRequest
+        The request.
+    targets : CandidateSet
+        The pool.
+    draw : float
+        Random number from 0 to 1, for the uncertainty of its load.
     """
-    own = view.in_flight / view.limit
-    if view.report is None:
-        return own
-    capacity = max(1, view.report.capacity)
-    reported = (view.report.running + view.report.waiting) / capacity
-    return max(own, reported)
+    value = candidate.load + UNCERTAINTY * candidate.spread * draw
+    view = candidate.view
+    if view.zone != targets.zone:
+        value += ZONE_BOUND
+    if work.restartable and not view.cheap and targets.prefers_cheap:
+        value += CHEAP_BOUND
+    return value
 
 
 def choose_target(
-    views: Sequence[TargetView],
-    zone: str,
-    generator: random.Random,
-    exclude: Collection[str] = (),
-) -> TargetView | None:
+    targets: CandidateSet, work: WorkRequest, generator: random.Random
+) -> Candidate | None:
     """Choose the target of a request.
 
+    The first owner of its prefix or group that is not much busier than the best
+    of some random targets, otherwise that best one.
+
     Parameters
     ----------
-    views : sequence of TargetView
+    targets : CandidateSet
         Targets of the pool.
-    zone : str
-        Availability zone of this daemon; its targets are preferred.
+    work : WorkRequest
+        The request.
     generator : random.Random
         Source of randomness.
-    exclude : collection of str
-        Ids of targets that were tried already.
 
     Returns
     -------
-    TargetView or None
+    Candidate or None
         None if no target can take the request now.
     """
-    free = [
-        view
-        for view in views
-        if view.selectable and view.in_flight < view.limit and view.id not in exclude
+    compared = [
+        *_sample(targets, work, True, generator),
+        *_sample(targets, work, False, generator),
     ]
-    if not free:
+    if not compared:
         return None
-    local = [view for view in free if view.zone == zone]
-    candidates = (
-        local if local and expected_load(min(local, key=expected_load)) < 1.0 else free
-    )
-    pair = generator.sample(candidates, min(2, len(candidates)))
-    return min(pair, key=expected_load)
+    scored = [(score(c, work, targets, generator.random()), c) for c in compared]
+    lowest, best = min(scored, key=lambda item: item[0])
+    allowed = targets.for_work(work, local=False)
+    for owner in targets.owners(work):
+        candidate = targets.get(owner)
+        if (
+            candidate in allowed
+            and _has_place(candidate, work)
+            and score(candidate, work, targets, 0.0) <= lowest + AFFINITY_BOUND
+        ):
+            return candidate
+    return best
+
+
+def _has_place(candidate: Candidate, work: WorkRequest) -> bool:
+    return candidate.places > 0 and candidate.id not in work.exclude
+
+
+def _sample(
+    targets: CandidateSet, work: WorkRequest, local: bool, generator: random.Random
+) -> Sequence[Candidate]:
+    """Return some targets with a place, at random."""
+    allowed = targets.for_work(work, local)
+    if not allowed:
+        return ()
+    found: list[Candidate] = []
+    # Drawing costs the same in a pool of any size; only a nearly full pool is
+    # searched.
+    for _ in range(2 * CHOICES):
+        candidate = allowed[int(generator.random() * len(allowed))]
+        if candidate not in found and _has_place(candidate, work):
+            found.append(candidate)
+            if len(found) == CHOICES:
+                return found
+    if found:
+        return found
+    free = [c for c in allowed if _has_place(c, work)]
+    return generator.sample(free, min(CHOICES, len(free)))
--- a/mulberryport/routing/tests/builders.py
+++ b/mulberryport/routing/tests/builders.py
@@ -1,6 +1,17 @@
 """Test data for the routing policy."""
 
-from ..model import LoadReport, WorkRequest
+import random
+
+from ..candidates import CandidateSet
+from ..model import LoadReport, TargetView, WorkRequest
+from ..queue import FairQueue
+from ..scheduler import PoolScheduler
+
+
+def view(name: str, **values) -> TargetView:
+    """Return a healthy model engine in zone a."""
+    defaults = {"zone": "a", "pool": "p", "kind": "model-engine", "limit": 4}
+    return TargetView(id=name, address="127.0.0.1:1", **{**defaults, **values})
 
 
 def work(workspace: str = "w", **values) -> WorkRequest:
@@ -11,3 +22,15 @@
 def report(running: int = 0, waiting: int = 0, capacity: int = 8) -> LoadReport:
     """Return a load report."""
     return LoadReport(running, waiting, capacity)
+
+
+def scheduler(views, queue: int = 8, seed: int = 1, **values) -> PoolScheduler:
+    """Return the policy of a pool in zone a at time 0."""
+    made = PoolScheduler(
+        CandidateSet("a"),
+        FairQueue(lambda _: 1.0, queue),
+        random.Random(seed),
+        **values,
+    )
+    made.update(views, 0.0)
+    return made
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -1,54 +1,97 @@
-"""Assignment of requests to targets: queues and limits of this daemon."""
+"""Assignment of requests to targets: queues and limits of this daemon.
+
+The policy is in ``mulberryport.routing``; this module gives it the time and the
+directory's views, and lets green threads wait for their place.
+"""
 
 import random
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Any
 
 import eventlet
-from attrs import define, field, frozen
-
-from ..routing import TargetView, choose_target
+import eventlet.event
+from attrs import define, field
+
+from ..routing import (
+    CandidateSet,
+    FairQueue,
+    Grant,
+    PoolScheduler,
+    Result,
+    ShedError,
+    TargetView,
+    Ticket,
+    WorkRequest,
+)
 from ..runtime.clock import boottime
+from ..tables import Snapshot
+from ..telemetry import define as define_event
+from ..telemetry import log
 from .directory import TargetDirectory
 
-__all__ = ["Dispatcher", "ShedError", "WorkRequest"]
+__all__ = ["Assignment", "Dispatcher", "ShedError", "WorkRequest"]
 
-RETRY_INTERVAL_S = 0.01
+TARGET_EJECTED = define_event(
+    700, "target_ejected", "warning", "A failing target gets no work but probes."
+)
+TARGET_READMITTED = define_event(
+    701, "target_readmitted", "info", "A probe succeeded; the target gets work again."
+)
 
+# Views older than this are read again. Load reports come once a second, so
+# reading them more often would only cost time in large pools.
+VIEW_LIFETIME_S = 0.1
 
-class ShedError(Exception):
-    """The request was refused before any of it was sent to a target."""
 
+@define(eq=False)
+class Assignment:
+    """A place at a target, held by one request.
 
-@frozen
-class WorkRequest:
-    """What a request needs, for queues and selection.
+    Attributes of the target's view, such as ``address``, can be read from it.
+    A result that is reported here takes precedence over how the context ends.
 
     Parameters
     ----------
-    pool : str
-        Pool that serves it.
-    workspace : str
-        On whose behalf it runs; empty for callers without a key.
-    priority : int
-        0 to 9; a higher value is served first.
-    deadline : float
-        Boot time after which it need not start.
-    prefix : str
-        Start of the prompt, for prefix caches; empty if there is none.
-    restartable : bool
-        Whether it can be run again from the start, as work on cheap targets must.
-    exclude : frozenset of str
-        Targets that were tried already.
+    view : TargetView
+        The target.
     """
 
-    pool: str
-    workspace: str
-    priority: int = 5
-    deadline: float = float("inf")
-    prefix: str = ""
-    restartable: bool = False
-    exclude: frozenset[str] = frozenset()
+    view: TargetView
+    _result: Result | None = None
+    _latency: float | None = None
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.view, name)
+
+    @property
+    def result(self) -> Result | None:
+        """The reported result, None before a report."""
+        return self._result
+
+    @property
+    def latency(self) -> float | None:
+        """The reported latency in seconds, None before a report."""
+        return self._latency
+
+    def succeeded(self, latency: float | None = None) -> None:
+        """Report a success.
+
+        Parameters
+        ----------
+        latency : float, optional
+            Seconds from the assignment to the first byte of the answer. The
+            length of a whole generation says little about the load of an engine.
+        """
+        self._result, self._latency = Result.SUCCEEDED, latency
+
+    def failed(self) -> None:
+        """Report that the target failed."""
+        self._result = Result.FAILED
+
+    def cancelled(self) -> None:
+        """Report that the request ended for a reason outside the target."""
+        self._result = Result.CANCELLED
 
 
 @define(eq=False)
@@ -68,48 +111,134 @@
     directory: TargetDirectory
     zone: str
     generator: random.Random = field(factory=random.Random)
-    _waiting: dict[str, int] = field(factory=dict)
+    _weights: dict[str, float] = field(factory=dict)
+    _schedulers: dict[str, PoolScheduler] = field(factory=dict)
+    _viewed_at: dict[str, float] = field(factory=dict)
 
     @contextmanager
-    def assign(self, request: WorkRequest) -> Iterator[TargetView]:
+    def assign(self, request: WorkRequest) -> Iterator[Assignment]:
         """Wait for a target and hold a place there while the context lasts.
 
+        An exception that leaves the context counts as a failure of the target
+        unless it is the caller's cancellation (``GreenletExit``,
+        ``GeneratorExit``) or another result was reported before.
+
         Raises
         ------
         ShedError
             The queue is full, the deadline passed or the pool does not exist.
         """
-        view = self._wait(request)
-        self.directory.started(view.id)
+        scheduler, grant = self._wait(request)
+        target = grant.candidate.id
+        assignment = Assignment(grant.candidate.view)
+        self.directory.started(target)
+        default = Result.CANCELLED
         try:
-            yield view
+            yield assignment
+            default = Result.SUCCEEDED
+        except (Exception, eventlet.Timeout):
+            default = Result.FAILED
+            raise
         finally:
-            self.directory.finished(view.id)
-
-    def _wait(self, request: WorkRequest) -> TargetView:
-        view = self._choose(request)
-        if view is not None:
-            return view
-        pool = self.directory.pool(request.pool)
-        if pool is None:
+            self.directory.finished(target)
+            result = assignment.result or default
+            scheduler.release(grant, result, boottime(), assignment.latency)
+
+    def may_retry(self, pool: str) -> bool:
+        """Take one retry from a pool's budget before a request is sent again.
+
+        Returns
+        -------
+        bool
+            Whether the request may be sent again; otherwise it has to fail, or
+            to wait if its caller can.
+        """
+        scheduler = self._schedulers.get(pool)
+        return scheduler is not None and scheduler.may_retry(boottime())
+
+    def waiting(self, pool: str) -> int:
+        """Return the number of requests that wait for a target of a pool."""
+        scheduler = self._schedulers.get(pool)
+        return len(scheduler.queue) if scheduler else 0
+
+    def use_snapshot(self, snapshot: Snapshot) -> None:
+        """Take over workspace weights, limits and pools of a new revision.
+
+        The directory must have taken over the snapshot before.
+        """
+        workspaces = snapshot.tables.workspaces.values()
+        self._weights = {workspace.name: workspace.weight for workspace in workspaces}
+        for pool in list(self._schedulers):
+            self._update(pool, boottime())
+            # The update shed its waiters; requests that run hold their scheduler.
+            if self.directory.pool(pool) is None:
+                del self._schedulers[pool]
+
+    def refresh(self) -> None:
+        """Give places that became free by other means than a finished request.
+
+        To be called a few times a second; it does nothing for pools in which
+        nobody waits.
+        """
+        now = boottime()
+        for pool, scheduler in list(self._schedulers.items()):
+            if len(scheduler.queue):
+                self._update(pool, now)
+
+    def _wait(self, request: WorkRequest) -> tuple[PoolScheduler, Grant]:
+        if self.directory.pool(request.pool) is None:
             raise ShedError(f"pool {request.pool} does not exist")
-        if self._waiting.get(request.pool, 0) >= pool.queue:
-            raise ShedError(f"the queue of pool {request.pool} is full")
-        self._waiting[request.pool] = self._waiting.get(request.pool, 0) + 1
+        now = boottime()
+        scheduler = self._scheduler(request.pool)
+        if now - self._viewed_at.get(request.pool, 0.0) > VIEW_LIFETIME_S:
+            self._update(request.pool, now)
+        event = eventlet.event.Event()
+        place = scheduler.submit(request, event.send, now)
+        if isinstance(place, Ticket):
+            place = self._await_grant(scheduler, place, event)
+        return scheduler, place
+
+    def _await_grant(
+        self, scheduler: PoolScheduler, ticket: Ticket, event: eventlet.event.Event
+    ) -> Grant:
+        deadline = ticket.work.deadline
+        timeout = None if deadline == float("inf") else max(0.0, deadline - boottime())
         try:
-            while boottime() < request.deadline:
-                eventlet.sleep(RETRY_INTERVAL_S)
-                view = self._choose(request)
-                if view is not None:
-                    return view
-        finally:
-            self._waiting[request.pool] -= 1
-        raise ShedError(f"no target of pool {request.pool} was free in time")
-
-    def _choose(self, request: WorkRequest) -> TargetView | None:
-        return choose_target(
-            self.directory.views(request.pool),
-            self.zone,
-            self.generator,
-            request.exclude,
-        )
+            event.wait(timeout)
+        except BaseException:
+            scheduler.cancel(ticket)
+            # The place may have been given just before the wait was cancelled.
+            if event.ready() and isinstance(outcome := event.wait(), Grant):
+                scheduler.release(outcome, Result.CANCELLED, boottime())
+            raise
+        if not event.ready():
+            scheduler.cancel(ticket)
+            raise ShedError("no target was free before the deadline")
+        outcome = event.wait()
+        if isinstance(outcome, Grant):
+            return outcome
+        raise outcome
+
+    def _scheduler(self, pool: str) -> PoolScheduler:
+        scheduler = self._schedulers.get(pool)
+        if scheduler is None:
+            scheduler = self._schedulers[pool] = PoolScheduler(
+                CandidateSet(self.zone),
+                FairQueue(lambda name: self._weights.get(name, 1.0), 0),
+                self.generator,
+                on_ejection=_log_ejection,
+            )
+            self._update(pool, boottime())
+        return scheduler
+
+    def _update(self, pool: str, now: float) -> None:
+        scheduler = self._schedulers[pool]
+        settings = self.directory.pool(pool)
+        if settings is not None:
+            scheduler.queue.limit = settings.queue
+        self._viewed_at[pool] = now
+        scheduler.update(self.directory.views(pool), now)
+
+
+def _log_ejection(target: str, out: bool) -> None:
+    log(TARGET_EJECTED if out else TARGET_READMITTED, target=target)
