Serve a workspace before it has saved up for its request

Cause: a small workspace with a costly request waited for several rounds, in which large workspaces were served: at one engine pool with one workspace at ten times its share the p90 of small workspaces was 11 to 20 s.

Change: a request is served while its workspace is not in debt and its cost may lead to a debt, which outlasts the queue; a workspace that was idle comes first.

--- a/mulberryport/routing/queue.py
+++ b/mulberryport/routing/queue.py
@@ -1,12 +1,18 @@
 """The queue of a pool: weighted fairness between workspaces.
 
 Workspaces take turns by deficit round robin (Shreedhar and Varghese, "Efficient
-fair queueing using deficit round robin", SIGCOMM 1995). Priority orders the
-waiters of one workspace only, so that no workspace gains a larger share by
-marking its requests as urgent.
+fair queueing using deficit round robin", SIGCOMM 1995). A request is served as
+soon as its workspace is not in debt, and its cost may put it in debt, so that a
+small workspace does not save up for a costly request while it waits. A workspace
+that was idle has its turn first (as new flows in FQ-CoDel, RFC 8290, section 4.2);
+its debt outlasts its queue.
+
+Priority orders the waiters of one workspace only, so that no workspace gains a
+larger share by marking its requests as urgent.
 """
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 from attrs import define, field
@@ -44,6 +50,7 @@
 
     workspace: str
     deficit: float = 0.0
+    started: bool = False
     length: int = 0
     _classes: dict[int, dict[Ticket, None]] = field(factory=dict)
 
@@ -133,14 +140,20 @@
 
     weight_of: Callable[[str], float]
     limit: int
+    # Lines whose workspace was idle come first; empty lines are kept until their
+    # debt is worked off.
+    _fresh: dict[str, Line] = field(factory=dict)
     _lines: dict[str, Line] = field(factory=dict)
-    # The line whose turn it is has had its quantum for this turn.
-    _in_turn: bool = False
     _length: int = 0
 
     def __len__(self) -> int:
         return self._length
 
+    @property
+    def lengths(self) -> Counter:
+        """Number of waiters of each workspace."""
+        return Counter({line.workspace: line.length for line in self._all_lines()})
+
     def add(self, ticket: Ticket) -> Ticket | None:
         """Add a waiter and return the one that lost its place, if any.
 
@@ -148,14 +161,15 @@
         longest queue in relation to its weight; that may be the new one.
         """
         workspace = ticket.work.workspace
-        if workspace not in self._lines:
-            self._lines[workspace] = Line(workspace)
-        self._lines[workspace].add(ticket)
+        line = self._fresh.get(workspace) or self._lines.get(workspace)
+        if line is None:
+            line = self._fresh[workspace] = Line(workspace)
+        line.add(ticket)
         self._length += 1
         if self._length <= self.limit:
             return None
         longest = max(
-            self._lines.values(),
+            self._all_lines(),
             key=lambda line: line.length / self.weight_of(line.workspace),
         )
         lost = longest.worst()
@@ -165,20 +179,15 @@
     def remove(self, ticket: Ticket) -> bool:
         """Remove a waiter; return whether it was there."""
         workspace = ticket.work.workspace
-        line = self._lines.get(workspace)
+        line = self._fresh.get(workspace) or self._lines.get(workspace)
         if line is None or not line.remove(ticket):
             return False
         self._length -= 1
-        if not line.length:
-            if next(iter(self._lines)) == workspace:
-                self._in_turn = False
-            # An idle workspace saves nothing up.
-            del self._lines[workspace]
         return True
 
     def expired(self, now: float) -> list[Ticket]:
         """Remove and return the waiters whose deadline has passed."""
-        late = [t for line in self._lines.values() for t in line]
+        late = [t for line in self._all_lines() for t in line]
         late = [ticket for ticket in late if ticket.work.deadline <= now]
         for ticket in late:
             self.remove(ticket)
@@ -198,54 +207,56 @@
         prefers : callable
             Whether a request has a warm prefix there.
         """
-        # The same first waiter may be examined in several rounds.
         found: dict[str, Ticket] = {}
-        for workspace, line in self._lines.items():
+        for line in self._all_lines():
             ticket = line.next_fitting(fits, prefers)
             if ticket is not None:
-                found[workspace] = ticket
+                found[line.workspace] = ticket
         if not found:
             return None
-        quanta = self._quanta()
-        first_round = True
         while True:
-            for _ in range(len(self._lines)):
-                workspace = next(iter(self._lines))
-                line = self._lines[workspace]
-                ticket = found.get(workspace)
-                if ticket is not None:
-                    if not self._in_turn:
-                        line.deficit += quanta[workspace]
-                        self._in_turn = True
-                    # Tolerance for sums of binary fractions.
-                    if line.deficit >= ticket.work.cost - 1e-9:
-                        line.deficit -= ticket.work.cost
-                        self.remove(ticket)
-                        return ticket
-                self._end_turn(workspace)
-            if first_round:
-                self._skip_idle_rounds(found, quanta)
-                first_round = False
-
-    def _quanta(self) -> dict[str, float]:
-        # Relative to the smallest weight the largest quantum would be a long
-        # burst of one workspace; relative to the mean it is a few requests.
-        weights = {name: self.weight_of(name) for name in self._lines}
-        mean = sum(weights.values()) / len(weights)
-        return {name: weight / mean for name, weight in weights.items()}
-
-    def _end_turn(self, workspace: str) -> None:
-        self._lines[workspace] = self._lines.pop(workspace)
-        self._in_turn = False
-
-    def _skip_idle_rounds(
-        self, found: dict[str, Ticket], quanta: dict[str, float]
-    ) -> None:
-        """Add the quanta of the rounds in which nobody can be served yet."""
+            for line in self._all_lines():
+                ticket = found.get(line.workspace)
+                if ticket is not None and not line.started:
+                    line.started = True
+                    line.deficit = self._quantum(line.workspace)
+                if ticket is not None and line.deficit > 0:
+                    line.deficit -= ticket.work.cost
+                    self.remove(ticket)
+                    return ticket
+                if ticket is not None or not line.length:
+                    self._end_turn(line)
+            self._skip_idle_rounds([self._lines[name] for name in found])
+
+    def _all_lines(self) -> list[Line]:
+        return [*self._fresh.values(), *self._lines.values()]
+
+    def _quantum(self, workspace: str) -> float:
+        """Return the work that a workspace may do in a turn: a request on average."""
+        weights = [self.weight_of(line.workspace) for line in self._all_lines()]
+        mean = sum(weights) / len(weights) if weights else self.weight_of(workspace)
+        return self.weight_of(workspace) / mean
+
+    def _end_turn(self, line: Line) -> None:
+        """Move a line to the end and pay its quantum, or drop an idle one."""
+        workspace = line.workspace
+        if not line.length and line.deficit > 0 and workspace in self._lines:
+            del self._lines[workspace]
+            return
+        if line.deficit <= 0:
+            line.deficit += self._quantum(workspace)
+        self._fresh.pop(workspace, None)
+        self._lines.pop(workspace, None)
+        self._lines[workspace] = line
+
+    def _skip_idle_rounds(self, lines: list[Line]) -> None:
+        """Pay the quanta of the rounds in which nobody can be served yet."""
+        quanta = {line.workspace: self._quantum(line.workspace) for line in lines}
         rounds = min(
-            math.ceil((t.work.cost - self._lines[name].deficit) / quanta[name]) - 1
-            for name, t in found.items()
+            math.floor(max(0.0, -line.deficit) / quanta[line.workspace])
+            for line in lines
         )
-        if rounds > 0:
-            for name in found:
-                self._lines[name].deficit += rounds * quanta[name]
+        for line in self._lines.values():
+            quantum = quanta.get(line.workspace) or self._quantum(line.workspace)
+            if line.deficit <= 0:
+                line.deficit += rounds * quantum
