Eject after two failures and probe less often

Cause: with three of five targets out, 3.1 requests were sent per answer. The cap of half a pool, rounded down, kept one failing target in use, and frequent probes cost more than the requests that led to the ejection.

Change: the cap is rounded up but never takes out a whole pool; two failures in a row eject; the first back-off is 10 s. Tests use the new figures.

--- a/mulberryport/routing/ejection.py
+++ b/mulberryport/routing/ejection.py
@@ -6,12 +6,12 @@
 
 __all__ = ["Ejector", "Record"]
 
-CONSECUTIVE_FAILURES = 3
+CONSECUTIVE_FAILURES = 2
 # A target that fails half of its requests is ejected too; the rate is a moving
 # average over about 20 requests.
 ERROR_RATE = 0.5
 RATE_SMOOTHING = 0.05
-BACK_OFF_S = 2.0
+BACK_OFF_S = 10.0
 LONGEST_BACK_OFF_S = 60.0
 # Work that cannot be restarted is used as a probe only if none that can came
 # for this many times the back-off.
@@ -56,17 +56,17 @@
     Parameters
     ----------
     cap : float
-        Largest part of the pool that may be ejected at the same time. When more
-        of it fails the cause is likely not the targets, and a target that may
-        fail is better than none.
+        Largest part of the pool that may be ejected at the same time, rounded up
+        to whole targets but never all of them. When more of it fails the cause
+        is likely not the targets, and a target that may fail is better than none.
 
     Examples
     --------
     >>> ejector = Ejector()
     >>> ejector.use_targets(["a", "b"])
-    >>> [ejector.failed("a", now=1.0) for _ in range(3)]
-    [False, False, True]
-    >>> ejector.may_probe("a", True, now=2.0), ejector.may_probe("a", True, now=3.0)
+    >>> ejector.failed("a", now=1.0), ejector.failed("a", now=1.0)
+    (False, True)
+    >>> ejector.may_probe("a", True, now=2.0), ejector.may_probe("a", True, now=11.0)
     (False, True)
     """
 
@@ -144,7 +144,7 @@
 
     @property
     def _allowed(self) -> int:
-        return int(self.cap * len(self._records))
+        return min(math.ceil(self.cap * len(self._records)), len(self._records) - 1)
 
     @property
     def _room(self) -> bool:
