Share a pool between daemons by their demand

Cause: a queue per daemon is fair at that daemon only. A workspace that reached all daemons got a share at each, while a trainer's step, which one daemon owns, got that daemon's share: the worst-served workspace had 0.79 of its due and the workspace at ten times its share had 1.2 of its own.

Change: heartbeats carry the requests of each workspace that run and wait. Each daemon derives the due places (max-min fairness by weight), its own part of them as a cap, and the weights of its queue.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -21,6 +21,7 @@
 from ..store import StoreClient
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
+from ..targets.demand import add_demand, take_demand
 from ..targets.poller import POLL_PERIOD_S, poll_loads, poll_vm_list
 from ..telemetry import configure, log
 from ..telemetry import define as define_event
@@ -87,9 +88,19 @@
         )
         self.distribution = Distribution(self.store, self.holder, self.members)
         heartbeats = Heartbeats(self.members, self.holder, self.distribution)
-        self.peers = Peers(
-            self.members, credentials.peer_token, heartbeats.make, heartbeats.take
-        )
+
+        def make(member: Member | None = None) -> peer_pb2.Heartbeat:
+            return add_demand(heartbeats.make(member), self.dispatcher)
+
+        def take(heartbeat: peer_pb2.Heartbeat) -> None:
+            heartbeats.take(heartbeat)
+            take_demand(heartbeat, self.dispatcher)
+
+        def answer(heartbeat: peer_pb2.Heartbeat) -> peer_pb2.Heartbeat:
+            take(heartbeat)
+            return make()
+
+        self.peers = Peers(self.members, credentials.peer_token, make, take)
         heartbeats.peers = self.distribution.peers = self.peers
         self.peer_server = PeerServer(vm.peer_address, credentials.peer_token)
         self.keeper = DutyKeeper(self.store, self.members)
@@ -104,7 +115,7 @@
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
         self.holder.subscribe(self.directory.use_snapshot)
         self.holder.subscribe(self.dispatcher.use_snapshot)
-        self.peer_server.register("Exchange", heartbeats.answer)
+        self.peer_server.register("Exchange", answer)
         self.peer_server.register("CollectUsage", self._serve_collect)
         self.distribution.register(self.peer_server)
         self.rollouts.register(self.peer_server)
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -8,6 +8,7 @@
 from .retries import RetryBudget
 from .scheduler import Grant, PoolScheduler, Result
 from .selection import choose_target
+from .sharing import Shares, due_places
 
 __all__ = [
     "Candidate",
@@ -20,9 +21,11 @@
     "PoolScheduler",
     "Result",
     "RetryBudget",
+    "Shares",
     "ShedError",
     "TargetView",
     "Ticket",
     "WorkRequest",
     "choose_target",
+    "due_places",
 ]
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -7,6 +7,7 @@
 import enum
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from attrs import define, field
@@ -17,6 +18,7 @@
 from .queue import FairQueue, Ticket
 from .retries import RetryBudget
 from .selection import choose_target
+from .sharing import Shares
 
 __all__ = ["Grant", "PoolScheduler", "Result"]
 
@@ -53,6 +55,8 @@
         The targets of the pool.
     queue : FairQueue
         Requests that wait.
+    shares : Shares
+        This daemon's part of the pool and the weights of the queue.
     generator : random.Random
         Source of randomness.
     choose : callable
@@ -67,6 +71,7 @@
 
     targets: CandidateSet
     queue: FairQueue
+    shares: Shares
     generator: random.Random = field(factory=random.Random)
     choose: Callable[[CandidateSet, WorkRequest, random.Random], Candidate | None] = (
         choose_target
@@ -76,12 +81,21 @@
     on_ejection: Callable[[str, bool], None] = field(default=lambda *_: None)
     # No unrestricted request found a place since a place was last given back.
     _full: bool = False
+    _running: Counter = field(factory=Counter)
+    _total: int = 0
+
+    @property
+    def demand(self) -> dict[str, float]:
+        """Requests that run and wait here, by workspace."""
+        return {**(self._running + self.queue.lengths)}
 
     def update(self, views: Iterable[TargetView], now: float) -> None:
         """Take over the newest views and serve waiters that fit now."""
         self.targets.use_views(views, now)
         self.ejector.use_targets([c.id for c in self.targets.all])
         self._regroup()
+        places = sum(candidate.capacity for candidate in self.targets.usable)
+        self.shares.update(self.demand, places, now)
         if not len(self.queue):
             return
         # Nobody waits for a pool that was removed or has lost all its targets.
@@ -119,13 +133,14 @@
         probe = self._probe_for(work, now)
         if probe is not None:
             return self._grant(probe, work, probe=True)
-        candidate = None if self._full else self.choose(*self._arguments(work))
-        if candidate is None and work.restartable and not work.exclude:
+        blocked = self._full or self._total >= self.shares.cap
+        candidate = None if blocked else self.choose(*self._arguments(work))
+        if candidate is None and not blocked and work.restartable and not work.exclude:
             self._full = True
         if candidate is not None:
             # Waiters that fit come first.
             self._offer(candidate, now)
-            if candidate.places > 0:
+            if candidate.places > 0 and self._total < self.shares.cap:
                 return self._grant(candidate, work)
         ticket = Ticket(work, notify)
         lost = self.queue.add(ticket)
@@ -169,6 +184,8 @@
         elif grant.probe:
             self.ejector.probe_cancelled(candidate.id)
         candidate.own -= 1
+        self._total -= 1
+        self._running[grant.work.workspace] -= 1
         if result is not Result.CANCELLED:
             failures = self.ejector.record(candidate.id).consecutive
             candidate.suspicion = min(MOST_SUSPICION, SUSPICION * failures)
@@ -193,13 +210,17 @@
         self, candidate: Candidate, work: WorkRequest, probe: bool = False
     ) -> Grant:
         candidate.own += 1
+        self._total += 1
+        self._running[work.workspace] += 1
         if probe:
             self.ejector.probe_started(candidate.id)
         return Grant(candidate, work, probe)
 
     def _offer(self, candidate: Candidate, now: float) -> None:
         """Give the free places of a target to waiters."""
-        while len(self.queue) and candidate.places > 0:
+        while (
+            len(self.queue) and candidate.places > 0 and self._total < self.shares.cap
+        ):
             ticket = self.queue.pop(
                 lambda work: (
                     work.deadline > now and self.targets.admits(candidate, work)
--- a/mulberryport/routing/selection.py
+++ b/mulberryport/routing/selection.py
@@ -16,7 +16,7 @@
 CHOICES = 2
 # Part of the capacity by which an owner of a prefix may be busier than the best
 # of the compared targets before the request spills over to another one.
-AFFINITY_BOUND = 0.3
+AFFINITY_BOUND = 0.7
 # Part of the capacity by which the own zone may be busier than another one.
 ZONE_BOUND = 0.1
 # Part of the capacity by which cheap targets may be busier than on-demand ones.
--- a/mulberryport/routing/tests/builders.py
+++ b/mulberryport/routing/tests/builders.py
@@ -6,6 +6,7 @@
 from ..model import LoadReport, TargetView, WorkRequest
 from ..queue import FairQueue
 from ..scheduler import PoolScheduler
+from ..sharing import Shares
 
 
 def view(name: str, **values) -> TargetView:
@@ -26,9 +27,11 @@
 
 def scheduler(views, queue: int = 8, seed: int = 1, **values) -> PoolScheduler:
     """Return the policy of a pool in zone a at time 0."""
+    shares = Shares(lambda _: 1.0)
     made = PoolScheduler(
         CandidateSet("a"),
-        FairQueue(lambda _: 1.0, queue),
+        FairQueue(shares.weight, queue),
+        shares,
         random.Random(seed),
         **values,
     )
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -19,6 +19,7 @@
     Grant,
     PoolScheduler,
     Result,
+    Shares,
     ShedError,
     TargetView,
     Ticket,
@@ -161,6 +162,24 @@
         scheduler = self._schedulers.get(pool)
         return len(scheduler.queue) if scheduler else 0
 
+    def demand(self) -> dict[str, dict[str, float]]:
+        """Return the requests that run and wait here, by pool and workspace."""
+        return {
+            pool: scheduler.demand
+            for pool, scheduler in self._schedulers.items()
+            if scheduler.demand
+        }
+
+    def use_demand(self, daemon: str, demand: dict[str, dict[str, float]]) -> None:
+        """Take over the demand of another daemon, by pool and workspace.
+
+        Pools that no request has reached here are skipped: the next figures
+        come within a second.
+        """
+        now = boottime()
+        for pool, scheduler in self._schedulers.items():
+            scheduler.shares.use_remote(daemon, demand.get(pool, {}), now)
+
     def use_snapshot(self, snapshot: Snapshot) -> None:
         """Take over workspace weights, limits and pools of a new revision.
 
@@ -222,9 +241,11 @@
     def _scheduler(self, pool: str) -> PoolScheduler:
         scheduler = self._schedulers.get(pool)
         if scheduler is None:
+            shares = Shares(lambda name: self._weights.get(name, 1.0))
             scheduler = self._schedulers[pool] = PoolScheduler(
                 CandidateSet(self.zone),
-                FairQueue(lambda name: self._weights.get(name, 1.0), 0),
+                FairQueue(shares.weight, 0),
+                shares,
                 self.generator,
                 on_ejection=_log_ejection,
             )
--- a/mulberryport/targets/tests/test_dispatcher.py
+++ b/mulberryport/targets/tests/test_dispatcher.py
@@ -3,9 +3,11 @@
 import eventlet
 import pytest
 
+from ...peering import peer_pb2
 from ...routing import LoadReport
 from ...runtime.clock import boottime
 from ...tables import Pool, Snapshot, Tables, TargetSpec, Workspace
+from ..demand import add_demand, take_demand
 from ..directory import TargetDirectory
 from ..dispatcher import Dispatcher, ShedError, WorkRequest
 
@@ -164,3 +166,24 @@
             pass
     assert sum(dispatcher.may_retry("p") for _ in range(100)) <= 100 * 0.1 + 10
     assert not dispatcher.may_retry("p")
+
+
+def test_demand_of_other_daemons_lowers_a_greedy_share():
+    # Guards against a workspace that gets a share at each daemon it reaches.
+    dispatcher = make_dispatcher(targets=2, concurrency=4)
+    other = make_dispatcher(targets=2, concurrency=4)
+    order, release = [], eventlet.event.Event()
+    for _ in range(4):
+        eventlet.spawn(hold, other, order, release, "light")
+    eventlet.spawn(hold, dispatcher, order, release, "heavy")
+    eventlet.sleep(0)
+    heartbeat = add_demand(peer_pb2.Heartbeat(), other)
+    heartbeat.sender.vm = "other"
+    take_demand(heartbeat, dispatcher)
+    for _ in range(7):
+        eventlet.spawn(hold, dispatcher, order, release, "heavy")
+    eventlet.sleep(0)
+    dispatcher._update("p", boottime())
+    # Eight places are due in halves; some slack keeps the pool busy.
+    assert 4 <= dispatcher._schedulers["p"].shares.cap <= 6
+    release.send()
