Let a third of a target's capacity wait in it

Cause: with a tenth, owners of a prefix had no place for many requests of their own prefix, and single waiting requests lowered the limits of all daemons.

Change: up to 0.3 of the capacity may be sent beyond it, and limits fall when 0.4 of it waits.

--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -19,8 +19,9 @@
 # A report of this age says as much about its target as the mean of the pool.
 REPORT_LIFETIME_S = 10.0
 # Requests beyond the reported capacity, as a part of it, so that a place that
-# becomes free in the target is filled before the next report.
-CAPACITY_SLACK = 0.1
+# becomes free in the target is filled before the next report. With 0.1, many
+# requests found the owner of their prefix full.
+CAPACITY_SLACK = 0.3
 # Places that a daemon may always use, whatever others have taken. Without them
 # a daemon that starts while others fill the pool would never get a place.
 FLOOR = 1
--- a/mulberryport/routing/limits.py
+++ b/mulberryport/routing/limits.py
@@ -17,8 +17,9 @@
 # not become the usual state.
 BASELINE_FALL = 0.05
 BASELINE_RISE = 0.005
-# A part of the capacity may wait in the target, so that it never runs dry.
-WAITING_SHARE = 0.1
+# A part of the capacity may wait in the target, so that it never runs dry. It
+# lies above the slack of the candidates, which is not congestion.
+WAITING_SHARE = 0.4
 # The shortest time between two decreases; a load report comes once a second.
 COOL_DOWN_S = 1.0
 
