--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -21,6 +21,7 @@
 from ..store import StoreClient
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
+from ..targets.demand import add_demand, take_demand
 from ..targets.poller import POLL_PERIOD_S, LoadPoller, poll_vm_list
 from ..targets.sharing import LoadSharing
 from ..telemetry import configure, log
@@ -42,6 +43,7 @@
 DUTY_PERIOD_S = 0.5
 KEYS_PERIOD_S = 0.5
 STEPS_PERIOD_S = 0.5
+QUEUE_PERIOD_S = 0.1
 WEIGHTS_PERIOD_S = 0.5
 ORDERS_PERIOD_S = 1.0
 USAGE_PERIOD_S = 1.0
@@ -121,7 +123,13 @@
         )
         heartbeats.contributors.append(self.sharing.contribute)
         heartbeats.listeners.append(self.sharing.take)
-        self.demands = DemandBoard(vm.id, self.directory, self.dispatcher.queued)
+        heartbeats.contributors.append(
+            lambda heartbeat, peer: add_demand(heartbeat, self.dispatcher)
+        )
+        heartbeats.listeners.append(
+            lambda heartbeat: take_demand(heartbeat, self.dispatcher)
+        )
+        self.demands = DemandBoard(vm.id, self.directory, self.dispatcher.waiting)
         self.demands.connect(heartbeats.contributors, heartbeats.listeners)
         self.orders = OrderService(
             self.store,
@@ -133,6 +141,7 @@
         )
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
         self.holder.subscribe(self.directory.use_snapshot)
+        self.holder.subscribe(self.dispatcher.use_snapshot)
         self.peer_server.register("Exchange", heartbeats.answer)
         self.replicator.register(self.peer_server)
         self.distribution.register(self.peer_server)
@@ -154,6 +163,7 @@
         subscribe("members", HEARTBEAT_PERIOD_S, self.members.expire)
         subscribe("loads", POLL_PERIOD_S, self.poller.turn)
         subscribe("told loads", POLL_PERIOD_S, self.sharing.forget)
+        subscribe("queues", QUEUE_PERIOD_S, self.dispatcher.refresh)
         subscribe(
             "vms",
             VM_LIST_PERIOD_S,
