Decide outcomes by evidence and strip every form of a key

Cause: a key in a second place, in another encoding or under another name was forwarded; the caller's path was decoded before forwarding; a blocked read from a target could not be ended; a retry, a truncated answer and a silent connection were not told apart.

Change: all forms of keys are stripped, with every header, query parameter or cookie that contains the presented or another issued key. An attempt at a plain service connects first and then sends, so that the evidence for "not run" is exact; retries follow from the evidence, the route's idempotent methods and a budget callable. Running requests are registered, so that withdrawn keys, deadlines, callers that went away and silent connections end them wherever they are blocked. Bodies are streamed with checked framing; the route's timeout covers the complete answer.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from ..distribution import Distribution
-from ..gateway import Gateway
+from ..gateway import CHECK_PERIOD_S, CallerServer, Gateway
 from ..leases import DutyKeeper
 from ..membership import Member, Members, new_incarnation
 from ..peering import HEARTBEAT_PERIOD_S, Peers, PeerServer, peer_pb2
@@ -69,6 +69,8 @@
     rollouts: RolloutService = field(init=False)
     weights: WeightService = field(init=False)
     reporters: list[UsageReporter] = field(init=False)
+    gateway: Gateway = field(init=False)
+    caller_server: CallerServer = field(init=False)
     _stopping: bool = False
     _stopped: eventlet.event.Event = field(factory=eventlet.event.Event)
 
@@ -151,7 +153,10 @@
                 self.distribution.keys_usable,
             ),
         )
-        serve(listen(vm.caller_address), gateway)
+        self.gateway = gateway
+        self.caller_server = CallerServer(listen(vm.caller_address), gateway)
+        self.caller_server.start()
+        subscribe("requests", CHECK_PERIOD_S, gateway.active.check)
         log(DAEMON_STARTED, zone=vm.zone, caller_address=vm.caller_address)
         self._stopped.wait()
 
--- a/mulberryport/gateway/access.py
+++ b/mulberryport/gateway/access.py
@@ -6,7 +6,7 @@
 from ..tables.model import ALL_WORKSPACES
 from .refusals import RefusalError
 
-__all__ = ["Access", "authorize", "match_route"]
+__all__ = ["Access", "authorize", "match_route", "still_admitted"]
 
 
 @frozen
@@ -66,9 +66,22 @@
     record: KeyRecord | None = find_key(tables, key)
     if record is None:
         raise RefusalError(401, "the key is not valid")
-    admitted = (
-        ALL_WORKSPACES in route.workspaces or record.workspace in route.workspaces
-    )
-    if not admitted and not route.open:
+    if not route.open and not _admits(route, record.workspace):
         raise RefusalError(403, f"the key's workspace has no access to {route.name}")
     return Access(route, record.workspace, record.digest)
+
+
+def still_admitted(tables: Tables, access: Access) -> bool:
+    """Return whether a request that runs with a key may go on.
+
+    A route that was removed refuses only new requests, so it takes no access away.
+    """
+    record = tables.keys.get(access.key_digest)
+    if record is None or record.workspace != access.workspace:
+        return False
+    route = tables.routes.get(access.route.name)
+    return route is None or route.open or _admits(route, access.workspace)
+
+
+def _admits(route: Route, workspace: str) -> bool:
+    return ALL_WORKSPACES in route.workspaces or workspace in route.workspaces
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -1,30 +1,29 @@
 """The caller port: admits requests and answers them."""
 
-import secrets
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import ExitStack
 from typing import Any
 
-import orjson
-from attrs import define
+from attrs import define, field
 
 from ..runtime.clock import boottime
-from ..runtime.wsgi import BadRequestError, StartResponse, read_json
-from ..tables import MODEL_ENGINE, SnapshotHolder
-from ..targets import Dispatcher, ShedError, WorkRequest
-from ..targets.engine_client import (
-    GenerationRequest,
-    NotStartedError,
-    StreamError,
-    generate,
-)
+from ..runtime.invariants import require
+from ..runtime.wsgi import StartResponse
+from ..tables import MODEL_ENGINE, SnapshotHolder, find_key
+from ..targets import Dispatcher, TargetView, WorkRequest
+from ..targets.engine_client import probe_queue
 from ..telemetry import define as define_event
 from ..telemetry import log
 from ..usage import UsageCounters
 from .access import Access, authorize, match_route
-from .credentials import find_credential, forwardable_headers, forwardable_query
-from .forwarding import forward
+from .active import ActiveRequest, ActiveRequests, RequestEndedError
+from .bodies import read_body
+from .calls import CallerRequest, Targets, open_answer, outgoing_request
+from .credentials import find_credential, secret_finder
+from .generation import error_line, parse_generation, stream_generation
 from .headers import request_headers
 from .refusals import OutcomeUnknownError, RefusalError, refuse
+from .server import PROTOCOL_KEY
 
 __all__ = ["Gateway"]
 
@@ -37,7 +36,13 @@
 REQUEST_SERVED = define_event(602, "request_served", "info", "A request was answered.")
 
 TRAINER_PREFIX = "/v1/"
-MAX_TOKENS = 65536
+# Entry of the WSGI environment with the request's entry among the running ones.
+ACTIVE_KEY = "mulberryport.active"
+
+
+def always(pool: str) -> bool:
+    """Allow each retry."""
+    return True
 
 
 @define(eq=False)
@@ -56,6 +61,8 @@
         Whether withdrawn keys would be known here.
     trainers : callable
         WSGI application of the trainers' interface.
+    may_retry : callable
+        Takes a retry of a pool from its budget; False if the budget is spent.
     """
 
     holder: SnapshotHolder
@@ -63,6 +70,25 @@
     counters: UsageCounters
     keys_usable: Callable[[], bool]
     trainers: Callable[..., Iterable[bytes]]
+    may_retry: Callable[[str], bool] = always
+    active: ActiveRequests = field(init=False)
+    _targets: Targets = field(init=False)
+    _closing: bool = False
+    _refusing: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Watch running requests against each new revision."""
+        self.active = ActiveRequests(self.holder, self.keys_usable, probe_queue)
+        self._targets = Targets(self.dispatcher, lambda pool: self.may_retry(pool))
+        self.holder.subscribe(lambda s: self.active.check_access(s.tables))
+
+    def close_connections(self) -> None:
+        """Serve on, but close each connection after its current answer."""
+        self._closing = True
+
+    def refuse_requests(self) -> None:
+        """Refuse all requests that are read from now on; running ones go on."""
+        self._closing = self._refusing = True
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -70,131 +96,161 @@
         """Answer one request; a failure in mid-answer breaks the connection."""
         started = False
 
-        def start(*args: Any) -> Any:
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
             nonlocal started
             started = True
-            return start_response(*args)
+            self._mark_connection(environ)
+            return start_response(status, headers)
 
-        try:
-            yield from self._serve(environ, start, environ["PATH_INFO"])
-        except RefusalError as error:
-            log(REQUEST_REFUSED, status=error.status, reason=str(error))
+        with self.active.register(_connection(environ)) as active:
+            try:
+                yield from self._serve(environ, start, active)
+                return
+            except RefusalError as caught:
+                error: RefusalError | OutcomeUnknownError = caught
+            except OutcomeUnknownError as caught:
+                error = caught
+            except RequestEndedError as caught:
+                error = _ended(caught, active, started)
+            active.finish()
+            self._log_failure(error, active)
+            if started or active.caller_is_gone():
+                # Without its end, the caller cannot take the answer for a whole one.
+                raise error
+            self._mark_connection(environ)
             yield from refuse(start_response, error)
-        except OutcomeUnknownError as error:
+
+    def _log_failure(
+        self, error: RefusalError | OutcomeUnknownError, active: ActiveRequest
+    ) -> None:
+        if isinstance(error, RefusalError):
+            require(not active.sent, "not_run_is_true", status=error.status)
+            log(REQUEST_REFUSED, status=error.status, reason=str(error))
+        else:
             log(REQUEST_UNKNOWN, status=error.status, reason=str(error))
-            if started:
-                raise
-            yield from refuse(start_response, error)
+
+    def _mark_connection(self, environ: dict[str, Any]) -> None:
+        """Let the server close the connection after this answer, and say so."""
+        if self._closing and PROTOCOL_KEY in environ:
+            environ[PROTOCOL_KEY].close_connection = 1
 
     def _serve(
-        self, environ: dict[str, Any], start_response: StartResponse, path: str
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+        active: ActiveRequest,
     ) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if self._refusing:
+            raise RefusalError(503, "this daemon is stopping")
+        tables = self.holder.snapshot.tables
+        key = find_credential(request_headers(environ), environ.get("QUERY_STRING", ""))
         if path.startswith(TRAINER_PREFIX):
+            # The interface checks the key; withdrawal ends its calls as well.
+            record = find_key(tables, key) if key else None
+            active.key_digest = record.digest if record else ""
+            # A pull changes nothing; the other calls may have taken effect.
+            active.changes_state = not path.endswith("/pull")
+            environ[ACTIVE_KEY] = active
             return self.trainers(environ, start_response)
-        tables = self.holder.snapshot.tables
         route = match_route(tables, path)
         if route is None:
             raise RefusalError(404, "no route has this path")
-        key = find_credential(request_headers(environ), environ.get("QUERY_STRING", ""))
         access = authorize(tables, route, key, self.keys_usable())
-        pool = tables.pools[route.pool]
-        if pool.kind == MODEL_ENGINE:
-            return self._generate(environ, start_response, access)
-        return self._forward(environ, start_response, access, path)
+        active.admit(access)
+        active.set_deadline(route.timeout)
+        is_secret = secret_finder(key, tables)
+        call = CallerRequest(environ, start_response, active, access, is_secret)
+        if tables.pools[route.pool].kind == MODEL_ENGINE:
+            return self._generate(call)
+        return self._forward(call)
 
-    def _forward(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        access: Access,
-        path: str,
-    ) -> Iterator[bytes]:
-        work = self._work(access)
-        query = forwardable_query(environ.get("QUERY_STRING", ""))
-        headers = forwardable_headers(request_headers(environ))
-        body = None
-        if environ.get("CONTENT_LENGTH"):
-            headers.append(("Content-Length", environ["CONTENT_LENGTH"]))
-            body = environ["wsgi.input"]
-        elif environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
-            body = environ["wsgi.input"]
-        try:
-            with self.dispatcher.assign(work) as view:
-                answer = forward(
-                    view,
-                    environ["REQUEST_METHOD"],
-                    f"{path}?{query}" if query else path,
-                    headers,
-                    body,
-                    access.route.timeout,
-                )
-                start_response(f"{answer.status} {answer.reason}", answer.headers)
-                yield from answer.body
-                self.counters.add(access.workspace, access.route.pool, requests=1)
-                log(REQUEST_SERVED, route=access.route.name, target=view.id)
-        except ShedError as error:
-            raise RefusalError(503, str(error)) from error
-
-    def _generate(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        access: Access,
-    ) -> Iterator[bytes]:
-        request = parse_generation(environ, access)
-        work = self._work(access, request.prompt)
+    def _forward(self, call: CallerRequest) -> Iterator[bytes]:
+        if _is_old_protocol(call.environ):
+            # The end of an HTTP/1.0 answer cannot be told from a broken one.
+            raise RefusalError(505, "HTTP/1.1 is required")
+        request = outgoing_request(call, read_body(call.environ))
+        work = self._work(call.access, restartable=call.idempotent)
+        with ExitStack() as stack:
+            view, answer = open_answer(
+                stack, call, request, self._targets, work, lambda: _note_sent(call)
+            )
+            call.start_response(f"{answer.status} {answer.reason}", answer.headers)
+            remaining = answer.length
+            for part in answer.body:
+                if remaining is not None:
+                    remaining -= len(part)
+                    if not remaining:
+                        self._count(call, view)
+                yield part
+            if remaining is None or not answer.length:
+                self._count(call, view)
+
+    def _generate(self, call: CallerRequest) -> Iterator[bytes]:
+        request = parse_generation(call)
+        work = self._work(call.access, prefix=request.prompt[:32], restartable=True)
+        started = False
         try:
-            with self.dispatcher.assign(work) as view:
-                offset = 0
-                start_response("200 OK", [("Content-Type", "application/x-ndjson")])
-                for chunk in generate(view.address, request, access.route.timeout):
-                    yield _line(
-                        offset=offset, tokens=chunk.tokens, version=chunk.version
-                    )
-                    offset += len(chunk.tokens)
-                self.counters.add(
-                    access.workspace, access.route.pool, requests=1, tokens=offset
-                )
-                log(REQUEST_SERVED, route=access.route.name, target=view.id)
-                yield _line(done=True, length=offset)
-        except ShedError as error:
-            raise RefusalError(503, str(error)) from error
-        except NotStartedError as error:
-            raise RefusalError(503, "the engine cannot be reached") from error
-        except StreamError as error:
-            raise OutcomeUnknownError(502, "the engine's stream broke") from error
-
-    def _work(self, access: Access, prompt: str = "") -> WorkRequest:
+            for line in stream_generation(
+                call,
+                request,
+                self._targets,
+                work,
+                lambda view, tokens: self._count(call, view, tokens),
+            ):
+                started = True
+                yield line
+        except (OutcomeUnknownError, RequestEndedError) as error:
+            if started:
+                yield error_line(str(error))
+            raise
+
+    def _count(self, call: CallerRequest, view: TargetView, tokens: int = 0) -> None:
+        """Count an answer that is complete but for its last byte.
+
+        The counters must be replicated before that byte is sent; this is the place.
+        """
+        access = call.access
+        self.counters.add(
+            access.workspace, access.route.pool, requests=1, tokens=tokens
+        )
+        log(REQUEST_SERVED, route=access.route.name, target=view.id)
+
+    def _work(
+        self, access: Access, prefix: str = "", restartable: bool = False
+    ) -> WorkRequest:
         return WorkRequest(
             pool=access.route.pool,
             workspace=access.workspace,
             priority=access.route.priority,
             deadline=boottime() + access.route.timeout,
-            prefix=prompt[:32],
+            prefix=prefix,
+            restartable=restartable,
         )
 
 
-def parse_generation(environ: dict[str, Any], access: Access) -> GenerationRequest:
-    """Return the generation that a caller asks for.
+def _ended(
+    cause: RequestEndedError, active: ActiveRequest, started: bool
+) -> RefusalError | OutcomeUnknownError:
+    """Return what the early end of a request means for its caller."""
+    timed_out = cause.status == 504
+    if active.sent or active.changes_state or started:
+        return OutcomeUnknownError(504 if timed_out else 502, str(cause))
+    return RefusalError(503 if timed_out else cause.status, str(cause))
 
-    Raises
-    ------
-    RefusalError
-        The body is malformed.
-    """
-    try:
-        body = read_json(environ)
-        prompt, max_tokens = body["prompt"], body.get("max_tokens", 16)
-        if not isinstance(prompt, str) or not isinstance(max_tokens, int):
-            raise BadRequestError("prompt must be text and max_tokens a whole number")
-        if not 0 < max_tokens <= MAX_TOKENS:
-            raise BadRequestError(f"max_tokens must be from 1 to {MAX_TOKENS}")
-    except (BadRequestError, TypeError, KeyError, AttributeError) as error:
-        raise RefusalError(400, f"not a generation request: {error}") from error
-    return GenerationRequest(
-        secrets.token_hex(8), prompt, max_tokens, access.route.priority
-    )
-
-
-def _line(**values: object) -> bytes:
-    return orjson.dumps(values) + b"\n"
+
+def _note_sent(call: CallerRequest) -> None:
+    if not call.idempotent:
+        require(not call.active.sent, "non_idempotent_sent_once")
+    call.active.sent = True
+
+
+def _connection(environ: dict[str, Any]) -> Any:
+    """Return the caller's socket, None outside of the server."""
+    wsgi_input = environ.get("eventlet.input")
+    return wsgi_input.get_socket().fd if wsgi_input is not None else None
+
+
+def _is_old_protocol(environ: dict[str, Any]) -> bool:
+    protocol = environ.get(PROTOCOL_KEY)
+    return protocol is not None and protocol.request_version != "HTTP/1.1"
--- a/mulberryport/gateway/headers.py
+++ b/mulberryport/gateway/headers.py
@@ -1,12 +1,40 @@
-"""Headers of WSGI requests."""
+"""Headers of WSGI requests and of targets' answers."""
 
+from collections.abc import Iterable
 from typing import Any
 
-__all__ = ["request_headers"]
+__all__ = ["END_TO_END_FRAMING", "end_to_end", "header_values", "request_headers"]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authentication-info",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# A header named in Connection is dropped, but never one that frames the body.
+END_TO_END_FRAMING = frozenset({"content-length", "host"})
+
+Headers = Iterable[tuple[str, str]]
 
 
 def request_headers(environ: dict[str, Any]) -> list[tuple[str, str]]:
-    """Return the headers of a WSGI request, with names in their usual case."""
+    """Return the headers of a WSGI request as they were received.
+
+    Names with an underscore are left out: many targets treat them as the same
+    name with a hyphen, so that they could carry a header past the checks here.
+    """
+    raw = environ.get("headers_raw")
+    if raw is not None:
+        return [(n, " ".join(v.split("\r\n"))) for n, v in raw if "_" not in n]
     headers = [
         (name[5:].replace("_", "-").title(), value)
         for name, value in environ.items()
@@ -15,3 +43,31 @@
     if environ.get("CONTENT_TYPE"):
         headers.append(("Content-Type", environ["CONTENT_TYPE"]))
     return headers
+
+
+def header_values(headers: Headers, wanted: str) -> list[str]:
+    """Return all values of a header, in order.
+
+    Examples
+    --------
+    >>> header_values([("A", "1"), ("b", "2"), ("a", "3")], "a")
+    ['1', '3']
+    """
+    return [value for name, value in headers if name.lower() == wanted]
+
+
+def end_to_end(headers: Headers) -> list[tuple[str, str]]:
+    """Return the headers that may pass from one connection to another.
+
+    Examples
+    --------
+    >>> end_to_end([("Connection", "X-Once"), ("x-once", "1"), ("Accept", "*/*")])
+    [('Accept', '*/*')]
+    """
+    listed = {
+        item.strip().lower()
+        for value in header_values(headers, "connection")
+        for item in value.split(",")
+    }
+    dropped = HOP_BY_HOP | (listed - END_TO_END_FRAMING)
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -33,6 +33,7 @@
     403: "Forbidden",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
     409: "Conflict",
     410: "Gone",
     413: "Content Too Large",
@@ -41,6 +42,7 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
 }
 
 
--- a/mulberryport/targets/engine_client.py
+++ b/mulberryport/targets/engine_client.py
@@ -8,7 +8,9 @@
 """
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, nullcontext
+from typing import Any
 
 import orjson
 import urllib3
@@ -17,6 +19,7 @@
 
 from ..outcomes import Done, NotDone, Outcome
 from ..runtime.http import call_json
+from ..telemetry import process_clock
 
 __all__ = [
     "GenerationRequest",
@@ -26,12 +29,15 @@
     "cancel_generation",
     "generate",
     "order_version",
+    "probe_queue",
 ]
 
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 16 * 1024
 MAX_LINE_BYTES = 1024 * 1024
 CANCEL_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 1.0
+CLOCK_HEADER = "X-Mulberryport-Clock"
 
 
 class NotStartedError(Exception):
@@ -75,8 +81,14 @@
     version: int
 
 
+Watch = Callable[[], AbstractContextManager[None]]
+
+
 def generate(
-    address: str, request: GenerationRequest, read_timeout: float
+    address: str,
+    request: GenerationRequest,
+    read_timeout: float,
+    watch: Watch = nullcontext,
 ) -> Iterator[TokenChunk]:
     """Generate at an engine and yield the tokens as they arrive.
 
@@ -88,6 +100,8 @@
         What to generate.
     read_timeout : float
         Seconds between two parts of the stream.
+    watch : callable, optional
+        Returns a context for each wait for the engine.
 
     Raises
     ------
@@ -107,16 +121,21 @@
             "offset": request.offset,
         }
     )
+    headers = {
+        "Content-Type": "application/json",
+        CLOCK_HEADER: str(process_clock.now()),
+    }
     try:
-        reply = connection.urlopen(
-            "POST",
-            "/generate",
-            body=body,
-            headers={"Content-Type": "application/json"},
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout),
-            retries=False,
-            preload_content=False,
-        )
+        with watch():
+            reply = connection.urlopen(
+                "POST",
+                "/generate",
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout),
+                retries=False,
+                preload_content=False,
+            )
     except (NewConnectionError, ConnectTimeoutError) as error:
         raise NotStartedError(f"{address}: {error}") from error
     except HTTPError as error:
@@ -124,7 +143,7 @@
     try:
         if reply.status != 200:
             raise StreamError(f"{address}: status {reply.status}")
-        yield from _read_chunks(reply, request, address)
+        yield from _read_chunks(reply, request, address, watch)
     except HTTPError as error:
         raise StreamError(f"{address}: {error}") from error
     finally:
@@ -133,32 +152,57 @@
 
 
 def _read_chunks(
-    reply: urllib3.BaseHTTPResponse, request: GenerationRequest, address: str
+    reply: urllib3.BaseHTTPResponse,
+    request: GenerationRequest,
+    address: str,
+    watch: Watch,
 ) -> Iterator[TokenChunk]:
     offset = request.offset
-    for line in _read_lines(reply):
-        try:
-            message = orjson.loads(line)
-            if message["id"] != request.id:
-                raise StreamError(f"{address}: line of another request")
-            if message.get("done"):
-                if message["finish"] != "stop" or message["length"] != offset:
-                    raise StreamError(f"{address}: incomplete: {message}")
-                return
-            tokens = tuple(str(token) for token in message["tokens"])
-            version = int(message["version"])
-            if message["offset"] != offset or version <= 0:
-                raise StreamError(f"{address}: gap or missing version: {message}")
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
-            raise StreamError(f"{address}: malformed line: {error!r}") from error
-        offset += len(tokens)
-        yield TokenChunk(tokens, version)
+    for line in _read_lines(reply, watch):
+        message = _parse_line(line, address)
+        if message.get("id") != request.id:
+            raise StreamError(f"{address}: line of another request")
+        if message.get("done"):
+            if message.get("finish") != "stop" or message.get("length") != offset:
+                raise StreamError(f"{address}: the generation is incomplete")
+            return
+        chunk = _chunk(message, address)
+        if message.get("offset") != offset:
+            raise StreamError(f"{address}: gap in the stream")
+        offset += len(chunk.tokens)
+        if offset > request.max_tokens:
+            raise StreamError(f"{address}: more tokens than were asked for")
+        yield chunk
     raise StreamError(f"{address}: the stream ended without its end marker")
 
 
-def _read_lines(reply: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+def _parse_line(line: bytes, address: str) -> dict[str, Any]:
+    try:
+        message = orjson.loads(line)
+    except orjson.JSONDecodeError as error:
+        raise StreamError(f"{address}: malformed line: {error}") from error
+    if not isinstance(message, dict):
+        raise StreamError(f"{address}: malformed line")
+    return message
+
+
+def _chunk(message: dict[str, Any], address: str) -> TokenChunk:
+    tokens, version = message.get("tokens"), message.get("version")
+    if not isinstance(tokens, list) or not all(isinstance(t, str) for t in tokens):
+        raise StreamError(f"{address}: malformed tokens")
+    # bool is an int in Python, but no version.
+    if type(version) is not int or version <= 0:
+        raise StreamError(f"{address}: the weight version is missing")
+    return TokenChunk(tuple(tokens), version)
+
+
+def _read_lines(reply: urllib3.BaseHTTPResponse, watch: Watch) -> Iterator[bytes]:
     pending = b""
-    while part := reply.read1(READ_BYTES):
+    while True:
+        with watch():
+            part = reply.read1(READ_BYTES)
+        if not part:
+            return
         pending += part
         *lines, pending = pending.split(b"\n")
         yield from lines
@@ -176,6 +220,23 @@
     )
 
 
+def probe_queue(address: str) -> bool | None:
+    """Ask a target on a fresh connection whether requests wait in its queue.
+
+    Returns
+    -------
+    bool or None
+        None if the target does not answer.
+    """
+    with urllib3.PoolManager(num_pools=1, retries=False) as pool:
+        outcome = call_json(
+            "GET", f"http://{address}/load", timeout=PROBE_TIMEOUT_S, pool=pool
+        )
+    if not isinstance(outcome, Done) or not isinstance(outcome.value.body, dict):
+        return None
+    return bool(outcome.value.body.get("waiting"))
+
+
 def order_version(
     address: str, version: int, fencing: int, order_id: str, lifetime: float
 ) -> Outcome[int]:
