--- /dev/null
+++ b/mulberryport/gateway/tests/test_active.py
@@ -0,0 +1,107 @@
+"""Tests of the early end of running requests."""
+
+import socket
+from contextlib import closing
+from http.client import HTTPConnection
+
+import eventlet
+import pytest
+from attrs import evolve
+
+from ..refusals import OUTCOME_HEADER
+from .builders import KEY, call, running_gateway, scripted_target, until
+
+BOUND_S = 5.0
+
+
+def withdraw(harness):
+    harness.change(keys={})
+
+
+def take_access(harness):
+    tables = harness.holder.snapshot.tables
+    filing = evolve(tables.routes["filing"], workspaces=("hauliers",))
+    harness.change(routes={**tables.routes, "filing": filing})
+
+
+def lose_trust(harness):
+    harness.usable[0] = False
+
+
+def holding(connection, head):
+    """Answer a GET in part, keep everything else waiting."""
+    if head.startswith(b"GET"):
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+    connection.recv(1)
+
+
+@pytest.mark.parametrize(
+    ("change", "status"), [(withdraw, 401), (take_access, 403), (lose_trust, 503)]
+)
+def test_requests_end_when_their_access_ends(change, status):
+    # Guards against a blocked read, a running stream and a queued request that
+    # outlive the access of their key.
+    with (
+        scripted_target(holding) as (address, heads),
+        running_gateway(address, concurrency=2) as harness,
+        closing(socket.create_connection(harness.address)) as stream,
+    ):
+        blocked = eventlet.spawn(call, harness, "POST", "/filing/a", b"x")
+        lines = f"GET /filing/b HTTP/1.1\r\nHost: x\r\nX-Api-Key: {KEY}\r\n\r\n"
+        stream.sendall(lines.encode())
+        assert until(lambda: len(heads) == 2, 5)
+        queued = eventlet.spawn(call, harness, "POST", "/filing/c", b"x")
+        assert until(lambda: len(harness.gateway.active) == 3, 5)
+        change(harness)
+        with eventlet.Timeout(BOUND_S):
+            answer = blocked.wait()
+            assert (answer[0], answer[1][OUTCOME_HEADER]) == (502, "unknown")
+            answer = queued.wait()
+            assert (answer[0], answer[1][OUTCOME_HEADER]) == (status, "not-run")
+            received = b""
+            while part := stream.recv(65536):
+                received += part
+        assert received.endswith(b"\r\n\r\nok")
+        assert len(heads) == 2 and not harness.in_flight
+
+
+def test_each_request_on_an_open_connection_is_checked():
+    # Guards against a key that stays good for as long as its connection is open.
+    def answer(connection, head):
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    with (
+        scripted_target(answer) as (address, heads),
+        running_gateway(address) as harness,
+        closing(HTTPConnection(*harness.address, timeout=5)) as connection,
+    ):
+        headers = {"X-Api-Key": KEY}
+        statuses = []
+        for _ in range(2):
+            connection.request("POST", "/filing/a", b"x", headers)
+            reply = connection.getresponse()
+            reply.read()
+            statuses.append(reply.status)
+            withdraw(harness)
+        assert statuses == [200, 401] and len(heads) == 1
+
+
+def test_caller_that_goes_away_frees_its_place():
+    # Guards against places and queue entries that are held for nobody.
+    with (
+        scripted_target(holding) as (address, heads),
+        running_gateway(address, concurrency=1) as harness,
+    ):
+        callers = []
+        for _ in range(2):
+            caller = socket.create_connection(harness.address)
+            caller.sendall(
+                b"POST /filing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+                b"X-Api-Key: " + KEY.encode() + b"\r\n\r\n"
+            )
+            callers.append(caller)
+        assert until(lambda: heads and len(harness.gateway.active) == 2, 5)
+        for caller in reversed(callers):
+            caller.close()
+        assert until(lambda: not harness.server.busy, 5)
+        assert not harness.in_flight and len(heads) == 1
