Run requests with an idempotency key at most once, and drain on a planned stop

Cause: a caller's retry through another daemon ran the request again; a planned stop closed the caller port without waiting for running requests.

Change: the package idempotency keeps records at the rendezvous owner of a key and at a replica, claimed before the first byte is sent. Records are handed over on a planned stop. The caller port has an accept loop of its own: on SIGTERM answers carry Connection: close, after the drain delay the listener closes and requests on open connections are refused as not run, and running requests finish.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -9,7 +9,8 @@
 from attrs import define, field
 
 from ..distribution import Distribution
-from ..gateway import CHECK_PERIOD_S, CallerServer, Gateway
+from ..gateway import CHECK_PERIOD_S, CallerServer, Gateway, RequestEndedError
+from ..idempotency import IdempotencyService
 from ..leases import DutyKeeper
 from ..membership import Member, Members, new_incarnation
 from ..peering import HEARTBEAT_PERIOD_S, Peers, PeerServer, peer_pb2
@@ -38,10 +39,16 @@
 )
 DAEMON_STOPPED = define_event(202, "daemon_stopped", "info", "The daemon stops now.")
 
+DRAIN_TIMEOUT = define_event(
+    203, "drain_timeout", "error", "Requests were broken off at the drain timeout."
+)
+
 VM_LIST_PERIOD_S = 1.0
 DUTY_PERIOD_S = 0.5
 WEIGHTS_PERIOD_S = 0.5
 USAGE_PERIOD_S = 1.0
+# For requests that were broken off to write the end of their answers.
+BREAK_TIMEOUT_S = 2.0
 
 
 @define(eq=False)
@@ -69,6 +76,7 @@
     rollouts: RolloutService = field(init=False)
     weights: WeightService = field(init=False)
     reporters: list[UsageReporter] = field(init=False)
+    idempotency: IdempotencyService = field(init=False)
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
     _stopping: bool = False
@@ -103,7 +111,9 @@
         )
         self.weights = WeightService(self.store, self.keeper, self.directory)
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
+        self.idempotency = IdempotencyService(self.members, self.peers.call)
         self.holder.subscribe(self.directory.use_snapshot)
+        self.idempotency.register(self.peer_server)
         self.peer_server.register("Exchange", heartbeats.answer)
         self.peer_server.register("CollectUsage", self._serve_collect)
         self.distribution.register(self.peer_server)
@@ -129,6 +139,7 @@
             VM_LIST_PERIOD_S,
             lambda: poll_vm_list(self.directory, platform.vms, platform.timeout),
         )
+        subscribe("idempotency", HEARTBEAT_PERIOD_S, self.idempotency.turn)
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
         subscribe("weights", WEIGHTS_PERIOD_S, self.weights.turn)
         for reporter in self.reporters:
@@ -152,6 +163,7 @@
                 self.weights,
                 self.distribution.keys_usable,
             ),
+            idempotency=self.idempotency,
         )
         self.gateway = gateway
         self.caller_server = CallerServer(listen(vm.caller_address), gateway)
@@ -167,8 +179,20 @@
         self._stopping = True
         log(DAEMON_STOPPING)
         self.members.leave()
-        eventlet.sleep(self.settings.vm.drain_delay)
         self.keeper.release_all()
+        # Until the balancer has noticed, requests are served, and each answer asks
+        # its caller to open its next connection elsewhere.
+        self.gateway.close_connections()
+        eventlet.sleep(self.settings.vm.drain_delay)
+        self.caller_server.stop_accepting()
+        self.gateway.refuse_requests()
+        if not self.caller_server.wait_idle(self.settings.vm.drain_timeout):
+            log(DRAIN_TIMEOUT, running=self.caller_server.busy)
+            self.gateway.active.end_all(
+                RequestEndedError(503, "this daemon is stopping")
+            )
+            self.caller_server.wait_idle(BREAK_TIMEOUT_S)
+        self.idempotency.hand_over()
         self.timers.stop()
         self.peers.stop()
         self.peer_server.stop()
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from ..idempotency import IdempotencyService
 from ..runtime.clock import boottime
 from ..runtime.invariants import require
 from ..runtime.wsgi import StartResponse
@@ -20,8 +21,10 @@
 from .bodies import read_body
 from .calls import CallerRequest, Targets, open_answer, outgoing_request
 from .credentials import find_credential, secret_finder
+from .forwarding import ForwardedAnswer
 from .generation import error_line, parse_generation, stream_generation
 from .headers import request_headers
+from .once import Open, idempotency_key, run_once
 from .refusals import OutcomeUnknownError, RefusalError, refuse
 from .server import PROTOCOL_KEY
 
@@ -63,6 +66,8 @@
         WSGI application of the trainers' interface.
     may_retry : callable
         Takes a retry of a pool from its budget; False if the budget is spent.
+    idempotency : IdempotencyService or None
+        Records of idempotency keys.
     """
 
     holder: SnapshotHolder
@@ -71,6 +76,7 @@
     keys_usable: Callable[[], bool]
     trainers: Callable[..., Iterable[bytes]]
     may_retry: Callable[[str], bool] = always
+    idempotency: IdempotencyService | None = None
     active: ActiveRequests = field(init=False)
     _targets: Targets = field(init=False)
     _closing: bool = False
@@ -165,26 +171,49 @@
             return self._generate(call)
         return self._forward(call)
 
-    def _forward(self, call: CallerRequest) -> Iterator[bytes]:
+    def _forward(self, call: CallerRequest) -> Iterable[bytes]:
         if _is_old_protocol(call.environ):
             # The end of an HTTP/1.0 answer cannot be told from a broken one.
             raise RefusalError(505, "HTTP/1.1 is required")
         request = outgoing_request(call, read_body(call.environ))
         work = self._work(call.access, restartable=call.idempotent)
-        with ExitStack() as stack:
-            view, answer = open_answer(
-                stack, call, request, self._targets, work, lambda: _note_sent(call)
+        key = idempotency_key(call)
+        keyed = key is not None and self.idempotency is not None
+
+        def open_(stack: ExitStack) -> tuple[TargetView, ForwardedAnswer]:
+            return open_answer(
+                stack, call, request, self._targets, work, lambda: _sent(call, keyed)
+            )
+
+        if keyed:
+            return run_once(
+                call,
+                request,
+                key,
+                self.idempotency,
+                open_,
+                lambda view, answer: self._stream(call, view, answer),
             )
-            call.start_response(f"{answer.status} {answer.reason}", answer.headers)
-            remaining = answer.length
-            for part in answer.body:
-                if remaining is not None:
-                    remaining -= len(part)
-                    if not remaining:
-                        self._count(call, view)
-                yield part
-            if remaining is None or not answer.length:
-                self._count(call, view)
+        return self._run(call, open_)
+
+    def _run(self, call: CallerRequest, open_: Open) -> Iterator[bytes]:
+        with ExitStack() as stack:
+            yield from self._stream(call, *open_(stack))
+
+    def _stream(
+        self, call: CallerRequest, view: TargetView, answer: ForwardedAnswer
+    ) -> Iterator[bytes]:
+        """Yield an answer as it arrives; count it before its last byte."""
+        call.start_response(f"{answer.status} {answer.reason}", answer.headers)
+        remaining = answer.length
+        for part in answer.body:
+            if remaining is not None:
+                remaining -= len(part)
+                if not remaining:
+                    self._count(call, view)
+            yield part
+        if not answer.length:
+            self._count(call, view)
 
     def _generate(self, call: CallerRequest) -> Iterator[bytes]:
         request = parse_generation(call)
@@ -239,10 +268,14 @@
     return RefusalError(503 if timed_out else cause.status, str(cause))
 
 
-def _note_sent(call: CallerRequest) -> None:
+def _sent(call: CallerRequest, keyed: bool) -> None:
+    """Note that the first byte is about to be sent to a target."""
     if not call.idempotent:
         require(not call.active.sent, "non_idempotent_sent_once")
     call.active.sent = True
+    if keyed:
+        # The answer is kept for the caller's retry, whether it waits or not.
+        call.active.detach_caller()
 
 
 def _connection(environ: dict[str, Any]) -> Any:
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -58,6 +58,10 @@
     async def CompleteIdempotency(self, stream: 'grpclib.server.Stream[peer_pb2.CompleteIdempotencyRequest, peer_pb2.Ack]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def HandOverIdempotency(self, stream: 'grpclib.server.Stream[peer_pb2.HandOverIdempotencyRequest, peer_pb2.Ack]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/mulberryport.peer.Peer/Exchange': grpclib.const.Handler(
@@ -126,6 +130,12 @@
                 peer_pb2.CompleteIdempotencyRequest,
                 peer_pb2.Ack,
             ),
+            '/mulberryport.peer.Peer/HandOverIdempotency': grpclib.const.Handler(
+                self.HandOverIdempotency,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.HandOverIdempotencyRequest,
+                peer_pb2.Ack,
+            ),
         }
 
 
@@ -198,3 +208,9 @@
             peer_pb2.CompleteIdempotencyRequest,
             peer_pb2.Ack,
         )
+        self.HandOverIdempotency = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/HandOverIdempotency',
+            peer_pb2.HandOverIdempotencyRequest,
+            peer_pb2.Ack,
+        )
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -130,3 +130,4 @@
     CollectUsage = _unary("CollectUsage")
     ClaimIdempotency = _unary("ClaimIdempotency")
     CompleteIdempotency = _unary("CompleteIdempotency")
+    HandOverIdempotency = _unary("HandOverIdempotency")
