Test outcomes, idempotency keys and rolling replacement with real processes

The stand-ins collected 4 KiB of a stream.

Change: a claim always asks the members that could hold a record; a record that allows a claim never replaces one. The HTTP server of the stand-ins sends parts at once. Tests kill, pause and replace processes and compare callers with the services' own logs.

--- /dev/null
+++ b/mulberryport/gateway/tests/test_processes.py
@@ -0,0 +1,311 @@
+"""Tests of the caller port with separate processes that are killed and stopped."""
+
+import itertools
+import threading
+import time
+from contextlib import closing, contextmanager
+from http.client import HTTPConnection, HTTPException
+
+from attrs import define, field
+
+from ...runtime.http import call_json
+from ...runtime.wsgi import split_address
+from ...standins import expected_tokens
+from ...standins.fleet import Fleet, free_address, wait_until
+from ...tables import (
+    change_tables,
+    issue_key,
+    new_change_id,
+    parse_tables,
+    with_keys_of,
+    withdraw_key,
+)
+from ..refusals import OUTCOME_HEADER
+
+TABLES = """
+[workspace roads]
+[route filing]
+path = /filing/
+pool = desk
+workspaces = roads
+timeout = 12
+[route drafting]
+path = /drafting/
+pool = drafting
+workspaces = roads
+timeout = 30
+[pool desk]
+kind = plain-service
+targets = {desks}
+[pool drafting]
+kind = model-engine
+targets = {engines}
+"""
+ZONES = ["rosario", "parana", "santa-fe"]
+
+
+@define(eq=False)
+class TargetFleet(Fleet):
+    """A fleet that knows the addresses of its targets."""
+
+    engines: dict = field(factory=dict)
+    desks: list = field(factory=list)
+
+
+@contextmanager
+def running_fleet(folder, daemons=3, desks=1, engines=0, refused=0):
+    """Run daemons over services and engines; yield the fleet and a key."""
+    fleet = TargetFleet(folder)
+    try:
+        fleet.start_platform()
+        names = [f"desk{n}" for n in range(desks)]
+        lines = [f"\n    {n} {fleet.start_target(n, 'service')} rosario" for n in names]
+        lines += [f"\n    gone{n} {free_address()} rosario" for n in range(refused)]
+        fleet.engines = {
+            f"engine{n}": fleet.start_target(f"engine{n}", "engine")
+            for n in range(max(1, engines))
+        }
+        models = [f"\n    {n} {a} rosario" for n, a in fleet.engines.items()]
+        fleet.desks = [line.split()[1] for line in lines[:desks]]
+        fleet.add_daemons(ZONES[:daemons], vm_extra="drain-delay = 1")
+        fleet.start_daemons()
+        text = TABLES.format(desks="".join(lines), engines="".join(models))
+        tables = parse_tables(text, "tables")
+        change_tables(
+            fleet.store,
+            lambda current: with_keys_of(tables, current),
+            change_id=new_change_id(),
+        )
+        key, outcome = issue_key(fleet.store, "roads", change_id=new_change_id())
+        fleet.wait_ready(outcome.value.revision)
+        yield fleet, key
+    finally:
+        fleet.close()
+
+
+def send(daemon, key, method, path, body=b"", **headers):
+    """Return status, outcome and body; the status is 0 for a broken connection."""
+    address = split_address(daemon.caller_address)
+    with closing(HTTPConnection(*address, timeout=30)) as connection:
+        try:
+            all_headers = {n.replace("_", "-"): v for n, v in headers.items()}
+            all_headers["Authorization"] = f"Bearer {key}"
+            connection.request(method, path, body, all_headers)
+            reply = connection.getresponse()
+            content = reply.read()
+        except (OSError, HTTPException):
+            return 0, "unknown", b""
+        return reply.status, reply.headers.get(OUTCOME_HEADER), content
+
+
+def runs(fleet):
+    """Return how often each path ran, by the services' own logs."""
+    counts = {}
+    for address in fleet.desks:
+        log = call_json("GET", f"http://{address}/log", timeout=5)
+        for entry in log.value.body["requests"]:
+            assert "AUTHORIZATION" not in entry["headers"]
+            counts[entry["path"]] = counts.get(entry["path"], 0) + 1
+    return counts
+
+
+class Answers:
+    """Answers that threads collect."""
+
+    def __init__(self):
+        self.by_path = {}
+
+    def start(self, *arguments, **headers):
+        """Send a request in a thread."""
+        path = arguments[3].partition("?")[0]
+
+        def run():
+            self.by_path.setdefault(path, []).append(send(*arguments, **headers))
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        return thread
+
+
+def test_targets_that_fail_leave_true_outcomes(tmp_path):
+    # Guards against a false "not-run", a second run and a truncated answer when a
+    # target refuses connections, is paused or is killed in mid-answer.
+    with running_fleet(tmp_path, 1, desks=1, engines=2, refused=1) as (fleet, key):
+        daemon, answers = fleet.daemons[0], Answers()
+        threads = [
+            answers.start(daemon, key, "POST", f"/filing/{n}?duration=1")
+            for n in range(12)
+        ]
+        body = b'{"prompt": "p", "max_tokens": 1500}'
+        threads += [
+            answers.start(daemon, key, "POST", f"/drafting/{n}", body) for n in range(6)
+        ]
+        wait_until(lambda: len(runs(fleet)) >= 6, 5, "requests run")
+        seen = runs(fleet)
+        fleet.kill("desk0")
+        fleet.pause("engine0")
+        for thread in threads:
+            thread.join()
+        for path, [(status, outcome, content)] in answers.by_path.items():
+            if path.startswith("/drafting/"):
+                lines = content.splitlines()
+                assert status == 200 and lines[-1] == b'{"done":true,"length":1500}'
+                tokens = [t for line in lines[:-1] for t in _tokens(line)]
+                assert tokens == expected_tokens("p", 1500)
+            elif outcome == "not-run":
+                assert path not in seen
+            else:
+                assert outcome == "unknown" and status == 502
+
+
+def _tokens(line):
+    return line.split(b"[")[1].split(b"]")[0].replace(b'"', b"").decode().split(",")
+
+
+def test_withdrawn_key_ends_streams_at_all_daemons(tmp_path):
+    # Guards against a stream that outlives its key by more than the bound.
+    with running_fleet(tmp_path, 2) as (fleet, key):
+        answers = Answers()
+        body = b'{"prompt": "p", "max_tokens": 60000}'
+        threads = [
+            answers.start(daemon, key, "POST", f"/drafting/{daemon.vm}", body)
+            for daemon in fleet.daemons
+        ]
+        url = f"http://{fleet.engines['engine0']}/log"
+
+        def both_run():
+            log = call_json("GET", url, timeout=5).value.body
+            return len(log["requests"]) == 2 and log["generated"] > 200
+
+        wait_until(both_run, 5, "both streams run")
+        started = time.monotonic()
+        withdraw_key(fleet.store, _key_id(fleet), change_id=new_change_id())
+        for thread in threads:
+            thread.join()
+        assert time.monotonic() - started < 5.0
+        assert [a[0][0] for a in answers.by_path.values()] == [0, 0]
+        for daemon in fleet.daemons:
+            assert send(daemon, key, "POST", "/filing/a")[:2] == (401, "not-run")
+        assert not runs(fleet)
+        for daemon in fleet.daemons:
+            assert key not in daemon.log_file.read_text()
+
+
+def _key_id(fleet):
+    from ...tables import read_snapshot
+
+    keys = read_snapshot(fleet.store).value.tables.keys.values()
+    return next(iter(keys)).key_id
+
+
+def test_repeated_key_runs_once_and_survives_a_killed_daemon(tmp_path):
+    # Guards against a second run through another daemon, at the same time or after
+    # the first daemon or the owner of the record was killed.
+    with running_fleet(tmp_path, 3) as (fleet, key):
+        first, second, third = fleet.daemons
+        answers = Answers()
+        numbers = range(4)
+        threads = [
+            answers.start(
+                daemon,
+                key,
+                "POST",
+                f"/filing/both{n}?duration=0.3",
+                b"x",
+                Idempotency_Key=f"both{n}",
+            )
+            for n, daemon in itertools.product(numbers, (first, second))
+        ]
+        for thread in threads:
+            thread.join()
+        for n in numbers:
+            one, other = answers.by_path[f"/filing/both{n}"]
+            assert one[0] == 200 and one == other
+        # Killed in mid-answer: the retry must not run again.
+        threads = [
+            answers.start(
+                first,
+                key,
+                "POST",
+                f"/filing/cut{n}?duration=2",
+                b"x",
+                Idempotency_Key=f"cut{n}",
+            )
+            for n in numbers
+        ]
+        wait_until(lambda: len(runs(fleet)) == 8, 5, "requests run")
+        fleet.kill(first.vm)
+        retry = {"Mulberryport_Attempt": "2"}
+        for n in numbers:
+            path = f"/filing/cut{n}?duration=2"
+            headers = {"Idempotency_Key": f"cut{n}", **retry}
+            threads.append(answers.start(second, key, "POST", path, b"x", **headers))
+            path = f"/filing/both{n}?duration=0.3"
+            headers = {"Idempotency_Key": f"both{n}", **retry}
+            # The replica still has the answer, whoever the owner was.
+            assert send(third, key, "POST", path, b"x", **headers)[0] == 200
+        for thread in threads:
+            thread.join()
+        for n in numbers:
+            outcomes = {a[1] for a in answers.by_path[f"/filing/cut{n}"]}
+            assert outcomes == {"unknown"}
+        assert set(runs(fleet).values()) == {1}
+
+
+def test_rolling_replacement_cuts_and_repeats_nothing(tmp_path):
+    # Guards against requests that are cut, run twice or get lost while daemons are
+    # replaced one after another behind a balancer that respects readiness.
+    with running_fleet(tmp_path, 3) as (fleet, key):
+        ready = {daemon.vm: True for daemon in fleet.daemons}
+        stop, results, numbers = threading.Event(), {}, itertools.count()
+
+        def watch():
+            while not stop.is_set():
+                for daemon in fleet.daemons:
+                    answer = fleet.operator(daemon, "/readyz")
+                    ready[daemon.vm] = bool(answer and answer["ready"])
+                time.sleep(0.3)
+
+        def load():
+            connections = {}
+            while not stop.is_set():
+                number = next(numbers)
+                usable = [d for d in fleet.daemons if ready[d.vm]]
+                if not usable:
+                    continue
+                for vm in connections.keys() - {d.vm for d in usable}:
+                    connections.pop(vm).close()
+                daemon = usable[number % len(usable)]
+                connection = connections.get(daemon.vm) or HTTPConnection(
+                    *split_address(daemon.caller_address), timeout=20
+                )
+                connections[daemon.vm] = connection
+                # Some requests last longer than the drain delay.
+                duration = 0.03 if number % 10 else 1.7
+                path = f"/filing/{number}?duration={duration}"
+                try:
+                    headers = {"X-Api-Key": key}
+                    connection.request("POST", path, b"x", headers)
+                    reply = connection.getresponse()
+                    reply.read()
+                    results[path.partition("?")[0]] = reply.status
+                except (OSError, HTTPException) as error:
+                    results[path.partition("?")[0]] = repr(error)
+                    connections.pop(daemon.vm, None)
+
+        threads = [threading.Thread(target=load) for _ in range(12)]
+        threads.append(threading.Thread(target=watch))
+        for thread in threads:
+            thread.start()
+        try:
+            for daemon in fleet.daemons:
+                assert fleet.terminate(daemon.vm) == 0
+                fleet.start_daemons()
+                wait_until(lambda d=daemon: ready[d.vm], 10, "ready again")
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        assert len(results) > 50
+        assert {p: s for p, s in results.items() if s != 200} == {}
+        assert runs(fleet) == dict.fromkeys(results, 1)
--- a/mulberryport/idempotency/decisions.py
+++ b/mulberryport/idempotency/decisions.py
@@ -67,6 +67,9 @@
             # Only the owner that claims may give a claim up.
             record.state = RecordState.RUNNING
         known = self.table.get(key)
+        if record.state is RecordState.NOT_RUN and known is not None:
+            # It allows a claim; replacing a claim by it would repeat for ever.
+            return
         if known is None or known.state in (RecordState.NOT_RUN, RecordState.PENDING):
             self.table.put(key, record)
         elif known.claim == record.claim and not record.open:
@@ -83,7 +86,7 @@
         while True:
             record = self.table.get(key)
             if record is None or record.state is RecordState.NOT_RUN:
-                reply = self._try_claim(key, request, certain=record is not None)
+                reply = self._try_claim(key, request)
             else:
                 reply = self._answer_known(key, record, request, deadline)
             if reply is not None:
@@ -123,7 +126,7 @@
             if record.holders:
                 return Reply(decision=Decision.RUN, holders=record.holders)
             # The copy of a claim whose owner may have decided against it since.
-            return self._try_claim(key, request, certain=False)
+            return self._try_claim(key, request)
         if record.state is RecordState.ANSWERED:
             reply = Reply(decision=Decision.ANSWERED)
             if record.answer is not None:
@@ -141,24 +144,21 @@
             record.changed.wait()
         return None
 
-    def _try_claim(
-        self, key: RecordId, request: Request, certain: bool
-    ) -> Reply | None:
+    def _try_claim(self, key: RecordId, request: Request) -> Reply | None:
         """Claim a key that has no record here; None if another claim was found."""
         record = _record(request)
         if not self.table.put(key, record):
             return Reply(full=True)
         replicas = [vm for vm in self.candidates(key) if vm != self._vm]
-        doubtful = not certain and (
-            request.uncertain or self._ask_holders(key, next(iter(replicas), ""))
-        )
+        # A run that did not happen leaves no certainty either: another owner may
+        # have allowed a further run since.
+        doubtful = request.uncertain or self._ask_holders(key, next(iter(replicas), ""))
         holders, refused = self._replicate(key, request, replicas[:REPLICAS_TRIED])
         current = self.table.get(key)
         if current is not record or record.state is not RecordState.PENDING:
             # A record was found elsewhere, or another owner's claim came first.
             return None
-        doubtful = doubtful or (not certain and refused)
-        if request.retry and doubtful:
+        if request.retry and (doubtful or refused):
             # A member that cannot be asked may hold the record of the first run.
             record.state = RecordState.UNKNOWN
             self._forget(key, request, holders)
--- a/mulberryport/idempotency/messages.py
+++ b/mulberryport/idempotency/messages.py
@@ -60,6 +60,6 @@
         boottime() + message.expected,
         RecordState(message.state),
         answer_from_message(message.answer) if answered else None,
-        boottime() - message.age,
+        changed_at=boottime() - message.age,
     )
     return RecordId(message.workspace, message.key_digest), record
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -92,6 +92,8 @@
         "log": _server_log,
         "max_size": 4096,
         "socket_timeout": 600,
+        # By default small parts of a stream wait until 4 KiB are collected.
+        "minimum_chunk_size": 1,
         **options,
     }
     return eventlet.spawn(eventlet.wsgi.server, listener, application, **settings)
