--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -8,7 +8,8 @@
 from attrs import define, field
 
 from ..distribution import CLEANUP_PERIOD_S, Distribution, ShardCleanup
-from ..gateway import Gateway
+from ..gateway import CHECK_PERIOD_S, CallerServer, Gateway, RequestEndedError
+from ..idempotency import IdempotencyService
 from ..leases import DutyKeeper
 from ..membership import HEARTBEAT_PERIOD_S, Member, Members, new_incarnation
 from ..orders import DemandBoard, OrderService, Planner
@@ -39,6 +40,10 @@
 )
 DAEMON_STOPPED = define_event(202, "daemon_stopped", "info", "The daemon stops now.")
 
+DRAIN_TIMEOUT = define_event(
+    203, "drain_timeout", "error", "Requests were broken off at the drain timeout."
+)
+
 VM_LIST_PERIOD_S = 1.0
 DUTY_PERIOD_S = 0.5
 KEYS_PERIOD_S = 0.5
@@ -48,6 +53,8 @@
 ORDERS_PERIOD_S = 1.0
 USAGE_PERIOD_S = 1.0
 USAGE_FLUSH_TIMEOUT_S = 2.0
+# For requests that were broken off to write the end of their answers.
+BREAK_TIMEOUT_S = 2.0
 
 
 @define(eq=False)
@@ -80,6 +87,9 @@
     demands: DemandBoard = field(init=False)
     orders: OrderService = field(init=False)
     reporters: list[UsageReporter] = field(init=False)
+    idempotency: IdempotencyService = field(init=False)
+    gateway: Gateway = field(init=False)
+    caller_server: CallerServer = field(init=False)
     _stopping: bool = False
     _stopped: eventlet.event.Event = field(factory=eventlet.event.Event)
 
@@ -140,8 +150,10 @@
             platform.orders_check_fencing,
         )
         self.reporters = [self._reporter(shard) for shard in range(usage.shards)]
+        self.idempotency = IdempotencyService(self.members, self.peers.call)
         self.holder.subscribe(self.directory.use_snapshot)
         self.holder.subscribe(self.dispatcher.use_snapshot)
+        self.idempotency.register(self.peer_server)
         self.peer_server.register("Exchange", heartbeats.answer)
         self.replicator.register(self.peer_server)
         self.distribution.register(self.peer_server)
@@ -170,6 +182,7 @@
             lambda: poll_vm_list(self.directory, platform.vms, platform.timeout),
         )
         subscribe("keys", KEYS_PERIOD_S, self.distribution.note_keys_usable)
+        subscribe("idempotency", HEARTBEAT_PERIOD_S, self.idempotency.turn)
         subscribe("duties", DUTY_PERIOD_S, self.keeper.turn)
         cleanup = ShardCleanup(self.store, self.keeper.duty("config-cleanup"))
         subscribe("cleanup", CLEANUP_PERIOD_S, cleanup.turn)
@@ -198,8 +211,13 @@
                 self.weights,
                 self.distribution.keys_usable,
             ),
+            may_retry=self.dispatcher.may_retry,
+            idempotency=self.idempotency,
         )
-        serve(listen(vm.caller_address), gateway)
+        self.gateway = gateway
+        self.caller_server = CallerServer(listen(vm.caller_address), gateway)
+        self.caller_server.start()
+        subscribe("requests", CHECK_PERIOD_S, gateway.active.check)
         log(DAEMON_STARTED, zone=vm.zone, caller_address=vm.caller_address)
         self._stopped.wait()
 
@@ -210,10 +228,22 @@
         self._stopping = True
         log(DAEMON_STOPPING)
         self.members.leave()
+        self.keeper.release_all()
+        # Until the balancer has noticed, requests are served, and each answer asks
+        # its caller to open its next connection elsewhere.
+        self.gateway.close_connections()
         eventlet.sleep(self.settings.vm.drain_delay)
+        self.caller_server.stop_accepting()
+        self.gateway.refuse_requests()
+        if not self.caller_server.wait_idle(self.settings.vm.drain_timeout):
+            log(DRAIN_TIMEOUT, running=self.caller_server.busy)
+            self.gateway.active.end_all(
+                RequestEndedError(503, "this daemon is stopping")
+            )
+            self.caller_server.wait_idle(BREAK_TIMEOUT_S)
+        self.idempotency.hand_over()
         self.rollouts.review()
         self.replicator.flush(USAGE_FLUSH_TIMEOUT_S)
-        self.keeper.release_all()
         self.timers.stop()
         self.peers.stop()
         self.peer_server.stop()
--- a/mulberryport/membership/members.py
+++ b/mulberryport/membership/members.py
@@ -79,9 +79,10 @@
             return
         if known is None or known.incarnation == 0:
             log(MEMBER_JOINED, member=member.vm, member_zone=member.zone)
-            self._cached_until = float("-inf")
         elif known.incarnation != member.incarnation:
             log(MEMBER_RESTARTED, member=member.vm)
+        if known is None or evolve(known, heard_at=member.heard_at) != member:
+            self._cached_until = float("-inf")
         self._members[member.vm] = member
 
     def told(
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -134,3 +134,4 @@
     CollectUsage = _unary("CollectUsage")
     ClaimIdempotency = _unary("ClaimIdempotency")
     CompleteIdempotency = _unary("CompleteIdempotency")
+    HandOverIdempotency = _unary("HandOverIdempotency")
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -33,6 +33,7 @@
     403: "Forbidden",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
     409: "Conflict",
     410: "Gone",
     413: "Content Too Large",
@@ -41,6 +42,7 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
 }
 
 
@@ -94,7 +96,7 @@
         "log": _server_log,
         "max_size": 4096,
         "socket_timeout": 600,
-        # By default parts are collected up to 4096 bytes, which delays streams.
+        # By default small parts of a stream wait until 4 KiB are collected.
         "minimum_chunk_size": 1,
         **options,
     }
