Send different prompts in the test of leaving targets

Cause: all requests of the test had one prompt, and since engines are chosen by prefix, one engine got them all; the ordered cheap target was never used, and the test waited for it in vain.

Change: each request has a prompt of its own.

--- a/mulberryport/usage/tests/builders.py
+++ b/mulberryport/usage/tests/builders.py
@@ -18,7 +18,6 @@
 from ...tables import change_tables, new_change_id, parse_tables
 
 ZONES = ("rosario", "parana", "santa-fe")
-BODY = {"prompt": "clearance at km 40", "max_tokens": 8}
 USAGE_SETTINGS = "[usage]\nwindow = 1\ngrace = 0.2"
 TABLES = """
 [workspace hauliers]
@@ -155,7 +154,8 @@
                     reply = urllib3.request(
                         "POST",
                         f"{url}/filing/a",
-                        json=BODY,
+                        # Prompts with one prefix would all go to one engine.
+                        json={"prompt": f"km {self.answered}", "max_tokens": 8},
                         timeout=2.0,
                         retries=False,
                     )
