Report the time to the first byte of answers to the dispatcher

Cause: limits follow latency, but nothing in a daemon reported any.

Change: the gateway reports a success with the seconds from the assignment to the head of an answer, or to the first tokens of a generation, at its end.

--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -12,7 +12,7 @@
 from ..runtime.invariants import require
 from ..runtime.wsgi import StartResponse
 from ..tables import MODEL_ENGINE, SnapshotHolder, find_key
-from ..targets import Dispatcher, TargetView, WorkRequest
+from ..targets import Assignment, Dispatcher, WorkRequest
 from ..targets.engine_client import probe_queue
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -181,7 +181,7 @@
         key = idempotency_key(call)
         keyed = key is not None and self.idempotency is not None
 
-        def open_(stack: ExitStack) -> tuple[TargetView, ForwardedAnswer]:
+        def open_(stack: ExitStack) -> tuple[Assignment, ForwardedAnswer]:
             return open_answer(
                 stack, call, request, self._targets, work, lambda: _sent(call, keyed)
             )
@@ -202,12 +202,13 @@
             yield from self._stream(call, *open_(stack))
 
     def _stream(
-        self, call: CallerRequest, view: TargetView, answer: ForwardedAnswer
+        self, call: CallerRequest, view: Assignment, answer: ForwardedAnswer
     ) -> Iterator[bytes]:
         """Yield an answer as it arrives; count it before its last byte."""
         call.start_response(f"{answer.status} {answer.reason}", answer.headers)
         count = partial(self._count, call, view)
         yield from before_last_byte(answer.body, answer.length, count)
+        view.succeeded(answer.latency)
 
     def _generate(self, call: CallerRequest) -> Iterator[bytes]:
         request = parse_generation(call)
@@ -228,7 +229,7 @@
                 yield error_line(str(error))
             raise
 
-    def _count(self, call: CallerRequest, view: TargetView, tokens: int = 0) -> None:
+    def _count(self, call: CallerRequest, view: Assignment, tokens: int = 0) -> None:
         """Count an answer that is complete but for its last byte."""
         access = call.access
         counter = self.counters.add(
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -10,7 +10,7 @@
 
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse
-from ..targets import Dispatcher, ShedError, TargetView, WorkRequest
+from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from .access import Access
 from .active import ActiveRequest, SilentConnectionError
 from .bodies import RequestBody
@@ -96,7 +96,7 @@
 
     def assign(
         self, work: WorkRequest, failure: Exception | None
-    ) -> AbstractContextManager[TargetView]:
+    ) -> AbstractContextManager[Assignment]:
         """Wait for a target; a retry waits only for a short time."""
         if failure is None:
             return self.dispatcher.assign(work)
@@ -130,7 +130,7 @@
     targets: Targets,
     work: WorkRequest,
     on_sent: Callable[[], None],
-) -> tuple[TargetView, ForwardedAnswer]:
+) -> tuple[Assignment, ForwardedAnswer]:
     """Run a request at a target, and at others if evidence and budget allow it.
 
     Parameters
@@ -159,7 +159,9 @@
             with ExitStack() as place:
                 view = place.enter_context(targets.assign(work, failure))
                 watch = _watch(call, view)
+                assigned_at = boottime()
                 answer = forward(view, request, watch, on_sent)
+                answer = evolve(answer, latency=boottime() - assigned_at)
                 stack.enter_context(place.pop_all())
                 return view, answer
         except ShedError as error:
@@ -183,7 +185,7 @@
 
 
 def _watch(
-    call: CallerRequest, view: TargetView
+    call: CallerRequest, view: Assignment
 ) -> Callable[[], AbstractContextManager[None]]:
     limit = max(MIN_SILENCE_S, SILENT_PART * call.access.route.timeout)
     return lambda: call.active.waiting_for(view.address, limit)
--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -64,6 +64,8 @@
     ----------
     length : int or None
         Length of the body; None if it is chunked.
+    latency : float
+        Seconds from the assignment to the head of the answer.
     """
 
     status: int
@@ -71,6 +73,7 @@
     headers: list[tuple[str, str]]
     length: int | None
     body: Iterator[bytes]
+    latency: float = 0.0
 
 
 def forward(
--- a/mulberryport/gateway/generation.py
+++ b/mulberryport/gateway/generation.py
@@ -8,8 +8,9 @@
 import orjson
 from attrs import define, evolve
 
+from ..runtime.clock import boottime
 from ..runtime.wsgi import BadRequestError, read_json
-from ..targets import ShedError, TargetView, WorkRequest
+from ..targets import Assignment, ShedError, WorkRequest
 from ..targets.engine_client import (
     GenerationRequest,
     NotStartedError,
@@ -73,7 +74,7 @@
     request: GenerationRequest,
     targets: Targets,
     work: WorkRequest,
-    on_complete: Callable[[TargetView, int], None],
+    on_complete: Callable[[Assignment, int], None],
 ) -> Iterator[bytes]:
     """Yield the lines of an answer.
 
@@ -96,7 +97,9 @@
     while True:
         try:
             with targets.assign(work, progress.failure) as view:
+                assigned_at, latency = boottime(), None
                 for chunk in _attempt(call, request, view, progress):
+                    latency = latency or boottime() - assigned_at
                     _start(call, progress)
                     yield _line(
                         offset=progress.offset,
@@ -107,6 +110,7 @@
                 _start(call, progress)
                 on_complete(view, progress.offset)
                 yield _line(done=True, length=progress.offset)
+                view.succeeded(latency)
                 return
         except ShedError as error:
             if progress.failure is None:
@@ -126,7 +130,7 @@
 def _attempt(
     call: CallerRequest,
     request: GenerationRequest,
-    view: TargetView,
+    view: Assignment,
     progress: Progress,
 ) -> Iterator[TokenChunk]:
     """Generate from the current offset at one engine; cancel there on a failure."""
--- a/mulberryport/gateway/once.py
+++ b/mulberryport/gateway/once.py
@@ -17,7 +17,7 @@
     Result,
 )
 from ..runtime.invariants import require
-from ..targets import TargetView
+from ..targets import Assignment
 from .calls import CallerRequest
 from .forwarding import ForwardedAnswer, OutgoingRequest
 from .headers import header_values, request_headers
@@ -30,8 +30,8 @@
 REPLAYED = ("Idempotency-Replayed", "true")
 MAX_KEY_LENGTH = 255
 
-Open = Callable[[ExitStack], tuple[TargetView, ForwardedAnswer]]
-Stream = Callable[[TargetView, ForwardedAnswer], Iterator[bytes]]
+Open = Callable[[ExitStack], tuple[Assignment, ForwardedAnswer]]
+Stream = Callable[[Assignment, ForwardedAnswer], Iterator[bytes]]
 
 
 def idempotency_key(call: CallerRequest) -> str | None:
--- a/mulberryport/targets/__init__.py
+++ b/mulberryport/targets/__init__.py
@@ -2,9 +2,10 @@
 
 from ..routing import LoadReport, TargetView
 from .directory import TargetDirectory
-from .dispatcher import Dispatcher, ShedError, WorkRequest
+from .dispatcher import Assignment, Dispatcher, ShedError, WorkRequest
 
 __all__ = [
+    "Assignment",
     "Dispatcher",
     "LoadReport",
     "ShedError",
