Use the present call for missed polls in the measurement of rollouts

Cause: the directory counts missed polls now; the measurement raised at the loss of an engine.

Change: the lost engine misses its polls.

--- a/measurements/rollouts.py
+++ b/measurements/rollouts.py
@@ -231,7 +231,7 @@
                     engine.running, len(engine.waiting), BATCH, engine.version
                 )
                 if engine.lost:
-                    self.directory.mark_unhealthy(name)
+                    self.directory.poll_missed(name)
                 else:
                     self.directory.report(name, report, boottime())
             eventlet.sleep(POLL_S)
