--- a/mulberryport/cli/processes.py
+++ b/mulberryport/cli/processes.py
@@ -1,5 +1,6 @@
 """Commands that run processes or check their files."""
 
+import signal
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -12,7 +13,13 @@
 from .output import fail, print_json, report_faults
 from .tables import read_tables_file
 
-__all__ = ["CheckCommand", "DaemonCommand", "StandinCommand"]
+__all__ = [
+    "CheckCommand",
+    "DaemonCommand",
+    "EntryCommand",
+    "StandinCommand",
+    "StorageCommand",
+]
 
 
 @cappa.command(name="daemon", help="Run an entry daemon.")
@@ -33,6 +40,42 @@
         Daemon(settings).run()
 
 
+@cappa.command(name="entry", help="Run an entry daemon on the users' platform.")
+@define
+class EntryCommand:
+    """Run an entry daemon on the users' platform."""
+
+    settings: Annotated[
+        str,
+        cappa.Arg(default=cappa.Env("MULBERRYPORT_SETTINGS"), help="Settings file."),
+    ]
+
+    def __call__(self) -> None:
+        """Run the command."""
+        from ..platform.settings import load_entry_settings
+
+        try:
+            settings = load_entry_settings(self.settings)
+        except InvalidFileError as error:
+            report_faults(error, False)
+        from ..platform.daemon import EntryDaemon
+
+        EntryDaemon(settings, self.settings).run()
+
+
+@cappa.command(name="storage", help="Run on a storage VM; keeps nothing.")
+@define
+class StorageCommand:
+    """Run on a storage VM.
+
+    All state is in the platform's store; the platform asks for a program here.
+    """
+
+    def __call__(self) -> None:
+        """Wait for the signal to stop."""
+        signal.sigwait({signal.SIGTERM, signal.SIGINT})
+
+
 @cappa.command(name="check", help="Check a settings file or a file of tables.")
 @define
 class CheckCommand:
--- a/mulberryport/cli/program.py
+++ b/mulberryport/cli/program.py
@@ -5,7 +5,13 @@
 
 from .. import __version__
 from .keys import KeyCommand
-from .processes import CheckCommand, DaemonCommand, StandinCommand
+from .processes import (
+    CheckCommand,
+    DaemonCommand,
+    EntryCommand,
+    StandinCommand,
+    StorageCommand,
+)
 from .status import StatusCommand, TimelineCommand
 from .tables import ApplyCommand, DiffCommand, ShowCommand
 
@@ -19,6 +25,8 @@
 
     command: cappa.Subcommands[
         DaemonCommand
+        | EntryCommand
+        | StorageCommand
         | CheckCommand
         | ApplyCommand
         | ShowCommand
--- /dev/null
+++ b/mulberryport/coordination/mirror.py
@@ -0,0 +1,160 @@
+"""A copy of the keys below one prefix, kept up to date by a watch.
+
+The copy is read in full at the start and whenever the store has lost the history; in
+between the watch brings each change. Subscribers hear of every change once, also of
+keys that disappeared while no watch was open.
+"""
+
+from collections.abc import Callable
+
+import eventlet
+from attrs import define, field
+
+from ..outcomes import Done
+from ..runtime.clock import boottime
+from ..telemetry import define as define_event
+from ..telemetry import log
+from .model import Change, Changes, Item, KeyValueStore
+
+__all__ = ["Mirror"]
+
+MIRROR_LOST = define_event(
+    420, "mirror_interrupted", "warning", "Changes of a prefix cannot be followed."
+)
+MIRROR_REGAINED = define_event(
+    421, "mirror_regained", "info", "Changes of a prefix are followed again."
+)
+SUBSCRIBER_FAILED = define_event(
+    422, "mirror_subscriber_failed", "error", "A part failed to take a change."
+)
+
+# A watch is one call of the store however long it waits. A store that accepts calls
+# and answers none is noticed after this time, and the next call goes another way.
+WATCH_WAIT_S = 4.0
+# Between two attempts while the store does not answer.
+RETRY_S = 0.25
+
+Subscriber = Callable[[Change], None]
+
+
+@define(eq=False)
+class Mirror:
+    """Follows the keys below a prefix.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The store.
+    prefix : str
+        Prefix of the keys.
+    """
+
+    store: KeyValueStore
+    prefix: str
+    _items: dict[str, Item] = field(factory=dict)
+    _revision: int = -1
+    _subscribers: list[Subscriber] = field(factory=list)
+    _following: bool = False
+    _interrupted_at: float = float("-inf")
+    _regained_at: float = float("-inf")
+    _stopped: bool = False
+
+    @property
+    def items(self) -> dict[str, Item]:
+        """All items by key; not to be changed."""
+        return self._items
+
+    @property
+    def loaded(self) -> bool:
+        """Whether the prefix was read at least once."""
+        return self._revision >= 0
+
+    @property
+    def following(self) -> bool:
+        """Whether the last call of the store was answered."""
+        return self._following
+
+    @property
+    def regained_for(self) -> float:
+        """Seconds since the store answered again after an interruption."""
+        return boottime() - self._regained_at
+
+    def get(self, key: str) -> Item | None:
+        """Return an item, None if the mirror does not have it."""
+        return self._items.get(key)
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Call a function with each change from now on."""
+        self._subscribers.append(subscriber)
+
+    def start(self) -> None:
+        """Follow the prefix until ``stop``."""
+        eventlet.spawn_n(self._run)
+
+    def stop(self) -> None:
+        """Follow the prefix no longer than the current watch."""
+        self._stopped = True
+
+    def apply(self, change: Change) -> None:
+        """Take over a change that is known from elsewhere, such as an own commit."""
+        known = self._items.get(change.key)
+        if known is not None and known.revision >= change.revision:
+            return
+        if known is None and change.item is None:
+            return
+        if change.item is None:
+            del self._items[change.key]
+        else:
+            self._items[change.key] = change.item
+        for subscriber in list(self._subscribers):
+            try:
+                subscriber(change)
+            except Exception as error:
+                log(SUBSCRIBER_FAILED, key=change.key, error=repr(error))
+
+    def _run(self) -> None:
+        while not self._stopped:
+            if not (self._load() if self._revision < 0 else self._follow()):
+                eventlet.sleep(RETRY_S)
+
+    def _load(self) -> bool:
+        outcome = self.store.list(self.prefix)
+        if not isinstance(outcome, Done):
+            self._interrupted(outcome.reason)
+            return False
+        listing = outcome.value
+        self._answered()
+        listed = {item.key: item for item in listing.items}
+        for item in listing.items:
+            self.apply(Change(item.key, item.revision, item))
+        for key in [key for key in self._items if key not in listed]:
+            if self._items[key].revision <= listing.revision:
+                self.apply(Change(key, listing.revision))
+        self._revision = listing.revision
+        return True
+
+    def _follow(self) -> bool:
+        outcome = self.store.watch(self.prefix, self._revision, WATCH_WAIT_S)
+        if not isinstance(outcome, Done):
+            self._interrupted(outcome.reason)
+            return False
+        self._answered()
+        if not isinstance(outcome.value, Changes):
+            self._revision = -1
+            return True
+        for change in outcome.value.changes:
+            self.apply(change)
+        self._revision = max(self._revision, outcome.value.revision)
+        return True
+
+    def _interrupted(self, reason: str) -> None:
+        if self._following or self._interrupted_at == float("-inf"):
+            log(MIRROR_LOST, prefix=self.prefix, reason=reason)
+            self._interrupted_at = boottime()
+        self._following = False
+
+    def _answered(self) -> None:
+        if not self._following:
+            log(MIRROR_REGAINED, prefix=self.prefix, revision=self._revision)
+            self._regained_at = boottime()
+        self._following = True
--- a/mulberryport/daemon/heartbeats.py
+++ b/mulberryport/daemon/heartbeats.py
@@ -1,10 +1,10 @@
 """Content of the heartbeats: what this daemon tells its peers and learns."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from attrs import define, evolve, field, frozen
 
-from ..distribution import Distribution
 from ..membership import Member, Members
 from ..peering import Peers, peer_pb2
 from ..runtime.clock import boottime
@@ -22,6 +22,17 @@
 ToldMembers = dict[str, Member]
 
 
+class StoreState(Protocol):
+    """What a daemon tells of its way to the store, and learns of others."""
+
+    @property
+    def store_readable(self) -> bool:
+        """Whether the store answers this daemon."""
+
+    def heard(self, heartbeat: peer_pb2.Heartbeat) -> object:
+        """Learn from a heartbeat."""
+
+
 @frozen
 class CachedNews:
     """The members to tell the peers of one zone, and when they were determined."""
@@ -36,7 +47,7 @@
 
     members: Members
     holder: SnapshotHolder
-    distribution: Distribution
+    distribution: StoreState
     peers: Peers | None = None
     contributors: list[Callable[[peer_pb2.Heartbeat, Member], object]] = field(
         factory=list
--- a/mulberryport/gateway/access.py
+++ b/mulberryport/gateway/access.py
@@ -28,9 +28,25 @@
     key_digest: str
 
 
-def match_route(tables: Tables, path: str) -> Route | None:
-    """Return the route with the longest path that a request path starts with."""
-    matching = [r for r in tables.routes.values() if path.startswith(r.path)]
+def match_route(tables: Tables, path: str, host: str = "") -> Route | None:
+    """Return the route with the longest path that a request path starts with.
+
+    Parameters
+    ----------
+    tables : Tables
+        The tables in force.
+    path : str
+        Path of the request.
+    host : str
+        Host of the request, with or without a port; routes of other hosts do not
+        match.
+    """
+    name = host.partition(":")[0].lower()
+    matching = [
+        route
+        for route in tables.routes.values()
+        if path.startswith(route.path) and route.host in ("", name)
+    ]
     return max(matching, key=lambda route: len(route.path), default=None)
 
 
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -1,18 +1,19 @@
 """The caller port: admits requests and answers them."""
 
+import random
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import ExitStack
 from functools import partial
 from typing import Any
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from ..idempotency import IdempotencyService
 from ..runtime.clock import boottime
 from ..runtime.invariants import require
 from ..runtime.wsgi import StartResponse
-from ..tables import MODEL_ENGINE, SnapshotHolder, find_key
-from ..targets import Assignment, Dispatcher, WorkRequest
+from ..tables import MODEL_ENGINE, Route, SnapshotHolder, Tables, find_key
+from ..targets import Assignment, Dispatcher, TargetView, WorkRequest
 from ..targets.engine_client import probe_queue
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -20,13 +21,13 @@
 from .access import Access, authorize, match_route
 from .active import ActiveRequest, ActiveRequests, RequestEndedError
 from .bodies import read_body
-from .calls import CallerRequest, Targets, open_answer, outgoing_request
-from .credentials import find_credential, secret_finder
-from .forwarding import ForwardedAnswer
+from .calls import CallerRequest, Targets, open_answer, open_raced_answer
+from .credentials import secret_finder
+from .dialect import Dialect, own_dialect
+from .forwarding import OWN_WIRE, ForwardedAnswer
 from .generation import error_line, parse_generation, stream_generation
-from .headers import request_headers
 from .once import Open, idempotency_key, run_once
-from .refusals import OutcomeUnknownError, RefusalError, refuse
+from .refusals import OutcomeUnknownError, RefusalError
 from .server import PROTOCOL_KEY
 
 __all__ = ["Gateway"]
@@ -69,6 +70,9 @@
         Takes a retry of a pool from its budget; False if the budget is spent.
     idempotency : IdempotencyService or None
         Records of idempotency keys.
+    dialect : Dialect
+        How callers and targets write requests and answers; by default that of the
+        project's own interface.
     """
 
     holder: SnapshotHolder
@@ -78,6 +82,9 @@
     trainers: Callable[..., Iterable[bytes]]
     may_retry: Callable[[str], bool] = always
     idempotency: IdempotencyService | None = None
+    dialect: Dialect = field(
+        default=Factory(lambda self: own_dialect(self.serve_trainer), takes_self=True)
+    )
     active: ActiveRequests = field(init=False)
     _targets: Targets = field(init=False)
     _closing: bool = False
@@ -86,7 +93,12 @@
     def __attrs_post_init__(self) -> None:
         """Watch running requests against each new revision."""
         self.active = ActiveRequests(self.holder, self.keys_usable, probe_queue)
-        self._targets = Targets(self.dispatcher, lambda pool: self.may_retry(pool))
+        self._targets = Targets(
+            self.dispatcher,
+            lambda pool: self.may_retry(pool),
+            self.dialect.wire,
+            self._count_start,
+        )
         self.holder.subscribe(lambda s: self.active.check_access(s.tables))
 
     def close_connections(self) -> None:
@@ -125,7 +137,7 @@
                 # Without its end, the caller cannot take the answer for a whole one.
                 raise error
             self._mark_connection(environ)
-            yield from refuse(start_response, error)
+            yield from self.dialect.refuse(start_response, error)
 
     def _log_failure(
         self, error: RefusalError | OutcomeUnknownError, active: ActiveRequest
@@ -147,38 +159,74 @@
         start_response: StartResponse,
         active: ActiveRequest,
     ) -> Iterable[bytes]:
-        path = environ["PATH_INFO"]
         if self._refusing:
             raise RefusalError(503, "this daemon is stopping")
-        tables = self.holder.snapshot.tables
-        key = find_credential(request_headers(environ), environ.get("QUERY_STRING", ""))
-        if path.startswith(TRAINER_PREFIX):
-            # The interface checks the key; withdrawal ends its calls as well.
-            record = find_key(tables, key) if key else None
-            active.key_digest = record.digest if record else ""
-            # A pull changes nothing; the other calls may have taken effect.
-            active.changes_state = not path.endswith("/pull")
-            environ[ACTIVE_KEY] = active
-            return self.trainers(environ, start_response)
-        route = match_route(tables, path)
+        snapshot = self.holder.snapshot
+        if not snapshot.revision:
+            raise RefusalError(503, "no configuration was received yet")
+        tables = snapshot.tables
+        intercepted = self.dialect.intercept(environ, start_response, active)
+        if intercepted is not None:
+            return intercepted
+        path, host = environ["PATH_INFO"], environ.get("HTTP_HOST", "")
+        route = match_route(tables, path, host)
         if route is None:
             raise RefusalError(404, "no route has this path")
+        key = self.dialect.find_key(environ)
         access = authorize(tables, route, key, self.keys_usable())
         active.admit(access)
-        active.set_deadline(route.timeout)
+        active.set_deadline(self.dialect.allowed_time(environ, route))
         is_secret = secret_finder(key, tables)
         call = CallerRequest(environ, start_response, active, access, is_secret)
-        if tables.pools[route.pool].kind == MODEL_ENGINE:
+        if route.batch is not None and self.dialect.submit is not None:
+            return self.dialect.submit(call)
+        if self._speaks_generation(route, tables):
             return self._generate(call)
         return self._forward(call)
 
+    def serve_trainer(
+        self, environ: dict[str, Any], start_response: StartResponse, active: Any
+    ) -> Iterable[bytes] | None:
+        """Answer a call of the trainers' interface; None for other calls."""
+        path = environ["PATH_INFO"]
+        if not path.startswith(TRAINER_PREFIX):
+            return None
+        # The interface checks the key; withdrawal ends its calls as well.
+        key = self.dialect.find_key(environ)
+        record = find_key(self.holder.snapshot.tables, key) if key else None
+        active.key_digest = record.digest if record else ""
+        # A pull changes nothing; the other calls may have taken effect.
+        active.changes_state = not path.endswith("/pull")
+        environ[ACTIVE_KEY] = active
+        return self.trainers(environ, start_response)
+
+    def _speaks_generation(self, route: Route, tables: Tables) -> bool:
+        """Whether a route's requests are generations of the own interface."""
+        if self.dialect.wire is not OWN_WIRE:
+            return False
+        return tables.pools[route.pool].kind == MODEL_ENGINE
+
     def _forward(self, call: CallerRequest) -> Iterable[bytes]:
         if _is_old_protocol(call.environ):
             # The end of an HTTP/1.0 answer cannot be told from a broken one.
             raise RefusalError(505, "HTTP/1.1 is required")
-        request = outgoing_request(call, read_body(call.environ))
+        request = self.dialect.outgoing(call, read_body(call.environ))
         work = self._work(call.access, restartable=call.idempotent)
         key = idempotency_key(call)
+        patience = self.dialect.patience(call.access.route)
+        if patience is not None and call.idempotent and request.body.whole:
+            return self._run(
+                call,
+                lambda stack: open_raced_answer(
+                    stack,
+                    call,
+                    request,
+                    self._targets,
+                    work,
+                    lambda: _sent(call, False),
+                    patience,
+                ),
+            )
         keyed = key is not None and self.idempotency is not None
 
         def open_(stack: ExitStack) -> tuple[Assignment, ForwardedAnswer]:
@@ -232,17 +280,33 @@
     def _count(self, call: CallerRequest, view: Assignment, tokens: int = 0) -> None:
         """Count an answer that is complete but for its last byte."""
         access = call.access
+        log(REQUEST_SERVED, route=access.route.name, target=view.id)
+        if self.dialect.counts_starts:
+            return
         counter = self.counters.add(
             access.workspace, access.route.pool, requests=1, tokens=tokens
         )
         self.counters.settle(counter)
-        log(REQUEST_SERVED, route=access.route.name, target=view.id)
+
+    def _count_start(
+        self, workspace: str, view: TargetView
+    ) -> Callable[[], None] | None:
+        """Return a function that counts a request in the window that it began in."""
+        if not self.dialect.counts_starts or not workspace:
+            return None
+        started_at = self.counters.now()
+
+        def count() -> None:
+            counter = self.counters.add(workspace, view.pool, requests=1, at=started_at)
+            self.counters.settle(counter)
+
+        return count
 
     def _work(
         self, access: Access, prefix: str = "", restartable: bool = False
     ) -> WorkRequest:
         return WorkRequest(
-            pool=access.route.pool,
+            pool=access.route.pool_for(random.random()),
             workspace=access.workspace,
             priority=access.route.priority,
             deadline=boottime() + access.route.timeout,
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable
-from contextlib import AbstractContextManager, ExitStack
+from contextlib import AbstractContextManager, ExitStack, nullcontext
 from typing import Any
 from urllib.parse import unquote
 
@@ -10,18 +10,24 @@
 
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse
-from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
+from ..targets import Assignment, Dispatcher, ShedError, TargetView, WorkRequest
 from .access import Access
 from .active import ActiveRequest, SilentConnectionError
 from .bodies import RequestBody
 from .credentials import SecretFinder, forwardable_headers, forwardable_query
 from .forwarding import (
+    OWN_WIRE,
     ForwardedAnswer,
+    MisdirectedError,
+    NotRunError,
     NotSentError,
     OutgoingRequest,
+    TargetWire,
     forward,
+    hold_body,
 )
 from .headers import request_headers
+from .racing import race
 from .refusals import OutcomeUnknownError, RefusalError
 
 __all__ = [
@@ -29,6 +35,7 @@
     "CallerRequest",
     "Targets",
     "open_answer",
+    "open_raced_answer",
     "outgoing_request",
 ]
 
@@ -41,6 +48,10 @@
 # A plain service that sends nothing for this part of the route's timeout, and that
 # answers a probe beside it, is taken to have lost the connection.
 SILENT_PART = 1 / 3
+SERVER_ERROR = 500
+# Bodies up to this size are received before the answer to an idempotent request is
+# used.
+HELD_ANSWER_BYTES = 1024 * 1024
 UNSAFE_PATH = re.compile(r"(^|[/\\])\.{1,2}([/\\;]|$)|[\x00-\x1f\x7f]")
 
 
@@ -76,7 +87,7 @@
     @property
     def idempotent(self) -> bool:
         """Whether the route allows to run the request more than once."""
-        return self.method in self.access.route.idempotent_methods
+        return self.access.route.is_idempotent(self.method)
 
 
 @frozen
@@ -89,10 +100,19 @@
         Gives attempts to targets.
     may_retry : callable
         Takes a retry of a pool from its budget; False if the budget is spent.
+    wire : TargetWire
+        How targets are spoken to.
+    on_start : callable
+        Called with a workspace and a target when a request is sent there; returns a
+        function that is called if the request may have run, or None.
     """
 
     dispatcher: Dispatcher
     may_retry: Callable[[str], bool]
+    wire: TargetWire = OWN_WIRE
+    on_start: Callable[[str, TargetView], Callable[[], None] | None] = field(
+        default=lambda workspace, view: None
+    )
 
     def assign(
         self, work: WorkRequest, failure: Exception | None
@@ -148,7 +168,7 @@
         An attempt may have run, and there is no answer.
     """
     failure: Exception | None = None
-    for _ in range(MAX_ATTEMPTS):
+    for _ in range(call.access.route.attempts):
         if failure is not None:
             may_repeat = isinstance(failure, NotSentError) or (
                 call.idempotent and request.body.whole
@@ -158,10 +178,8 @@
         try:
             with ExitStack() as place:
                 view = place.enter_context(targets.assign(work, failure))
-                watch = _watch(call, view)
-                assigned_at = boottime()
-                answer = forward(view, request, watch, on_sent)
-                answer = evolve(answer, latency=boottime() - assigned_at)
+                watch = _watch(call, view, targets.wire)
+                answer = _forward(call, view, request, watch, on_sent, targets)
                 stack.enter_context(place.pop_all())
                 return view, answer
         except ShedError as error:
@@ -174,6 +192,115 @@
     raise _report(failure, call.active.sent) from failure
 
 
+def open_raced_answer(
+    stack: ExitStack,
+    call: CallerRequest,
+    request: OutgoingRequest,
+    targets: Targets,
+    work: WorkRequest,
+    on_sent: Callable[[], None],
+    patience: float,
+) -> tuple[Assignment, ForwardedAnswer]:
+    """Run an idempotent request at a target, and at others if it takes too long.
+
+    The first whole answer wins, and the other attempts are cancelled. Bodies are
+    received before the answer is used, so that one that breaks off costs no caller
+    its answer.
+
+    Parameters
+    ----------
+    patience : float
+        Seconds without an answer after which one further attempt starts.
+
+    Raises
+    ------
+    RefusalError
+        No attempt reached a target.
+    OutcomeUnknownError
+        An attempt may have run, and there is no answer.
+    """
+
+    def attempt(
+        excluded: frozenset[str], note: Callable[[str], None]
+    ) -> tuple[ExitStack, Assignment, ForwardedAnswer]:
+        with ExitStack() as place:
+            failure = NotSentError("an earlier attempt") if excluded else None
+            tried = evolve(work, exclude=work.exclude | excluded)
+            view = place.enter_context(targets.assign(tried, failure))
+            note(view.id)
+            answer = _forward(call, view, request, nullcontext, on_sent, targets)
+            answer = hold_body(answer, HELD_ANSWER_BYTES)
+            if answer.status >= SERVER_ERROR:
+                raise ServerFailedError(view, answer)
+            return place.pop_all(), view, answer
+
+    def may_repeat(error: Exception) -> bool:
+        return not isinstance(error, ShedError) and targets.may_retry(work.pool)
+
+    try:
+        place, view, answer = race(
+            attempt,
+            may_repeat,
+            attempts=call.access.route.attempts,
+            patience=patience,
+            discard=lambda won: won[0].close(),
+        )
+    except ShedError as error:
+        raise RefusalError(503, str(error)) from error
+    except ServerFailedError as error:
+        # The target's own failure is its answer if no other target gives one.
+        return error.view, error.answer
+    except (NotSentError, OutcomeUnknownError) as error:
+        raise _report(error, call.active.sent) from error
+    stack.enter_context(place)
+    return view, answer
+
+
+class ServerFailedError(Exception):
+    """The target answered that it failed; another one may succeed."""
+
+    def __init__(self, view: Assignment, answer: ForwardedAnswer) -> None:
+        super().__init__(f"target {view.id} answered with status {answer.status}")
+        self.view = view
+        self.answer = answer
+
+
+def _forward(
+    call: CallerRequest,
+    view: Assignment,
+    request: OutgoingRequest,
+    watch: Callable[[], AbstractContextManager[None]],
+    on_sent: Callable[[], None],
+    targets: Targets,
+) -> ForwardedAnswer:
+    """Send a request to its place and note what the head of the answer says."""
+    assigned_at = boottime()
+    started: Callable[[], None] | None = None
+
+    def sent() -> None:
+        nonlocal started
+        started = targets.on_start(call.access.workspace, view)
+        on_sent()
+
+    try:
+        answer = forward(view, request, watch, sent, targets.wire)
+    except MisdirectedError:
+        started = None
+        view.cancelled()
+        targets.dispatcher.directory.report_misdirected(view.id)
+        raise
+    except NotSentError as error:
+        started = None
+        if isinstance(error, NotRunError):
+            # A full target works; its load says more than a failure would.
+            view.cancelled()
+        raise
+    finally:
+        if started is not None:
+            started()
+    return evolve(answer, latency=boottime() - assigned_at)
+
+
 def _report(failure: Exception | None, sent: bool) -> Exception:
     """Return what a failure means for the caller."""
     if not sent:
@@ -185,7 +312,9 @@
 
 
 def _watch(
-    call: CallerRequest, view: Assignment
+    call: CallerRequest, view: Assignment, wire: TargetWire
 ) -> Callable[[], AbstractContextManager[None]]:
+    if not wire.probes:
+        return nullcontext
     limit = max(MIN_SILENCE_S, SILENT_PART * call.access.route.timeout)
     return lambda: call.active.waiting_for(view.address, limit)
--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -2,32 +2,48 @@
 
 Evidence decides what a failure means: if no connection was made, nothing of the
 request was sent and it did not run; after that, without a whole answer, the
-outcome is unknown. Every attempt uses a fresh connection, because a reused one may
-be dead and would leave the outcome unknown.
+outcome is unknown, unless the target itself says that the request did not run. A
+request that may run only once uses a fresh connection, because a reused one may be
+dead and would leave the outcome unknown.
 """
 
-from collections.abc import Callable, Iterator
+import enum
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import AbstractContextManager, suppress
 from http.client import HTTPException
 
 import urllib3
-from attrs import define, frozen
+from attrs import define, field, frozen
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
 from ..targets import TargetView
+from ..targets.connections import ConnectionPool
 from ..telemetry import process_clock
 from .bodies import RequestBody
 from .headers import end_to_end, header_values
 from .refusals import OUTCOME_HEADER, OutcomeUnknownError
 
-__all__ = ["ForwardedAnswer", "NotSentError", "OutgoingRequest", "forward"]
+__all__ = [
+    "ForwardedAnswer",
+    "MisdirectedError",
+    "NotRunError",
+    "NotSentError",
+    "OutgoingRequest",
+    "TargetWire",
+    "Verdict",
+    "forward",
+    "hold_body",
+]
 
 CLOCK_HEADER = "X-Mulberryport-Clock"
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 64 * 1024
+REFUSAL_BYTES = 16 * 1024
 BODYLESS_STATUSES = (204, 304)
+# As http.client counts versions.
+HTTP_1_1 = 11
 
 Watch = Callable[[], AbstractContextManager[None]]
 
@@ -36,6 +52,23 @@
     """No connection was made, so the request certainly did not run."""
 
 
+class NotRunError(NotSentError):
+    """The target says that it did not run the request."""
+
+
+class MisdirectedError(NotRunError):
+    """Another target answers at the address; it did not run the request."""
+
+
+class Verdict(enum.Enum):
+    """What the head of a target's answer says."""
+
+    ANSWER = "answer"
+    NOT_RUN = "not run"
+    MISDIRECTED = "another target"
+    FOREIGN = "another request"
+
+
 @frozen
 class OutgoingRequest:
     """A request as a target may see it.
@@ -48,12 +81,55 @@
         Without keys and without headers of the caller's connection.
     body : RequestBody
         Streamed to the target.
+    deadline : float
+        Boot time at which its caller stops to wait.
+    reusable : bool
+        Whether it may be sent on a connection that was used before.
     """
 
     method: str
     target: str
     headers: list[tuple[str, str]]
     body: RequestBody
+    deadline: float = float("inf")
+    reusable: bool = False
+
+
+def _clock_header(request: OutgoingRequest, view: TargetView) -> list[tuple[str, str]]:
+    return [(CLOCK_HEADER, str(process_clock.now()))]
+
+
+@frozen
+class TargetWire:
+    """How targets of one interface are spoken to.
+
+    Parameters
+    ----------
+    attempt_headers : callable
+        Returns headers that are added when a request is sent to a target.
+    verdict : callable
+        Judges the head of a target's answer from the target, the request, and the
+        status and headers of the answer.
+    connections : ConnectionPool or None
+        Connections that are kept for further requests; None for none.
+    unframed : bool
+        Whether an answer may end with its connection instead of a stated length.
+    probes : bool
+        Whether targets can be asked, beside a silent connection, for their queues.
+    """
+
+    attempt_headers: Callable[[OutgoingRequest, TargetView], list[tuple[str, str]]] = (
+        _clock_header
+    )
+    verdict: Callable[
+        [TargetView, OutgoingRequest, int, Mapping[str, str]], Verdict
+    ] = lambda view, request, status, headers: Verdict.ANSWER
+    connections: ConnectionPool | None = None
+    unframed: bool = False
+    probes: bool = True
+
+
+OWN_WIRE = TargetWire()
 
 
 @define
@@ -66,14 +142,17 @@
         Length of the body; None if it is chunked.
     latency : float
         Seconds from the assignment to the head of the answer.
+    held : bool
+        Whether the whole body was received, so that it cannot break off.
     """
 
     status: int
     reason: str
     headers: list[tuple[str, str]]
     length: int | None
-    body: Iterator[bytes]
+    body: Iterator[bytes] = field(repr=False)
     latency: float = 0.0
+    held: bool = False
 
 
 def forward(
@@ -81,6 +160,7 @@
     request: OutgoingRequest,
     watch: Watch,
     on_sent: Callable[[], None],
+    wire: TargetWire = OWN_WIRE,
 ) -> ForwardedAnswer:
     """Send a request to a target and return its answer as it arrives.
 
@@ -94,31 +174,28 @@
         Returns a context that watches a read from the target.
     on_sent : callable
         Called after the connection was made, before the first byte is sent.
+    wire : TargetWire
+        How the target is spoken to.
 
     Raises
     ------
     NotSentError
-        No connection was made; the request did not run.
+        No connection was made, or the target says that the request did not run.
     OutcomeUnknownError
         There is no head of an answer whose completeness can be checked.
     """
-    host, _, port = view.address.rpartition(":")
-    connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
-    try:
-        connection.connect()
-    except (HTTPError, OSError) as error:
-        connection.close()
-        raise NotSentError(f"target {view.id} cannot be reached") from error
+    connection = _connect(view, request, wire.connections)
     on_sent()
     try:
         # The request's deadline ends reads and writes, not a socket timeout.
         connection.timeout = None
         connection.sock.settimeout(None)
-        _send(connection, request)
+        _send(connection, request, wire.attempt_headers(request, view))
         with watch():
             reply = connection.getresponse()
-        return _answer(request, reply, connection, watch)
-    except (HTTPError, HTTPException, OSError) as error:
+        _check_verdict(view, request, reply, connection, wire)
+        return _answer(view, request, reply, connection, watch, wire)
+    except (HTTPError, HTTPException, OSError, ValueError) as error:
         connection.close()
         raise OutcomeUnknownError(
             502, f"the connection to target {view.id} failed"
@@ -128,14 +205,63 @@
         raise
 
 
-def _send(connection: HTTPConnection, request: OutgoingRequest) -> None:
+def hold_body(answer: ForwardedAnswer, limit: int) -> ForwardedAnswer:
+    """Return an answer whose body was received, up to some bytes, before it is used.
+
+    Raises
+    ------
+    OutcomeUnknownError
+        The body broke off within these bytes.
+    """
+    parts: list[bytes] = []
+    size = 0
+    for part in answer.body:
+        parts.append(part)
+        size += len(part)
+        if size >= limit:
+            answer.body = _chain(parts, answer.body)
+            return answer
+    answer.body, answer.held = iter(parts), True
+    return answer
+
+
+def _chain(parts: list[bytes], rest: Iterator[bytes]) -> Iterator[bytes]:
+    yield from parts
+    yield from rest
+
+
+def _connect(
+    view: TargetView, request: OutgoingRequest, connections: ConnectionPool | None
+) -> HTTPConnection:
+    try:
+        if connections is not None:
+            fresh = not request.reusable
+            return connections.take(view.id, view.address, fresh=fresh)[0]
+        host, _, port = view.address.rpartition(":")
+        connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        try:
+            connection.connect()
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+    except (HTTPError, OSError) as error:
+        raise NotSentError(f"target {view.id} cannot be reached") from error
+
+
+def _send(
+    connection: HTTPConnection,
+    request: OutgoingRequest,
+    attempt_headers: list[tuple[str, str]],
+) -> None:
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
+    for name, value in attempt_headers:
+        headers[name] = value
     for name in ("User-Agent", "Accept-Encoding"):
         if name not in headers:
             headers[name] = SKIP_HEADER
-    headers[CLOCK_HEADER] = str(process_clock.now())
     if request.body.length is not None:
         headers["Content-Length"] = str(request.body.length)
         if not request.body.length and request.method in ("GET", "HEAD", "OPTIONS"):
@@ -154,17 +280,52 @@
         )
 
 
+def _check_verdict(
+    view: TargetView,
+    request: OutgoingRequest,
+    reply: urllib3.HTTPResponse,
+    connection: HTTPConnection,
+    wire: TargetWire,
+) -> None:
+    """Raise if the head is no answer to the request, or says that it did not run."""
+    verdict = wire.verdict(view, request, reply.status, reply.headers)
+    if verdict is Verdict.ANSWER:
+        return
+    if verdict is Verdict.FOREIGN:
+        connection.close()
+        raise OutcomeUnknownError(502, f"target {view.id} answered another request")
+    if wire.connections is not None and _drain(reply):
+        _give_back(view, reply, connection, wire.connections)
+    else:
+        connection.close()
+    if verdict is Verdict.MISDIRECTED:
+        raise MisdirectedError(f"target {view.id} is not at its address any more")
+    raise NotRunError(f"target {view.id} did not run the request: {reply.status}")
+
+
+def _drain(reply: urllib3.HTTPResponse) -> bool:
+    """Read the short body of a refusal; return whether the answer is complete."""
+    try:
+        reply.read(REFUSAL_BYTES)
+        return not reply.read1(1)
+    except (HTTPError, HTTPException, OSError):
+        return False
+
+
 def _answer(
+    view: TargetView,
     request: OutgoingRequest,
     reply: urllib3.HTTPResponse,
     connection: HTTPConnection,
     watch: Watch,
+    wire: TargetWire,
 ) -> ForwardedAnswer:
     bodyless = request.method == "HEAD" or reply.status in BODYLESS_STATUSES
     lengths = set(header_values(reply.headers.items(), "content-length"))
     chunked = reply.chunked
     countable = len(lengths) == 1 and next(iter(lengths)).strip().isdigit()
-    if reply.status < 200 or not (bodyless or chunked or countable):
+    framed = bodyless or chunked or countable
+    if reply.status < 200 or not (framed or (wire.unframed and not lengths)):
         # The end of such an answer cannot be told from a broken connection.
         connection.close()
         raise OutcomeUnknownError(502, "the target's answer has no stated length")
@@ -174,29 +335,53 @@
         if name.lower() != OUTCOME_HEADER.lower()
         and not (chunked and name.lower() == "content-length")
     ]
-    length = 0 if bodyless else None if chunked else int(lengths.pop())
+    length = 0 if bodyless else int(lengths.pop()) if countable else None
     return ForwardedAnswer(
         reply.status,
         reply.reason or "",
         headers,
         length,
-        _read_body(reply, connection, watch),
+        _read_body(
+            view, reply, connection, watch, wire.connections if framed else None
+        ),
     )
 
 
 def _read_body(
-    reply: urllib3.HTTPResponse, connection: HTTPConnection, watch: Watch
+    view: TargetView,
+    reply: urllib3.HTTPResponse,
+    connection: HTTPConnection,
+    watch: Watch,
+    connections: ConnectionPool | None,
 ) -> Iterator[bytes]:
     """Yield the body; a truncated body raises and never ends cleanly."""
+    complete = False
     try:
         while True:
             with watch():
                 part = reply.read1(READ_BYTES)
             if not part:
+                complete = True
                 return
             yield part
     except (HTTPError, HTTPException, OSError) as error:
         raise OutcomeUnknownError(502, "the target's answer broke off") from error
     finally:
-        reply.close()
+        if complete and connections is not None:
+            _give_back(view, reply, connection, connections)
+        else:
+            reply.close()
+            connection.close()
+
+
+def _give_back(
+    view: TargetView,
+    reply: urllib3.HTTPResponse,
+    connection: HTTPConnection,
+    connections: ConnectionPool,
+) -> None:
+    closing = "close" in (reply.headers.get("Connection") or "").lower()
+    if closing or reply.version < HTTP_1_1:
         connection.close()
+        return
+    connections.give_back(view.id, connection, reply.headers.get("Keep-Alive") or "")
--- a/mulberryport/gateway/refusals.py
+++ b/mulberryport/gateway/refusals.py
@@ -5,6 +5,7 @@
 otherwise.
 """
 
+import math
 from collections.abc import Iterable
 
 from ..runtime.wsgi import StartResponse, respond
@@ -12,6 +13,8 @@
 __all__ = ["OUTCOME_HEADER", "OutcomeUnknownError", "RefusalError", "refuse"]
 
 OUTCOME_HEADER = "X-Mulberryport-Outcome"
+# Long enough for a target to become free, where nothing better is known.
+RETRY_AFTER_S = 1.0
 
 
 class RefusalError(Exception):
@@ -23,13 +26,18 @@
         HTTP status of the answer.
     message : str
         Why, for the caller.
+    retry_after : float
+        Seconds after which the caller may come again, for statuses that say so.
     """
 
     outcome = "not-run"
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(
+        self, status: int, message: str, retry_after: float = RETRY_AFTER_S
+    ) -> None:
         super().__init__(message)
         self.status = status
+        self.retry_after = retry_after
 
 
 class OutcomeUnknownError(Exception):
@@ -56,6 +64,7 @@
     """Answer with a refusal or failure."""
     body = {"error": str(error), "outcome": error.outcome}
     headers = [(OUTCOME_HEADER, error.outcome)]
-    if error.status in (429, 503):
-        headers.append(("Retry-After", "1"))
+    if isinstance(error, RefusalError) and error.status in (429, 503):
+        # The header field holds whole seconds (RFC 9110, section 10.2.3).
+        headers.append(("Retry-After", str(math.ceil(error.retry_after))))
     return respond(start_response, error.status, body, headers)
--- /dev/null
+++ b/mulberryport/jobs/archive.py
@@ -0,0 +1,315 @@
+"""Jobs in the store.
+
+The head of a job and the key of its owner are below one prefix, which every daemon
+follows; its specification and its results are read only when they are needed. Results
+are appended under the condition that the owner is still the owner, so that a daemon
+that lost a job without knowing it cannot change what was listed.
+"""
+
+from typing import Any
+
+import orjson
+from attrs import define, evolve, frozen
+
+from ..coordination import (
+    Committed,
+    Conflict,
+    Item,
+    KeyValueStore,
+    Put,
+    Transaction,
+)
+from ..outcomes import Done, NotDone, Outcome, Unknown
+from .codec import (
+    decode_job,
+    decode_results,
+    decode_transcripts,
+    encode_job,
+    encode_results,
+    encode_transcripts,
+)
+from .generation import Transcript
+from .model import Job, JobResult
+
+__all__ = [
+    "HEAD_PREFIX",
+    "LIVE_PREFIX",
+    "OWNER_PREFIX",
+    "JobArchive",
+    "JobHead",
+    "decode_head",
+]
+
+LIVE_PREFIX = "mulberryport/live/"
+HEAD_PREFIX = LIVE_PREFIX + "job/"
+OWNER_PREFIX = LIVE_PREFIX + "owner/"
+SPEC_PREFIX = "mulberryport/spec/"
+RESULTS_PREFIX = "mulberryport/results/"
+PARTIAL_PREFIX = "mulberryport/partial/"
+# The store takes values of 1 MB; base64 text of this many bytes stays below it.
+CHUNK_BYTES = 700_000
+# The store takes transactions of 32 entries; three are not chunks.
+MAX_CHUNKS = 28
+
+OPEN, ENDED, FINISHED = "open", "ended", "finished"
+
+
+@frozen(kw_only=True)
+class JobHead:
+    """What every daemon knows of a job.
+
+    Parameters
+    ----------
+    workspace, route : str
+        Whose job it is, and the route that admitted it.
+    total : int
+        Number of its items.
+    submitted_at : float
+        Seconds since 1970 by the fleet's clock.
+    state : {'open', 'ended', 'finished'}
+        Whether results may still be added.
+    model : str
+        Model of its items.
+    oldest_version : int
+        Oldest weight version that it accepts; 0 for any.
+    revision : int
+        Revision of the store at which the head was written.
+    """
+
+    workspace: str
+    route: str
+    total: int
+    submitted_at: float
+    state: str = OPEN
+    model: str = ""
+    oldest_version: int = 0
+    revision: int = 0
+
+    @property
+    def open(self) -> bool:
+        """Whether results may still be added."""
+        return self.state == OPEN
+
+
+def decode_head(item: Item) -> JobHead:
+    """Return a head from its item in the store.
+
+    Raises
+    ------
+    ValueError
+        The value is no head.
+    """
+    try:
+        return JobHead(**orjson.loads(item.value), revision=item.revision)
+    except (TypeError, AttributeError) as error:
+        raise ValueError(f"not the head of a job: {error!r}") from error
+
+
+def _encode_head(head: JobHead) -> bytes:
+    values: dict[str, Any] = {
+        "workspace": head.workspace,
+        "route": head.route,
+        "total": head.total,
+        "submitted_at": head.submitted_at,
+        "state": head.state,
+        "model": head.model,
+        "oldest_version": head.oldest_version,
+    }
+    return orjson.dumps(values)
+
+
+@define(eq=False)
+class JobArchive:
+    """Reads and writes jobs.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        Where they are kept.
+    """
+
+    store: KeyValueStore
+
+    def create(
+        self, job: Job, holder: str, lease: int
+    ) -> Outcome[tuple[JobHead, int] | Conflict]:
+        """Keep a new job, owned by a session, or by nobody yet without a lease.
+
+        Returns
+        -------
+        Done of (JobHead, int), Done of Conflict, NotDone or Unknown
+            The head and the revision of the ownership; a conflict if the job exists
+            or the session has ended.
+        """
+        head = JobHead(
+            workspace=job.workspace,
+            route=job.route,
+            total=len(job.items),
+            submitted_at=job.submitted_at,
+            model=next((item.model for item in job.items), ""),
+            oldest_version=job.oldest_version,
+        )
+        content = encode_job(job)
+        chunks = [
+            content[start : start + CHUNK_BYTES]
+            for start in range(0, len(content), CHUNK_BYTES)
+        ]
+        if len(chunks) > MAX_CHUNKS:
+            return NotDone(f"job {job.id} has {len(content)} bytes")
+        head_key = HEAD_PREFIX + job.id
+        puts = (
+            Put(head_key, _encode_head(head)),
+            *([Put(OWNER_PREFIX + job.id, holder.encode(), lease)] if lease else []),
+            *(
+                Put(f"{SPEC_PREFIX}{job.id}/{number:04}", chunk)
+                for number, chunk in enumerate(chunks)
+            ),
+        )
+        outcome = self.store.commit(Transaction(expected={head_key: 0}, puts=puts))
+        if not isinstance(outcome, Done) or isinstance(outcome.value, Conflict):
+            return outcome
+        revision = outcome.value.revision
+        return Done((evolve(head, revision=revision), revision))
+
+    def read_head(self, job_id: str) -> Outcome[JobHead | None]:
+        """Return the head of a job; ``Done(None)`` if there certainly is none."""
+        outcome = self.store.read(HEAD_PREFIX + job_id)
+        if not isinstance(outcome, Done) or outcome.value is None:
+            return outcome
+        return _decoded(decode_head, outcome.value)
+
+    def read_job(self, job_id: str) -> Outcome[Job]:
+        """Return the specification of a job."""
+        outcome = self.store.list(f"{SPEC_PREFIX}{job_id}/")
+        if not isinstance(outcome, Done):
+            return outcome
+        chunks = sorted(outcome.value.items, key=lambda item: item.key)
+        if not chunks:
+            return NotDone(f"job {job_id} has no specification")
+        return _decoded(decode_job, b"".join(chunk.value for chunk in chunks))
+
+    def read_results(self, job_id: str) -> Outcome[list[JobResult]]:
+        """Return all results of a job that are listed."""
+        outcome = self.store.list(f"{RESULTS_PREFIX}{job_id}/")
+        if not isinstance(outcome, Done):
+            return outcome
+        commits = sorted(outcome.value.items, key=lambda item: item.key)
+        results: list[JobResult] = []
+        for commit in commits:
+            # Pages of a listing are not a snapshot: a gap hides what follows it.
+            if int(commit.key.rpartition("/")[2]) != len(results):
+                break
+            decoded = _decoded(decode_results, commit.value)
+            if not isinstance(decoded, Done):
+                return decoded
+            results.extend(decoded.value)
+        return Done(results)
+
+    def read_transcripts(self, job_id: str) -> Outcome[dict[str, Transcript]]:
+        """Return the unfinished texts that an owner before left."""
+        outcome = self.store.read(PARTIAL_PREFIX + job_id)
+        if not isinstance(outcome, Done):
+            return outcome
+        if outcome.value is None:
+            return Done({})
+        return _decoded(decode_transcripts, outcome.value.value)
+
+    def claim(self, job_id: str, holder: str, lease: int) -> Outcome[int | None]:
+        """Become the owner of an open job that has none.
+
+        Returns
+        -------
+        Done of int, Done of None, NotDone or Unknown
+            The revision of the ownership; None if the job has an owner.
+        """
+        owner_key = OWNER_PREFIX + job_id
+        outcome = self.store.commit(
+            Transaction(
+                expected={owner_key: 0},
+                puts=(Put(owner_key, holder.encode(), lease),),
+            )
+        )
+        if not isinstance(outcome, Done):
+            return outcome
+        if isinstance(outcome.value, Committed):
+            return Done(outcome.value.revision)
+        return Done(None)
+
+    def append(
+        self,
+        job_id: str,
+        ownership: int,
+        position: int,
+        results: list[JobResult],
+        finished: JobHead | None,
+    ) -> Outcome[Committed | Conflict]:
+        """List results from a position on; repeating the call changes nothing.
+
+        Parameters
+        ----------
+        ownership : int
+            Revision at which this daemon became the owner.
+        finished : JobHead or None
+            The head of the job, if these are its last results.
+        """
+        owner_key, head_key = OWNER_PREFIX + job_id, HEAD_PREFIX + job_id
+        key = f"{RESULTS_PREFIX}{job_id}/{position:08}"
+        puts = [Put(key, encode_results(results))]
+        expected = {owner_key: ownership}
+        removes: tuple[str, ...] = ()
+        if finished is not None:
+            puts.append(Put(head_key, _encode_head(evolve(finished, state=FINISHED))))
+            expected[head_key] = finished.revision
+            removes = (owner_key,)
+        return self.store.commit(
+            Transaction(expected=expected, puts=tuple(puts), removes=removes)
+        )
+
+    def release(
+        self, job_id: str, ownership: int, transcripts: dict[str, Transcript]
+    ) -> Outcome[Committed | Conflict]:
+        """Leave a job to another daemon, with its unfinished texts."""
+        content = encode_transcripts(transcripts)
+        puts = (Put(PARTIAL_PREFIX + job_id, content),)
+        return self.store.commit(
+            Transaction(
+                expected={OWNER_PREFIX + job_id: ownership},
+                puts=puts if len(content) <= CHUNK_BYTES else (),
+                removes=(OWNER_PREFIX + job_id,),
+            )
+        )
+
+    def end(self, job_id: str, head: JobHead) -> Outcome[Committed | Conflict]:
+        """End a job: nothing is listed any more, and nobody owns it."""
+        head_key = HEAD_PREFIX + job_id
+        return self.store.commit(
+            Transaction(
+                expected={head_key: head.revision},
+                puts=(Put(head_key, _encode_head(evolve(head, state=ENDED))),),
+                removes=(OWNER_PREFIX + job_id,),
+            )
+        )
+
+    def forget(self, job_id: str) -> Outcome[Committed | Conflict]:
+        """Remove all that is kept of a job."""
+        keys = [HEAD_PREFIX + job_id, PARTIAL_PREFIX + job_id]
+        for prefix in (SPEC_PREFIX, RESULTS_PREFIX):
+            outcome = self.store.list(f"{prefix}{job_id}/")
+            if not isinstance(outcome, Done):
+                return outcome
+            keys.extend(item.key for item in outcome.value.items)
+        outcome: Any = Done(Committed(0))
+        # The head goes last, so that a job is never half there.
+        for start in range(0, len(keys), MAX_CHUNKS):
+            part = tuple(reversed(keys))[start : start + MAX_CHUNKS]
+            outcome = self.store.commit(Transaction(removes=part))
+            if not isinstance(outcome, Done):
+                return outcome
+        return outcome
+
+
+def _decoded(decode: Any, content: Any) -> Outcome[Any]:
+    try:
+        return Done(decode(content))
+    except ValueError as error:
+        return Unknown(f"malformed value in the store: {error}")
--- /dev/null
+++ b/mulberryport/orders/fleet.py
@@ -0,0 +1,109 @@
+"""Orders of targets for pools that share one control duty.
+
+``wanted_orders`` is the policy and ``FleetOrders`` sends what changed.
+"""
+
+from collections.abc import Callable, Iterable
+
+from attrs import define, field, frozen
+
+from ..coordination import SessionDuty
+from ..leases import LeaseLostError
+from ..outcomes import Done, Outcome
+from ..runtime.clock import boottime
+from ..tables import Pool
+from ..telemetry import define as define_event
+from ..telemetry import log
+
+__all__ = ["FleetOrders", "ZoneOrder", "wanted_orders"]
+
+TARGETS_ORDERED = define_event(
+    1220, "targets_ordered", "info", "The number of targets of a zone was ordered."
+)
+ORDER_REFUSED = define_event(
+    1221, "target_order_refused", "warning", "An order of targets was refused or lost."
+)
+
+RETRY_S = 2.0
+
+
+@frozen
+class ZoneOrder:
+    """The wanted number of targets of a pool in a zone.
+
+    Parameters
+    ----------
+    cheap : bool
+        Whether they may be reclaimed at short notice.
+    """
+
+    pool: str
+    zone: str
+    count: int
+    cheap: bool = False
+
+
+def wanted_orders(pool: Pool) -> list[ZoneOrder]:
+    """Return the orders for a pool.
+
+    On-demand targets in all zones, so that losing a zone or the cheap targets takes
+    no more than a part of the pool away.
+
+    Examples
+    --------
+    >>> pool = Pool(name="p", kind="model-engine", zones=("a", "b"), maximum=2)
+    >>> [(order.zone, order.count) for order in wanted_orders(pool)]
+    [('a', 2), ('b', 2)]
+    """
+    if not pool.maximum:
+        return []
+    return [ZoneOrder(pool.name, zone, pool.maximum) for zone in pool.zones]
+
+
+@define(eq=False)
+class FleetOrders:
+    """Sends orders while the duty is held.
+
+    Parameters
+    ----------
+    duty : SessionDuty
+        The duty of ordering.
+    pools : callable
+        Returns the pools.
+    send : callable
+        Sends an order; false if it was refused.
+    """
+
+    duty: SessionDuty
+    pools: Callable[[], Iterable[Pool]]
+    send: Callable[[ZoneOrder], Outcome[bool]]
+    _term: int = 0
+    _sent: dict[tuple[str, str, bool], int] = field(factory=dict)
+    _retry_at: dict[tuple[str, str, bool], float] = field(factory=dict)
+
+    def turn(self) -> None:
+        """Send the orders that differ from what was ordered before."""
+        if not self.duty.active:
+            return
+        if self._term != self.duty.fencing:
+            self._term = self.duty.fencing
+            self._sent.clear()
+        for pool in self.pools():
+            for order in wanted_orders(pool):
+                key = (order.pool, order.zone, order.cheap)
+                due = boottime() >= self._retry_at.get(key, 0.0)
+                if due and self._sent.get(key) != order.count:
+                    self._send(key, order)
+
+    def _send(self, key: tuple[str, str, bool], order: ZoneOrder) -> None:
+        try:
+            outcome = self.send(order)
+        except LeaseLostError:
+            return
+        if isinstance(outcome, Done) and outcome.value:
+            self._sent[key] = order.count
+            log(TARGETS_ORDERED, pool=order.pool, order_zone=order.zone, n=order.count)
+            return
+        self._retry_at[key] = boottime() + RETRY_S
+        reason = "refused" if isinstance(outcome, Done) else outcome.reason
+        log(ORDER_REFUSED, pool=order.pool, order_zone=order.zone, reason=reason)
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -58,6 +58,18 @@
     async def CompleteIdempotency(self, stream: 'grpclib.server.Stream[peer_pb2.CompleteIdempotencyRequest, peer_pb2.Ack]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def CallStore(self, stream: 'grpclib.server.Stream[peer_pb2.CallStoreRequest, peer_pb2.CallStoreReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ReadJob(self, stream: 'grpclib.server.Stream[peer_pb2.ReadJobRequest, peer_pb2.ReadJobReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def StopJob(self, stream: 'grpclib.server.Stream[peer_pb2.StopJobRequest, peer_pb2.Ack]') -> None:
+        pass
+
     @abc.abstractmethod
     async def HandOverIdempotency(self, stream: 'grpclib.server.Stream[peer_pb2.HandOverIdempotencyRequest, peer_pb2.Ack]') -> None:
         pass
@@ -130,6 +142,24 @@
                 peer_pb2.CompleteIdempotencyRequest,
                 peer_pb2.Ack,
             ),
+            '/mulberryport.peer.Peer/CallStore': grpclib.const.Handler(
+                self.CallStore,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.CallStoreRequest,
+                peer_pb2.CallStoreReply,
+            ),
+            '/mulberryport.peer.Peer/ReadJob': grpclib.const.Handler(
+                self.ReadJob,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.ReadJobRequest,
+                peer_pb2.ReadJobReply,
+            ),
+            '/mulberryport.peer.Peer/StopJob': grpclib.const.Handler(
+                self.StopJob,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.StopJobRequest,
+                peer_pb2.Ack,
+            ),
             '/mulberryport.peer.Peer/HandOverIdempotency': grpclib.const.Handler(
                 self.HandOverIdempotency,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -208,6 +238,24 @@
             peer_pb2.CompleteIdempotencyRequest,
             peer_pb2.Ack,
         )
+        self.CallStore = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/CallStore',
+            peer_pb2.CallStoreRequest,
+            peer_pb2.CallStoreReply,
+        )
+        self.ReadJob = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/ReadJob',
+            peer_pb2.ReadJobRequest,
+            peer_pb2.ReadJobReply,
+        )
+        self.StopJob = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/StopJob',
+            peer_pb2.StopJobRequest,
+            peer_pb2.Ack,
+        )
         self.HandOverIdempotency = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/HandOverIdempotency',
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -135,3 +135,6 @@
     ClaimIdempotency = _unary("ClaimIdempotency")
     CompleteIdempotency = _unary("CompleteIdempotency")
     HandOverIdempotency = _unary("HandOverIdempotency")
+    CallStore = _unary("CallStore")
+    ReadJob = _unary("ReadJob")
+    StopJob = _unary("StopJob")
--- /dev/null
+++ b/mulberryport/platform/daemon.py
@@ -0,0 +1,411 @@
+"""An entry daemon on the platform, assembled from its settings."""
+
+import signal
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+import eventlet
+import eventlet.event
+from attrs import define, field
+
+from ..coordination import Change, Mirror, Session, SessionDuty
+from ..daemon.heartbeats import Heartbeats
+from ..gateway import CallerServer, Gateway, RequestEndedError
+from ..jobs import JobService, Ports
+from ..jobs.archive import LIVE_PREFIX
+from ..membership import (
+    HEARTBEAT_PERIOD_S,
+    FleetClock,
+    Member,
+    Members,
+    new_incarnation,
+    rendezvous_order,
+)
+from ..orders.fleet import FleetOrders
+from ..outcomes import Done
+from ..peering import Peers, PeerServer, peer_pb2
+from ..routing import TargetView
+from ..runtime import TimerService
+from ..runtime.clock import wall_time
+from ..runtime.wsgi import StartResponse, listen, respond, serve
+from ..tables import SnapshotHolder
+from ..targets import Dispatcher, TargetDirectory
+from ..targets.connections import ConnectionPool
+from ..targets.demand import add_demand, take_demand
+from ..telemetry import configure, log
+from ..telemetry import define as define_event
+from ..telemetry.metrics import render
+from ..usage import UsageCounters, UsageReplicator
+from ..usage.ledger import UsageLedger
+from ..usage.messages import from_message
+from ..weights.rotation import WeightRotation
+from . import names
+from .batches import BatchInterface
+from .configuration import CONFIGURATION_KEY, decode_configuration
+from .control import CONTROL_PREFIX, ControlCalls, announced_versions
+from .engines import Engines
+from .ingress import make_wire, platform_dialect
+from .registrations import REGISTRATIONS_PREFIX, Registrations
+from .relays import StoreWitnesses
+from .settings import EntrySettings, load_entry_settings
+from .store import PlatformStore
+
+__all__ = ["EntryDaemon"]
+
+ENTRY_STARTED = define_event(1440, "entry_started", "info", "Requests are taken.")
+ENTRY_STOPPING = define_event(
+    1441, "entry_stopping", "info", "A graceful shutdown began."
+)
+ENTRY_STOPPED = define_event(1442, "entry_stopped", "info", "The daemon stops now.")
+SETTINGS_RELOADED = define_event(
+    1443, "settings_reloaded", "info", "The settings file was read again."
+)
+CONFIGURATION_REFUSED = define_event(
+    1411,
+    "configuration_malformed",
+    "error",
+    "The configuration is malformed.",
+)
+READY = define_event(1444, "readiness_changed", "info", "Readiness changed.")
+
+CONTROL_PERIOD_S = 0.2
+JOBS_PERIOD_S = 0.2
+QUEUE_PERIOD_S = 0.1
+REQUESTS_PERIOD_S = 0.15
+REGISTRATIONS_PERIOD_S = 0.5
+CONNECTIONS_PERIOD_S = 1.0
+USAGE_PERIOD_S = 1.0
+COLLECT_TIMEOUT_S = 1.5
+# The balancer asks once a second and needs two misses.
+DRAIN_DELAY_S = 3.0
+# Left of the grace time for the end of requests that are broken off.
+BREAK_MARGIN_S = 1.5
+# Daemons contend for the free duty in rendezvous order, this long after each other.
+DUTY_STAGGER_S = 0.3
+MOST_STAGGERS = 6
+CONTROL_DUTY = "control"
+# The peer port accepts calls of the project's own daemons only.
+PEER_TOKEN = "mulberryport-entry-peers"
+
+
+@define(eq=False)
+class EntryDaemon:
+    """All parts of one entry daemon.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    settings_file : str
+        Where they came from, for reloads.
+    """
+
+    settings: EntrySettings
+    settings_file: str = ""
+    timers: TimerService = field(factory=TimerService)
+    holder: SnapshotHolder = field(factory=SnapshotHolder)
+    directory: TargetDirectory = field(factory=TargetDirectory)
+    clock: FleetClock = field(factory=FleetClock)
+    members: Members = field(init=False)
+    store: PlatformStore = field(init=False)
+    session: Session = field(init=False)
+    operator_keys: Mirror = field(init=False)
+    live_keys: Mirror = field(init=False)
+    registrations: Registrations = field(init=False)
+    peers: Peers = field(init=False)
+    peer_server: PeerServer = field(init=False)
+    dispatcher: Dispatcher = field(init=False)
+    counters: UsageCounters = field(init=False)
+    replicator: UsageReplicator = field(init=False)
+    connections: ConnectionPool = field(factory=ConnectionPool)
+    jobs: JobService = field(init=False)
+    duty: SessionDuty = field(init=False)
+    gateway: Gateway = field(init=False)
+    caller_server: CallerServer = field(init=False)
+    _stopping: bool = False
+    _was_ready: bool = False
+    _stopped: eventlet.event.Event = field(factory=eventlet.event.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Connect the parts; nothing starts yet."""
+        self._connect_peers()
+        self._connect_state()
+        self._connect_work()
+
+    def run(self) -> None:
+        """Serve until a signal asks for a stop."""
+        vm = self.settings.vm
+        configure(vm.id, sys.stdout.buffer, vm.log_level)
+        signal.signal(signal.SIGTERM, self._on_stop_signal)
+        signal.signal(signal.SIGINT, self._on_stop_signal)
+        signal.signal(signal.SIGHUP, self._on_reload_signal)
+        self.peer_server.start()
+        self.peers.update()
+        for mirror in (self.operator_keys, self.registrations.mirror, self.live_keys):
+            mirror.start()
+        self.session.start()
+        self._subscribe()
+        serve(listen(vm.readiness_address), self._serve_readiness)
+        if vm.metrics_port:
+            host = vm.readiness_address.rpartition(":")[0]
+            serve(listen(f"{host}:{vm.metrics_port}"), _serve_metrics)
+        self.caller_server = CallerServer(listen(vm.caller_address), self.gateway)
+        self.caller_server.start()
+        log(ENTRY_STARTED, zone=vm.zone, caller_address=vm.caller_address)
+        self._stopped.wait()
+
+    def stop(self) -> None:
+        """Stop gracefully: pass jobs and duties on, finish requests, then exit."""
+        if self._stopping:
+            return
+        self._stopping = True
+        log(ENTRY_STOPPING)
+        self.members.leave()
+        self.gateway.close_connections()
+        eventlet.spawn_n(self.jobs.hand_over)
+        eventlet.sleep(DRAIN_DELAY_S)
+        self.caller_server.stop_accepting()
+        self.gateway.refuse_requests()
+        left = self.settings.vm.grace - DRAIN_DELAY_S - BREAK_MARGIN_S
+        if not self.caller_server.wait_idle(max(0.1, left)):
+            self.gateway.active.end_all(
+                RequestEndedError(503, "this daemon is stopping")
+            )
+            self.caller_server.wait_idle(BREAK_MARGIN_S / 3)
+        self.replicator.flush(BREAK_MARGIN_S / 3)
+        self.timers.stop()
+        with eventlet.Timeout(BREAK_MARGIN_S / 3, False):
+            self.session.close()
+        log(ENTRY_STOPPED)
+        self._stopped.send(True)
+
+    def not_ready_reasons(self) -> list[str]:
+        """Return why requests should not be sent here; empty if they may be."""
+        reasons = []
+        if self._stopping:
+            reasons.append("the daemon is stopping")
+        if not self.holder.snapshot.revision:
+            reasons.append("no configuration was received yet")
+        if not self.registrations.mirror.loaded:
+            reasons.append("no targets were received yet")
+        return reasons
+
+    def _connect_peers(self) -> None:
+        vm = self.settings.vm
+        self.members = Members(
+            Member(vm.id, vm.zone, vm.peer_address, new_incarnation())
+        )
+        for seed in self.settings.peers.seeds:
+            if seed.peer_address != vm.peer_address:
+                self.members.add_seed(seed.vm, seed.zone, seed.peer_address)
+        self.store = PlatformStore(self.settings.platform.store)
+        witnesses = StoreWitnesses(self.store, self.members)
+        heartbeats = Heartbeats(self.members, self.holder, witnesses)
+        self.peers = Peers(self.members, PEER_TOKEN, heartbeats.make, heartbeats.take)
+        heartbeats.peers = self.store.peers = self.peers
+        self.store.relays = witnesses.relays
+        self.peer_server = PeerServer(vm.peer_address, PEER_TOKEN)
+        self.peer_server.register("Exchange", heartbeats.answer)
+        self.store.register(self.peer_server)
+        self.dispatcher = Dispatcher(self.directory, vm.zone)
+        heartbeats.contributors += [
+            lambda heartbeat, peer: add_demand(heartbeat, self.dispatcher),
+            _add_wall_time,
+        ]
+        heartbeats.listeners += [
+            lambda heartbeat: take_demand(heartbeat, self.dispatcher),
+            lambda heartbeat: self.clock.heard(heartbeat.sender.vm, heartbeat.wall),
+        ]
+
+    def _connect_state(self) -> None:
+        self.session = Session(self.store)
+        self.operator_keys = Mirror(self.store, CONTROL_PREFIX)
+        self.live_keys = Mirror(self.store, LIVE_PREFIX)
+        self.registrations = Registrations(
+            Mirror(self.store, REGISTRATIONS_PREFIX),
+            self.directory,
+            self.dispatcher.refresh,
+        )
+        self.registrations.start()
+        self.operator_keys.subscribe(self._on_operator_change)
+        self.holder.subscribe(self.directory.use_snapshot)
+        self.holder.subscribe(self.dispatcher.use_snapshot)
+        member = self.members.self_member
+        self.duty = SessionDuty(
+            f"{LIVE_PREFIX}duty/{CONTROL_DUTY}",
+            f"{member.vm} {member.incarnation}",
+            self.store,
+            self.live_keys,
+            self.session,
+            settle=self.settings.platform.lease_ms / 1000,
+            patience=self._duty_patience,
+        )
+
+    def _connect_work(self) -> None:
+        vm, usage = self.settings.vm, self.settings.usage
+        self.counters = UsageCounters(
+            vm.id,
+            self.members.self_member.incarnation,
+            usage.window,
+            now=self.clock.now,
+        )
+        # Answers do not wait for the replicas; two of them lose little.
+        self.replicator = UsageReplicator(
+            self.counters, self.members, self.peers, max_wait=0.0
+        )
+        self.replicator.register(self.peer_server)
+        engines = Engines(self.directory, self.connections)
+        self.jobs = JobService(
+            self.store,
+            self.live_keys,
+            self.session,
+            self.members,
+            self.peers,
+            self.dispatcher,
+            lambda: self.holder.snapshot.tables,
+            Ports(generate=engines.generate, score=engines.score),
+            self.clock.now,
+            self.settings.platform.retention,
+        )
+        self.jobs.register(self.peer_server)
+        batches = BatchInterface(self.holder, self.jobs, self.clock.now)
+        self.gateway = Gateway(
+            self.holder,
+            self.dispatcher,
+            self.counters,
+            lambda: True,
+            lambda environ, start_response: [],
+            may_retry=self.dispatcher.may_retry,
+            dialect=platform_dialect(
+                make_wire(self.directory, self.connections),
+                batches.intercept,
+                batches.submit,
+            ),
+        )
+
+    def _subscribe(self) -> None:
+        calls = ControlCalls(
+            self.settings.vm.id,
+            self.duty,
+            self.settings.platform.cloud,
+            self.store,
+            self.operator_keys,
+        )
+        rotation = WeightRotation(
+            self.duty,
+            self._engines_of,
+            lambda: announced_versions(self.operator_keys),
+            self.jobs.required_version,
+            calls.order_load,
+        )
+        orders = FleetOrders(self.duty, self.directory.pools, calls.scale)
+        ledger = UsageLedger(
+            self.store,
+            self.duty,
+            self.counters,
+            self._collect_usage,
+            calls.report_usage,
+        )
+        subscribe = self.timers.subscribe
+        subscribe("peers", HEARTBEAT_PERIOD_S, self.peers.update)
+        subscribe("members", HEARTBEAT_PERIOD_S, self.members.expire)
+        subscribe("queues", QUEUE_PERIOD_S, self.dispatcher.refresh)
+        subscribe("requests", REQUESTS_PERIOD_S, self.gateway.active.check)
+        subscribe("registrations", REGISTRATIONS_PERIOD_S, self.registrations.turn)
+        subscribe("connections", CONNECTIONS_PERIOD_S, self.connections.expire)
+        subscribe("duty", CONTROL_PERIOD_S, self.duty.turn)
+        subscribe("jobs", JOBS_PERIOD_S, self.jobs.turn)
+        subscribe("weights", CONTROL_PERIOD_S, rotation.turn)
+        subscribe("orders", CONTROL_PERIOD_S, orders.turn)
+        subscribe("storage", CONTROL_PERIOD_S, calls.release_storage)
+        subscribe("usage replicas", USAGE_PERIOD_S, self.replicator.turn)
+        subscribe("usage", USAGE_PERIOD_S, ledger.turn)
+
+    def _duty_patience(self) -> float:
+        """Return how long to leave the free duty to other members."""
+        if self._stopping:
+            return float("inf")
+        live = [m for m in self.members.live() if not m.leaving]
+        order = [member.vm for member in rendezvous_order(CONTROL_DUTY, live)]
+        vm = self.settings.vm.id
+        rank = order.index(vm) if vm in order else MOST_STAGGERS
+        return DUTY_STAGGER_S * min(rank, MOST_STAGGERS)
+
+    def _engines_of(self, model: str) -> list[TargetView]:
+        return [
+            view
+            for pool in self.directory.pools()
+            if model in pool.models
+            for view in self.directory.views(pool.name)
+        ]
+
+    def _collect_usage(self, first: int, last: int) -> list[Any]:
+        """Return the counters of all other members, asked side by side."""
+        pool = eventlet.GreenPool()
+        request = {"from_window": max(0, first), "up_to_window": last, "shards": 1}
+        outcomes = pool.imap(
+            lambda member: self.peers.call(
+                member.vm,
+                "CollectUsage",
+                peer_pb2.CollectUsageRequest(**request),
+                COLLECT_TIMEOUT_S,
+            ),
+            self.members.live()[1:],
+        )
+        return [
+            from_message(counter)
+            for outcome in outcomes
+            if isinstance(outcome, Done)
+            for counter in outcome.value.counters
+        ]
+
+    def _on_operator_change(self, change: Change) -> None:
+        if change.key != CONFIGURATION_KEY or change.item is None:
+            return
+        try:
+            snapshot = decode_configuration(change.item.value)
+        except ValueError as error:
+            log(CONFIGURATION_REFUSED, revision=change.revision, error=str(error))
+            return
+        self.holder.adopt(snapshot, {})
+
+    def _serve_readiness(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] != names.READINESS_PATH:
+            return respond(start_response, 404, {"error": "no such path"})
+        reasons = self.not_ready_reasons()
+        ready = not reasons
+        if ready != self._was_ready:
+            log(READY, ready=ready, reasons=reasons)
+            self._was_ready = ready
+        return respond(start_response, 200 if ready else 503, {"reasons": reasons})
+
+    def _on_stop_signal(self, *_: object) -> None:
+        eventlet.spawn_n(self.stop)
+
+    def _on_reload_signal(self, *_: object) -> None:
+        eventlet.spawn_n(self._reload)
+
+    def _reload(self) -> None:
+        """Check the settings file; addresses and identity stay as they are."""
+        try:
+            settings = load_entry_settings(self.settings_file)
+        except ExceptionGroup as error:
+            log(SETTINGS_RELOADED, accepted=False, error=str(error))
+            return
+        configure(settings.vm.id, sys.stdout.buffer, settings.vm.log_level)
+        log(SETTINGS_RELOADED, accepted=True)
+
+
+def _add_wall_time(heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
+    heartbeat.wall = wall_time()
+
+
+def _serve_metrics(
+    environ: dict[str, Any], start_response: StartResponse
+) -> Iterable[bytes]:
+    content, content_type = render()
+    start_response("200 OK", [("Content-Type", content_type)])
+    return [content]
--- /dev/null
+++ b/mulberryport/platform/settings.py
@@ -0,0 +1,137 @@
+"""Settings of a daemon on the platform.
+
+They are the INI text that the platform renders from ``deploy/entry.ini``, or from
+``deploy/storage.ini`` for the storage VMs.
+"""
+
+from pathlib import Path
+
+from attrs import field, frozen
+
+from ..settings import InvalidFileError, Seed
+from ..settings.errors import FileFault
+from ..settings.ini import (
+    address,
+    choice,
+    identifier,
+    listing,
+    number,
+    option,
+    read_sections,
+    structure_section,
+    switch,
+)
+from ..settings.model import ADDRESS, NAME, parse_seed
+
+__all__ = ["EntrySettings", "load_entry_settings", "parse_entry_settings"]
+
+SECONDS = "seconds from 0 to 3600"
+
+
+@frozen(kw_only=True)
+class EntryVm:
+    """Section ``[vm]``: identity and addresses of the daemon."""
+
+    id: str = option(identifier, NAME)
+    zone: str = option(identifier, NAME)
+    caller_address: str = option(address, ADDRESS)
+    readiness_address: str = option(address, ADDRESS)
+    peer_address: str = option(address, ADDRESS)
+    # Port of the metrics on the VM's own address; 0 for none.
+    metrics_port: int = option(number(0, 65535, int), "a port, or 0", default=0)
+    log_level: str = option(
+        choice("debug", "info", "warning", "error"),
+        "debug, info, warning or error",
+        default="info",
+    )
+    # Seconds from SIGTERM to SIGKILL.
+    grace: float = option(number(0, 3600), SECONDS, default=8.0)
+
+
+@frozen(kw_only=True)
+class EntryPlatform:
+    """Section ``[platform]``: addresses of the platform's interfaces."""
+
+    store: str = option(address, ADDRESS)
+    cloud: str = option(address, ADDRESS)
+    requires_fence: bool = option(switch, "yes or no", default=False)
+    # Milliseconds in which two holders of a duty must not take turns.
+    lease_ms: float = option(number(0, 3.6e6), "milliseconds", default=3000.0)
+    # Seconds for which batch jobs are kept.
+    retention: float = option(number(0, 86400), "seconds", default=120.0)
+
+
+@frozen(kw_only=True)
+class EntryUsage:
+    """Section ``[usage]``: windows of the usage reports."""
+
+    window: int = option(number(1, 86400, int), "seconds from 1 to 86400", default=5)
+    # Seconds after the end of a window until which its report is in time.
+    late: float = option(number(0, 3600), SECONDS, default=10.0)
+
+
+@frozen(kw_only=True)
+class EntryPeers:
+    """Section ``[peers]``: the daemons known at start."""
+
+    seeds: tuple[Seed, ...] = option(
+        listing(parse_seed), "lines of: VM ID, ZONE, ADDRESS", default=()
+    )
+
+
+@frozen
+class EntrySettings:
+    """All settings of a daemon on the platform."""
+
+    vm: EntryVm
+    platform: EntryPlatform
+    usage: EntryUsage = field(factory=EntryUsage)
+    peers: EntryPeers = field(factory=EntryPeers)
+
+
+SECTIONS = {
+    "vm": EntryVm,
+    "platform": EntryPlatform,
+    "usage": EntryUsage,
+    "peers": EntryPeers,
+}
+
+
+def parse_entry_settings(content: str, file: str) -> EntrySettings:
+    """Read settings from INI text.
+
+    Raises
+    ------
+    InvalidFileError
+        An exception group with every fault of the text.
+    """
+    sections, faults = read_sections(content, file)
+    parts = {}
+    for name, cls in SECTIONS.items():
+        parts[name], found = structure_section(
+            cls, sections.pop(name, {}), file=file, section=name
+        )
+        faults.extend(found)
+    for name in sections:
+        accepted = ", ".join(SECTIONS)
+        message = f"unknown section; accepted sections: {accepted}"
+        faults.append(FileFault(file, name, "", message))
+    if faults:
+        raise InvalidFileError.of(faults)
+    return EntrySettings(**parts)
+
+
+def load_entry_settings(path: str | Path) -> EntrySettings:
+    """Read settings from a file.
+
+    Raises
+    ------
+    InvalidFileError
+        The file cannot be read or has faults.
+    """
+    try:
+        content = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        fault = FileFault(str(path), "", "", f"cannot be read: {error}")
+        raise InvalidFileError.of([fault]) from error
+    return parse_entry_settings(content, str(path))
--- a/mulberryport/rollouts/replicas.py
+++ b/mulberryport/rollouts/replicas.py
@@ -14,9 +14,9 @@
 from ..outcomes import Done, Outcome
 from ..peering import Peers, peer_pb2
 from ..runtime.clock import boottime
+from ..runtime.signals import Signal
 from .messages import sample_to_message, spec_to_message
 from .model import Sample, StepId, StepSpec
-from .signals import Signal
 from .step import InvalidPullError, StepState
 
 __all__ = ["ReplicaStore", "Replicator", "batches", "send_samples"]
--- a/mulberryport/rollouts/runner.py
+++ b/mulberryport/rollouts/runner.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from ..runtime.clock import boottime
+from ..runtime.signals import Signal
 from ..targets import ShedError
 from ..targets.engine_client import NotStartedError, StreamError
 from ..telemetry import define as define_event
@@ -19,7 +20,6 @@
 )
 from .labels import UnattestedError
 from .model import Sample
-from .signals import Signal
 from .step import StepState
 from .stragglers import Hedging, StragglerPolicy
 
--- a/mulberryport/rollouts/service.py
+++ b/mulberryport/rollouts/service.py
@@ -14,6 +14,7 @@
 from ..outcomes import Done, NotDone, Outcome
 from ..peering import Peers, PeerServer, peer_pb2
 from ..runtime.clock import boottime
+from ..runtime.signals import Signal
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher
 from ..usage import UsageCounters
@@ -33,7 +34,6 @@
 from .review import review_steps
 from .runner import StepRunner
 from .scoring import make_scorer
-from .signals import Signal
 from .step import InvalidPullError, StepState
 
 __all__ = ["OpenResult", "PullResult", "RolloutService"]
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -203,6 +203,8 @@
         """Whether a request may run at a target that has a place."""
         if not work.restartable and not self._is_safe(candidate):
             return False
+        if not work.accepts_versions_of(candidate.view):
+            return False
         return candidate.id not in work.exclude
 
     def owners(self, work: WorkRequest) -> tuple[str, ...]:
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -1,6 +1,8 @@
 """What the routing policy knows of requests and targets."""
 
-from attrs import frozen
+from collections.abc import Mapping
+
+from attrs import field, frozen
 
 __all__ = ["LoadReport", "ShedError", "TargetView", "WorkRequest"]
 
@@ -59,6 +61,8 @@
     limit : int
         Largest number of requests of this daemon that may run there at the same
         time; the policy may set a lower one.
+    versions : mapping of str to int
+        Weight version that it serves of each model, as far as that is known.
     """
 
     id: str
@@ -74,6 +78,7 @@
     healthy: bool = True
     in_flight: int = 0
     limit: int = 16
+    versions: Mapping[str, int] = field(factory=dict)
 
     @property
     def selectable(self) -> bool:
@@ -106,6 +111,10 @@
         as the samples of a group do; replaces the prefix in this role.
     cost : float
         Expected work, relative to other requests of the pool (above 0).
+    model : str
+        Model whose weights run it; empty if that does not matter.
+    oldest_version : int
+        Oldest weight version of the model that may run it; 0 for any.
     """
 
     pool: str
@@ -117,3 +126,11 @@
     exclude: frozenset[str] = frozenset()
     affinity: str = ""
     cost: float = 1.0
+    model: str = ""
+    oldest_version: int = 0
+
+    def accepts_versions_of(self, view: TargetView) -> bool:
+        """Whether the weights that a target serves are new enough."""
+        if not self.oldest_version:
+            return True
+        return view.versions.get(self.model, 0) >= self.oldest_version
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -137,7 +137,7 @@
             return self._grant(probe, work, probe=True)
         blocked = self._full or self._total >= self.shares.cap
         candidate = None if blocked else self.choose(*self._arguments(work))
-        if candidate is None and not blocked and work.restartable and not work.exclude:
+        if candidate is None and not blocked and _is_unrestricted(work):
             self._full = True
         if candidate is not None:
             # Waiters that fit come first.
@@ -259,3 +259,8 @@
             ):
                 return candidate
         return None
+
+
+def _is_unrestricted(work: WorkRequest) -> bool:
+    """Whether a request may run at every target of its pool."""
+    return work.restartable and not work.exclude and not work.oldest_version
--- a/mulberryport/routing/selection.py
+++ b/mulberryport/routing/selection.py
@@ -94,7 +94,11 @@
 
 
 def _has_place(candidate: Candidate, work: WorkRequest) -> bool:
-    return candidate.places > 0 and candidate.id not in work.exclude
+    return (
+        candidate.places > 0
+        and candidate.id not in work.exclude
+        and work.accepts_versions_of(candidate.view)
+    )
 
 
 def _sample(
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -27,6 +27,7 @@
 REASONS = {
     200: "OK",
     201: "Created",
+    202: "Accepted",
     204: "No Content",
     400: "Bad Request",
     401: "Unauthorized",
--- a/mulberryport/settings/model.py
+++ b/mulberryport/settings/model.py
@@ -21,7 +21,13 @@
     url,
 )
 
-__all__ = ["DaemonSettings", "Seed", "load_settings", "parse_settings"]
+__all__ = [
+    "DaemonSettings",
+    "Seed",
+    "load_settings",
+    "parse_seed",
+    "parse_settings",
+]
 
 ADDRESS = "an IPv4 address and port, such as 10.0.0.1:8080"
 URL = "an HTTP URL by IP number, such as http://10.0.0.1:8080"
@@ -35,7 +41,8 @@
     return value
 
 
-def _seed(value: str) -> "Seed":
+def parse_seed(value: str) -> "Seed":
+    """Accept the id of a VM, its availability zone and its peer address."""
     words = value.split()
     if len(words) != 3:
         raise ValueError(f"{value!r} is not a peer")
@@ -112,7 +119,7 @@
     """Section ``[peers]``: the daemons known at start."""
 
     seeds: tuple[Seed, ...] = option(
-        listing(_seed), "lines of: VM ID, ZONE, ADDRESS", default=()
+        listing(parse_seed), "lines of: VM ID, ZONE, ADDRESS", default=()
     )
 
 
--- a/mulberryport/tables/model.py
+++ b/mulberryport/tables/model.py
@@ -19,8 +19,10 @@
 __all__ = [
     "MODEL_ENGINE",
     "PLAIN_SERVICE",
+    "BatchTerms",
     "KeyRecord",
     "Pool",
+    "PoolShare",
     "Route",
     "Snapshot",
     "Tables",
@@ -32,6 +34,7 @@
 MODEL_ENGINE = "model-engine"
 PLAIN_SERVICE = "plain-service"
 ALL_WORKSPACES = "*"
+ALL_METHODS = "*"
 NAME = "letters, digits, dots, hyphens and underscores"
 TARGET = (
     "lines of: TARGET ID, ADDRESS, ZONE, then any of cheap, on-demand, fencing, "
@@ -75,7 +78,15 @@
     return value
 
 
+def _host(value: str) -> str:
+    if not value or any(letter.isspace() or letter == "/" for letter in value):
+        raise ValueError(f"{value!r} is not a host name")
+    return value.lower()
+
+
 def _method(value: str) -> str:
+    if value == ALL_METHODS:
+        return value
     if not value.isalpha() or not value.isupper():
         raise ValueError(f"{value!r} is not an HTTP method")
     return value
@@ -124,6 +135,33 @@
     checks_fencing: bool = False
 
 
+@frozen
+class PoolShare:
+    """A pool that serves a part of a route's requests, by weight."""
+
+    pool: str
+    weight: float
+
+
+@frozen
+class BatchTerms:
+    """What a route of batch jobs promises.
+
+    Parameters
+    ----------
+    due : float
+        Seconds from the submission until all results should be there.
+    give_up : float
+        Seconds from the submission after which an item may be given up.
+    single_version : bool
+        Whether all tokens of a sample must come from one weight version.
+    """
+
+    due: float
+    give_up: float
+    single_version: bool = False
+
+
 @frozen(kw_only=True)
 class Route:
     """Which callers reach which pool.
@@ -140,12 +178,24 @@
         Workspaces that may use it; ``('*',)`` admits all.
     open : bool
         Whether requests without a key are admitted.
+    host : str
+        Requests to this host only; empty for any host.
     idempotent_methods : tuple of str
-        Methods that may be retried.
+        Methods that may be retried; ``('*',)`` stands for all.
     timeout : float
         Seconds until an answer must be complete.
+    latency_target : float
+        Seconds within which an answer is of full use; 0 if that is not known.
+    attempts : int
+        Targets at most to which a request may be sent.
     priority : int
         0 to 9; a higher value is served first.
+    split : tuple of PoolShare
+        Pools that share the requests; empty if ``pool`` serves all of them.
+    batch : BatchTerms or None
+        Terms of batch jobs, if the route takes such.
+    streaming, resumable : bool
+        Whether answers are event streams, and whether these may go on elsewhere.
     """
 
     name: str
@@ -160,6 +210,41 @@
     )
     timeout: float = option(number(0.1, 3600), "seconds from 0.1 to 3600", default=60.0)
     priority: int = option(number(0, 9, int), "0 to 9", default=5)
+    host: str = option(_host, "a host name", default="")
+    latency_target: float = option(
+        number(0, 3600), "seconds from 0 to 3600", default=0.0
+    )
+    attempts: int = option(number(1, 10, int), "1 to 10", default=3)
+    split: tuple[PoolShare, ...] = ()
+    batch: BatchTerms | None = None
+    streaming: bool = False
+    resumable: bool = False
+
+    def is_idempotent(self, method: str) -> bool:
+        """Whether a request with this method may run more than once."""
+        methods = self.idempotent_methods
+        return method in methods or ALL_METHODS in methods
+
+    def pool_for(self, draw: float) -> str:
+        """Return the pool of a request.
+
+        Parameters
+        ----------
+        draw : float
+            Number from 0 to 1, evenly distributed over the requests.
+
+        Examples
+        --------
+        >>> shares = (PoolShare("old", 9), PoolShare("new", 1))
+        >>> Route(name="r", path="/", pool="old", split=shares).pool_for(0.95)
+        'new'
+        """
+        left = draw * sum(share.weight for share in self.split)
+        for share in self.split:
+            left -= share.weight
+            if left < 0:
+                return share.pool
+        return self.split[-1].pool if self.split else self.pool
 
 
 @frozen(kw_only=True)
@@ -188,6 +273,12 @@
         Requests that may wait in one daemon; further ones are shed.
     checks_fencing : bool
         Whether ordered targets refuse orders with an old fencing number.
+    models : tuple of str
+        Models that its engines hold.
+    prices : mapping of str to float
+        Price of an on-demand target by availability zone, relative to others.
+    cheap_price : float
+        Price of a cheap target as a part of that of an on-demand one.
     """
 
     name: str
@@ -203,6 +294,9 @@
     concurrency: int = option(number(1, 10000, int), "1 to 10000", default=16)
     queue: int = option(number(0, 100000, int), "0 to 100000", default=256)
     checks_fencing: bool = option(switch, "yes or no", default=False)
+    models: tuple[str, ...] = ()
+    prices: Mapping[str, float] = field(factory=dict)
+    cheap_price: float = 1.0
 
 
 @frozen
--- a/mulberryport/tables/text.py
+++ b/mulberryport/tables/text.py
@@ -93,10 +93,13 @@
 
 
 def _render(kind: str, record: Workspace | Route | Pool) -> str:
-    defaults = {attribute.name: attribute.default for attribute in fields(type(record))}
+    # Other fields are set by adapters of outside configurations only.
+    defaults = {
+        f.name: f.default for f in fields(type(record)) if "parse" in f.metadata
+    }
     lines = [f"[{kind} {record.name}]"]
     for name, value in asdict(record, recurse=False).items():
-        if name != "name" and value != defaults[name]:
+        if name in defaults and value != defaults[name]:
             lines.append(f"{name.replace('_', '-')} = {_render_value(value)}")
     return "\n".join(lines) + "\n"
 
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -1,6 +1,6 @@
 """All targets that this daemon knows, from the pool table and the list of VMs."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import define, field
 
@@ -19,6 +19,9 @@
 TARGET_UNHEALTHY = define_event(
     801, "target_unhealthy", "warning", "A target does not answer polls."
 )
+TARGET_GONE = define_event(
+    803, "target_gone", "warning", "Another target answers at a target's address."
+)
 TARGET_HEALTHY = define_event(
     802, "target_healthy", "info", "A target answers polls again."
 )
@@ -42,6 +45,8 @@
     carried_at: float = float("-inf")
     in_flight: int = 0
     fixed: int = 0
+    misdirected: bool = False
+    versions: dict[str, int] = field(factory=dict)
 
 
 @define(eq=False)
@@ -126,6 +131,18 @@
         """Return what is known of a target, for other daemons."""
         return self._states.get(target)
 
+    def report_version(self, target: str, model: str, version: int) -> None:
+        """Note a weight version that an answer of a target named; it only rises."""
+        versions = self._state(target).versions
+        versions[model] = max(version, versions.get(model, 0))
+
+    def report_misdirected(self, target: str) -> None:
+        """Send no more work to a target whose address another one has by now."""
+        state = self._state(target)
+        if not state.misdirected:
+            log(TARGET_GONE, target=target)
+        state.misdirected = True
+
     def started(self, target: str, restartable: bool = False) -> None:
         """Count a request that was given to a target.
 
@@ -187,6 +204,8 @@
                 vm.cheap,
                 pool.checks_fencing,
                 vm.leaving,
+                vm.slots,
+                vm.versions,
             )
             for vm in self._listed
             if vm.pool == pool_name and vm.id not in named
@@ -210,8 +229,13 @@
         cheap: bool,
         checks_fencing: bool,
         leaving: bool,
+        slots: int = 0,
+        versions: Mapping[str, int] | None = None,
     ) -> TargetView:
         state = self._state(target)
+        known = {**state.versions}
+        for model, version in (versions or {}).items():
+            known[model] = max(version, known.get(model, 0))
         return TargetView(
             id=target,
             address=address,
@@ -222,10 +246,11 @@
             checks_fencing=checks_fencing,
             report=state.report,
             report_age=boottime() - state.reported_at,
-            leaving=leaving or state.leaving,
+            leaving=leaving or state.leaving or state.misdirected,
             healthy=state.healthy,
             in_flight=state.in_flight,
-            limit=pool.concurrency,
+            limit=slots or pool.concurrency,
+            versions=known,
         )
 
     def _fell_silent(self, target: str, at: float) -> None:
--- a/mulberryport/targets/vm_list.py
+++ b/mulberryport/targets/vm_list.py
@@ -1,6 +1,8 @@
 """The platform's lagging list of live and leaving VMs."""
 
-from attrs import frozen
+from collections.abc import Mapping
+
+from attrs import field, frozen
 
 from ..outcomes import Done, Outcome, Unknown
 from ..runtime.http import call_json
@@ -20,6 +22,10 @@
         Whether the platform may reclaim it at short notice.
     leaving : bool
         Whether it will stop soon.
+    slots : int
+        Requests that it runs at the same time; 0 for the figure of its pool.
+    versions : mapping of str to int
+        Weight version of each model that it holds.
     """
 
     id: str
@@ -28,6 +34,8 @@
     pool: str
     cheap: bool
     leaving: bool
+    slots: int = 0
+    versions: Mapping[str, int] = field(factory=dict)
 
 
 def fetch_vms(url: str, timeout: float) -> Outcome[tuple[ListedVm, ...]]:
--- a/mulberryport/usage/counters.py
+++ b/mulberryport/usage/counters.py
@@ -119,6 +119,8 @@
         Number of shards, each with its own reporter.
     replicate : callable
         Brings a counter to other daemons and waits for that for a short time.
+    now : callable
+        Returns the seconds since 1970 that decide in which window usage is counted.
     """
 
     vm: str
@@ -126,6 +128,7 @@
     window_length: int
     shards: int = 1
     replicate: Callable[[CounterKey], None] = lambda key: None
+    now: Callable[[], float] = wall_time
     _figures: dict[CounterKey, Figures] = field(factory=dict)
     _first_open: dict[int, int] = field(factory=dict)
     _asked: dict[int, int] = field(factory=dict)
@@ -142,11 +145,18 @@
         requests: int = 0,
         tokens: int = 0,
         samples: int = 0,
+        at: float | None = None,
     ) -> CounterKey:
-        """Count service in the current window and return the counter's key."""
+        """Count service in the window of a time and return the counter's key.
+
+        Parameters
+        ----------
+        at : float or None
+            Seconds since 1970; the present time by default.
+        """
         # With a clock far behind, the current window can be settled already.
         first_open = self._first_open.get(shard_of(workspace, self.shards), 0)
-        window = max(self.window_at(wall_time()), first_open)
+        window = max(self.window_at(self.now() if at is None else at), first_open)
         key = CounterKey(self.vm, self.incarnation, workspace, pool, window)
         added = Figures(requests, tokens, samples)
         self._figures[key] = self._figures.get(key, Figures()) + added
@@ -211,7 +221,7 @@
 
     def expire(self) -> None:
         """Drop counters that no reporter asked for over ``MAX_WINDOWS`` windows."""
-        oldest = self.window_at(wall_time()) - MAX_WINDOWS
+        oldest = self.window_at(self.now()) - MAX_WINDOWS
         expired = [key for key in self._figures if key.window < oldest]
         if expired:
             log(USAGE_DROPPED, counters=len(expired), before=oldest)
--- a/mulberryport/usage/replicator.py
+++ b/mulberryport/usage/replicator.py
@@ -71,11 +71,18 @@
 
 @define(eq=False)
 class UsageReplicator:
-    """Brings the counters of this daemon to its replicas."""
+    """Brings the counters of this daemon to its replicas.
+
+    Parameters
+    ----------
+    max_wait : float
+        Seconds that ``settle`` waits for the replicas at most.
+    """
 
     counters: UsageCounters
     members: Members
     peers: Peers
+    max_wait: float = MAX_WAIT_S
     _replicas: dict[tuple[str, int], Replica] = field(factory=dict)
 
     def register(self, server: PeerServer) -> None:
@@ -85,13 +92,15 @@
         self.counters.replicate = self.settle
 
     def settle(self, key: CounterKey) -> None:
-        """Send a counter to the replicas; wait for them, but at most 50 ms."""
+        """Send a counter to the replicas and wait for them for a short time."""
         messages = []
         for replica in self._replicas.values():
             replica.pending.add(key)
             messages.append(replica.next_message)
             self._start(replica)
-        with eventlet.Timeout(MAX_WAIT_S, False):
+        if not self.max_wait:
+            return
+        with eventlet.Timeout(self.max_wait, False):
             for message in messages:
                 message.wait()
 
