Give models home engines, leave slow engines, and save calls of the store

Ruled out: more loads at once, which makes each of them longer.

Change: each model has a part of the engines that keeps up with its versions; texts leave slow or leaving engines between two events; a refusing engine is left alone for 0.3 s; changes of live keys and results gather.

--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -28,9 +28,8 @@
     422, "mirror_subscriber_failed", "error", "A part failed to take a change."
 )
 
-# A watch is one call of the store however long it waits. A store that accepts calls
-# and answers none is noticed after this time, and the next call goes another way.
-WATCH_WAIT_S = 4.0
+# A watch is one call of the store however long it waits.
+WATCH_WAIT_S = 12.0
 # Between two attempts while the store does not answer.
 RETRY_S = 0.25
 
@@ -47,10 +46,13 @@
         The store.
     prefix : str
         Prefix of the keys.
+    gather : float
+        Seconds after a change in which further ones gather, to save calls.
     """
 
     store: KeyValueStore
     prefix: str
+    gather: float = 0.0
     _items: dict[str, Item] = field(factory=dict)
     _revision: int = -1
     _subscribers: list[Subscriber] = field(factory=list)
@@ -145,6 +147,8 @@
         for change in outcome.value.changes:
             self.apply(change)
         self._revision = max(self._revision, outcome.value.revision)
+        if self.gather and outcome.value.changes:
+            eventlet.sleep(self.gather)
         return True
 
     def _interrupted(self, reason: str) -> None:
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -49,6 +49,7 @@
 # answers a probe beside it, is taken to have lost the connection.
 SILENT_PART = 1 / 3
 SERVER_ERROR = 500
+TIMED_OUT = 504
 # Bodies up to this size are received before the answer to an idempotent request is
 # used.
 HELD_ANSWER_BYTES = 1024 * 1024
@@ -231,6 +232,9 @@
             answer = _forward(call, view, request, nullcontext, on_sent, targets)
             answer = hold_body(answer, HELD_ANSWER_BYTES)
             if answer.status >= SERVER_ERROR:
+                if answer.status == TIMED_OUT:
+                    # The request's own deadline says nothing about the target.
+                    view.cancelled()
                 raise ServerFailedError(view, answer)
             return place.pop_all(), view, answer
 
--- a/mulberryport/jobs/generation.py
+++ b/mulberryport/jobs/generation.py
@@ -11,6 +11,7 @@
     "EngineStaleError",
     "GenerationBrokenError",
     "ItemFailedError",
+    "EngineLeftError",
     "ItemImpossibleError",
     "NotStartedError",
     "Ports",
@@ -38,6 +39,10 @@
     """The engine's weights are too old for the job."""
 
 
+class EngineLeftError(Exception):
+    """The text goes on at another engine, because this one is slow or leaves."""
+
+
 @define(eq=False)
 class Transcript:
     """The text of an item as far as it was generated.
@@ -74,13 +79,13 @@
     Parameters
     ----------
     generate : callable
-        Called with a target, a job, an item and its transcript; appends the events
-        that follow, and returns at the end of the text. Raises the errors of this
-        module.
+        Called with a target, a job, an item, its transcript and a function to call
+        after each event; appends the events that follow, and returns at the end of
+        the text. Raises the errors of this module.
     score : callable
         Called with a target, a call and the seconds left; returns the score. Raises
         the errors of this module.
     """
 
-    generate: Callable[[TargetView, Job, JobItem, Transcript], None]
+    generate: Callable[[TargetView, Job, JobItem, Transcript, Callable[[], None]], None]
     score: Callable[[TargetView, ScoringCall, float], str]
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -24,6 +24,7 @@
 from .archive import JobArchive, JobHead
 from .codec import encode_result
 from .generation import (
+    EngineLeftError,
     EngineStaleError,
     GenerationBrokenError,
     ItemFailedError,
@@ -33,6 +34,7 @@
     Transcript,
 )
 from .model import COMPLETED, ERRORED, Job, JobItem, JobResult, ScoringCall
+from .pace import PaceBoard
 
 __all__ = ["Means", "OwnedJob"]
 
@@ -48,6 +50,9 @@
 ITEM_BROKEN = define_event(
     922, "item_broken", "error", "An attempt ended with an unexpected error."
 )
+ITEM_MOVED = define_event(
+    925, "item_moved", "info", "The text of an item goes on at another engine."
+)
 RESULTS_LISTED = define_event(923, "results_listed", "info", "Results were listed.")
 OWNERSHIP_LOST = define_event(
     924, "job_ownership_lost", "warning", "A job has another owner or was ended."
@@ -55,7 +60,7 @@
 
 # Finished items gather for this time before they are listed together: a store takes a
 # few hundred writes a second from the whole fleet.
-GATHER_S = 0.1
+GATHER_S = 0.25
 COMMIT_RETRY_S = 0.2
 COMMIT_BYTES = 500_000
 # Pause before an attempt that follows one that did not start.
@@ -84,6 +89,8 @@
         How engines and services are called.
     now : callable
         Returns seconds since 1970 by the fleet's clock.
+    paces : PaceBoard
+        Paces of the engines.
     regain : callable
         Tries to own a job again that the store does not show as owned here; returns
         whether it is, as an outcome.
@@ -94,6 +101,7 @@
     tables: Callable[[], Tables]
     ports: Ports
     now: Callable[[], float]
+    paces: PaceBoard
     regain: Callable[["OwnedJob"], Outcome[bool]]
 
 
@@ -161,7 +169,8 @@
         self._done = {result.id for result in listed}
         self._transcripts = dict(transcripts)
         left = [item for item in self.job.items if item.id not in self._done]
-        for item in left:
+        # A step waits for its longest texts, so these begin first.
+        for item in sorted(left, key=lambda item: -item.length_hint):
             thread = eventlet.spawn(self._run_item, item)
             self._threads.append(thread)
         self._threads.append(eventlet.spawn(self._list_results))
@@ -205,6 +214,8 @@
         while result is None:
             try:
                 result = self._try_item(item)
+            except EngineLeftError as error:
+                log(ITEM_MOVED, job=self.job.id, item=item.id, reason=str(error))
             except (ShedError, NotStartedError, EngineStaleError):
                 eventlet.sleep(RETRY_S)
             except (GenerationBrokenError, ItemFailedError) as error:
@@ -266,19 +277,41 @@
             deadline=boottime() + PLACE_WAIT_S,
             affinity=item.group,
             restartable=True,
+            exclude=self.means.paces.slow(boottime()),
             model=item.model,
             oldest_version=self.job.oldest_version,
         )
         with self.means.dispatcher.assign(work) as place:
             try:
-                self.means.ports.generate(place.view, self.job, item, transcript)
-            except (NotStartedError, EngineStaleError):
+                on_event = self._watch_engine(place.id)
+                self.means.ports.generate(
+                    place.view, self.job, item, transcript, on_event
+                )
+            except (NotStartedError, EngineStaleError, EngineLeftError):
                 place.cancelled()
                 raise
             except (ItemFailedError, ItemImpossibleError):
                 place.succeeded()
                 raise
 
+    def _watch_engine(self, engine: str) -> Callable[[], None]:
+        """Return a function that notes events and raises if the text should move."""
+        paces, directory = self.means.paces, self.means.dispatcher.directory
+        last: float | None = None
+
+        def on_event() -> None:
+            nonlocal last
+            now = boottime()
+            if last is not None:
+                paces.note(engine, now - last, now)
+                if paces.is_slow(engine, now):
+                    raise EngineLeftError(f"{engine} is slow")
+            last = now
+            if directory.is_leaving(engine):
+                raise EngineLeftError(f"{engine} leaves")
+
+        return on_event
+
     def _score(self, item: JobItem) -> str | None:
         """Return the score of a finished text; None if the service gave it up."""
         assert item.scoring is not None
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -32,6 +32,7 @@
 from .generation import Ports
 from .model import Job
 from .owned import Means, OwnedJob
+from .pace import PaceBoard
 
 __all__ = ["JobService", "Page"]
 
@@ -119,6 +120,7 @@
     _adopting: set[str] = field(factory=set)
     _closed: OrderedDict[str, list[bytes]] = field(factory=OrderedDict)
     _closed_bytes: int = 0
+    _paces: PaceBoard = field(factory=PaceBoard)
     _stopping: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -333,6 +335,7 @@
             tables=self.tables,
             ports=self.ports,
             now=self.now,
+            paces=self._paces,
             regain=self._regain,
         )
         owned = OwnedJob(job, head, ownership, lease, means)
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -82,6 +82,8 @@
 # Left of the grace time for the end of requests that are broken off.
 BREAK_MARGIN_S = 1.5
 # Daemons contend for the free duty in rendezvous order, this long after each other.
+# Jobs come and end a few times a second in the whole fleet; every daemon follows them.
+LIVE_GATHER_S = 0.4
 DUTY_STAGGER_S = 0.3
 MOST_STAGGERS = 6
 CONTROL_DUTY = "control"
@@ -221,7 +223,7 @@
     def _connect_state(self) -> None:
         self.session = Session(self.store)
         self.operator_keys = Mirror(self.store, CONTROL_PREFIX)
-        self.live_keys = Mirror(self.store, LIVE_PREFIX)
+        self.live_keys = Mirror(self.store, LIVE_PREFIX, gather=LIVE_GATHER_S)
         self.registrations = Registrations(
             Mirror(self.store, REGISTRATIONS_PREFIX),
             self.directory,
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -1,6 +1,6 @@
 """Engines and scoring services on the platform's wire."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from http.client import HTTPException
 from typing import Any
 
@@ -34,6 +34,8 @@
 FIRST_EVENT_TIMEOUT_S = 3.0
 EVENT_TIMEOUT_S = 2.5
 READ_BYTES = 64 * 1024
+# An engine that refuses is full or loads the model, which takes a second.
+REFUSAL_PAUSE_S = 0.3
 # The body of a refusal is short.
 REFUSAL_BYTES = 16 * 1024
 VERSION_PREFIX = names.VERSIONS.lower() + ":"
@@ -100,10 +102,20 @@
     connections: ConnectionPool = field(factory=ConnectionPool)
 
     def generate(
-        self, view: TargetView, job: Job, item: JobItem, transcript: Transcript
+        self,
+        view: TargetView,
+        job: Job,
+        item: JobItem,
+        transcript: Transcript,
+        on_event: Callable[[], None],
     ) -> None:
         """Generate the rest of an item's text at an engine.
 
+        Parameters
+        ----------
+        on_event : callable
+            Called after each event; what it raises ends the generation there.
+
         Raises
         ------
         NotStartedError, EngineStaleError, ItemFailedError, ItemImpossibleError,
@@ -125,9 +137,12 @@
         whole = False
         try:
             self._check(view, reply, item.id)
-            whole = self._stream(view, job, item, transcript, connection, reply)
+            whole = self._stream(
+                view, job, item, transcript, connection, reply, on_event
+            )
         except NotStartedError:
             whole = _drain(reply)
+            self.directory.report_refusal(view.id, item.model, REFUSAL_PAUSE_S)
             raise
         finally:
             self._finish(view, connection, reply, whole)
@@ -233,6 +248,7 @@
         transcript: Transcript,
         connection: HTTPConnection,
         reply: urllib3.BaseHTTPResponse,
+        on_event: Callable[[], None],
     ) -> bool:
         """Append the events of a stream; true at its clean end."""
         version = _version(reply)
@@ -247,6 +263,7 @@
                     if number != len(transcript.events) + 1:
                         raise GenerationBrokenError(f"event {number} is out of order")
                     transcript.add(data, version)
+                    on_event()
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise GenerationBrokenError(repr(error)) from error
         if not framed:
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -12,6 +12,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import eventlet
+import eventlet.hubs
 import orjson
 import urllib3
 from attrs import define, field
@@ -62,6 +64,10 @@
 REFUSED = frozenset({403, 429, 503})
 
 
+class StorePathLostError(Exception):
+    """Another call found that the store does not answer this daemon."""
+
+
 @define(eq=False)
 class PlatformStore:
     """The store, reached directly or through a peer; implements ``KeyValueStore``.
@@ -83,6 +89,7 @@
     _pool: urllib3.PoolManager = field(init=False)
     _direct: bool = True
     _failed_at: float = float("-inf")
+    _watchers: set[Any] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Make the pool of connections."""
@@ -139,7 +146,14 @@
         """Wait up to ``wait`` seconds for changes after a revision."""
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait * 1000)}
         path = f"/mulberryport/kv-watch?{urlencode(query)}"
-        outcome = self._call("GET", path, timeout=wait + WATCH_EXTRA_S)
+        watcher = eventlet.getcurrent()
+        self._watchers.add(watcher)
+        try:
+            outcome = self._call("GET", path, timeout=wait + WATCH_EXTRA_S)
+        except StorePathLostError as error:
+            outcome = NotDone(str(error))
+        finally:
+            self._watchers.discard(watcher)
 
         def changes(status: int, body: Any) -> Changes | HistoryLost:
             if status == 410:
@@ -224,9 +238,20 @@
         else:
             if self._direct:
                 log(PATH_LOST, store=self.address, reason=outcome.reason)
+                self._end_watches(outcome.reason)
             self._direct, self._failed_at = False, boottime()
         return outcome
 
+    def _end_watches(self, reason: str) -> None:
+        """End the watches that wait, which may never be answered."""
+        hub, current = eventlet.hubs.get_hub(), eventlet.getcurrent()
+        for watcher in self._watchers - {current}:
+            hub.schedule_call_global(0, self._end_watch, watcher, reason)
+
+    def _end_watch(self, watcher: Any, reason: str) -> None:
+        if watcher in self._watchers:
+            watcher.throw(StorePathLostError(reason))
+
     def _send(
         self, method: str, path: str, content: bytes, timeout: float
     ) -> Outcome[tuple[int, bytes]]:
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -16,7 +16,7 @@
 __all__ = ["ConnectionPool"]
 
 # Used if the target does not say how long it keeps idle connections.
-IDLE_LIMIT_S = 4.0
+IDLE_LIMIT_S = 15.0
 # A connection is not used any more this long before its target would close it.
 IDLE_MARGIN_S = 0.7
 # Idle connections per target; a daemon rarely has more requests in flight there.
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -47,6 +47,8 @@
     fixed: int = 0
     misdirected: bool = False
     versions: dict[str, int] = field(factory=dict)
+    # Boot time until which a model does not take requests, as while it loads.
+    refusing: dict[str, float] = field(factory=dict)
 
 
 @define(eq=False)
@@ -57,6 +59,7 @@
     _listed: tuple[ListedVm, ...] = ()
     _listed_at: float = float("-inf")
     _states: dict[str, TargetState] = field(factory=dict)
+    _leaving: frozenset[str] = frozenset()
 
     def use_snapshot(self, snapshot: Snapshot) -> None:
         """Take over the pools of a new revision."""
@@ -67,6 +70,7 @@
         """Take over the platform's list of VMs."""
         self._listed = tuple(vms)
         self._listed_at = boottime()
+        self._leaving = frozenset(vm.id for vm in self._listed if vm.leaving)
         self._forget()
 
     def report(self, target: str, report: LoadReport, received_at: float) -> None:
@@ -136,6 +140,14 @@
         versions = self._state(target).versions
         versions[model] = max(version, versions.get(model, 0))
 
+    def is_leaving(self, target: str) -> bool:
+        """Whether a target that is listed will stop soon."""
+        return target in self._leaving
+
+    def report_refusal(self, target: str, model: str, seconds: float) -> None:
+        """Send no requests of a model to a target for some seconds."""
+        self._state(target).refusing[model] = boottime() + seconds
+
     def report_misdirected(self, target: str) -> None:
         """Send no more work to a target whose address another one has by now."""
         state = self._state(target)
@@ -236,6 +248,9 @@
         known = {**state.versions}
         for model, version in (versions or {}).items():
             known[model] = max(version, known.get(model, 0))
+        for model, until in state.refusing.items():
+            if boottime() < until:
+                known.pop(model, None)
         return TargetView(
             id=target,
             address=address,
--- a/mulberryport/weights/rotation.py
+++ b/mulberryport/weights/rotation.py
@@ -1,25 +1,30 @@
 """Weights of several models on shared engines, loaded by turns.
 
-A job accepts the version before the newest one, so each engine needs only every second
-version. Half of the engines load a version when it is announced; the others already
-have the version before and load the next one. ``choose_loads`` is the policy and
-``WeightRotation`` carries it out.
+Each model has a home: a part of the engines, spread over the availability zones, that
+keeps up with its versions. A job accepts the version before the newest one, so an
+engine needs only every second version: half of a home loads a version when it is
+announced, the others have the version before and load the next one.
+``choose_homes`` and ``choose_loads`` are the policy and ``WeightRotation`` carries it
+out.
 """
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
+from itertools import chain, zip_longest
 
 import eventlet
 from attrs import define, field, frozen
 
 from ..coordination import SessionDuty
 from ..leases import LeaseLostError
+from ..membership import rendezvous_score
 from ..outcomes import Done, Outcome
 from ..routing import TargetView
 from ..runtime.clock import boottime
 from ..telemetry import define as define_event
 from ..telemetry import log
 
-__all__ = ["Load", "WeightRotation", "choose_loads"]
+__all__ = ["Load", "WeightRotation", "choose_homes", "choose_loads"]
 
 LOAD_ORDERED = define_event(
     1010, "load_ordered", "info", "An engine was ordered to load a weight version."
@@ -44,6 +49,44 @@
     version: int
 
 
+def choose_homes(
+    engines: Sequence[TargetView], models: Sequence[str]
+) -> dict[str, list[TargetView]]:
+    """Return the engines that keep up with each model.
+
+    Models choose by turns, each the engine that ranks highest for it in the
+    availability zone where it has fewest, so that a change of the engines moves few
+    of them. With fewer engines than models, engines have several models.
+
+    Examples
+    --------
+    >>> engines = [
+    ...     TargetView(id=f"e{n}", address="", zone="ab"[n % 2], pool="", kind="")
+    ...     for n in range(4)
+    ... ]
+    >>> homes = choose_homes(engines, ["m", "n"])
+    >>> sorted(engine.zone for engine in homes["m"])
+    ['a', 'b']
+    """
+    homes: dict[str, list[TargetView]] = {model: [] for model in models}
+    free: list[TargetView] = []
+    rounds = -(-max(len(engines), len(models)) // max(1, len(models)))
+    for _ in range(rounds if engines else 0):
+        for model in models:
+            if not free:
+                if all(homes.values()):
+                    return homes
+                free = list(engines)
+            zones = Counter(engine.zone for engine in homes[model])
+            best = min(
+                free,
+                key=lambda e: (zones[e.zone], -rendezvous_score(model, e.id)),
+            )
+            free.remove(best)
+            homes[model].append(best)
+    return homes
+
+
 def choose_loads(
     engines: Sequence[TargetView],
     model: str,
@@ -55,7 +98,7 @@
     Parameters
     ----------
     engines : sequence of TargetView
-        Engines that hold the model and may get work.
+        The model's home.
     model : str
         The model.
     newest : int
@@ -115,14 +158,22 @@
         if not self.duty.active:
             self._loading.clear()
             return
+        announced = self.announced()
         views: dict[str, TargetView] = {}
-        wanted: list[Load] = []
-        for model, newest in self.announced().items():
-            engines = [e for e in self.engines(model) if e.selectable]
-            views.update((engine.id, engine) for engine in engines)
-            wanted += choose_loads(engines, model, newest, self.required(model))
+        for model in announced:
+            found = [engine for engine in self.engines(model) if engine.selectable]
+            views.update((engine.id, engine) for engine in found)
         self._forget_loaded(views)
-        for load in wanted:
+        homes = choose_homes(list(views.values()), sorted(announced))
+        queues = [
+            choose_loads(homes[model], model, newest, self.required(model))
+            for model, newest in announced.items()
+        ]
+        # The model with the longest queue is served first, then by turns.
+        queues.sort(key=len, reverse=True)
+        for load in chain.from_iterable(zip_longest(*queues)):
+            if load is None:
+                continue
             if len(self._loading) >= AT_ONCE:
                 return
             if load.target not in self._loading:
