Let a text that was left at its last event be complete

Cause: an item moved off a slow engine at its last event was asked for again 281 times, since an empty continuation names no weight version.

Change: such a continuation takes the version of the last event. Watches on a way to the store that has not answered again are short, since one through a peer hung for 12 s and delayed a withdrawn key.

--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -251,7 +251,7 @@
         on_event: Callable[[], None],
     ) -> bool:
         """Append the events of a stream; true at its clean end."""
-        version = _version(reply)
+        version = _version(reply, transcript)
         self._check_version(view, job, item, version)
         framed = reply.chunked or reply.headers.get("Content-Length") is not None
         parser = EventParser(version)
@@ -294,8 +294,12 @@
             connection.close()
 
 
-def _version(reply: urllib3.BaseHTTPResponse) -> int:
+def _version(reply: urllib3.BaseHTTPResponse, transcript: Transcript) -> int:
+    """Return the weight version of the next event."""
     value = reply.headers.get(names.VERSIONS) or ""
+    if not value and transcript.versions:
+        # A text that was left at its last event goes on with nothing.
+        return transcript.versions[-1]
     if not value.strip().isdigit():
         raise GenerationBrokenError("the answer names no weight version")
     return int(value)
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -59,6 +59,8 @@
 RELAY_EXTRA_S = 0.5
 # Time beyond its wait for a watch to be answered.
 WATCH_EXTRA_S = 0.5
+# Watches by way of a peer, or before the direct way has answered again.
+UNPROVEN_WAIT_S = 0.5
 MAX_LISTED_PAGES = 200
 # Statuses by which the store says that it did nothing.
 REFUSED = frozenset({403, 429, 503})
@@ -144,6 +146,9 @@
         self, prefix: str, after: int, wait: float
     ) -> Outcome[Changes | HistoryLost]:
         """Wait up to ``wait`` seconds for changes after a revision."""
+        if not self._direct:
+            # A way that is not known to work is tried for a short time only.
+            wait = min(wait, UNPROVEN_WAIT_S)
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait * 1000)}
         path = f"/mulberryport/kv-watch?{urlencode(query)}"
         watcher = eventlet.getcurrent()
