Give all jobs of a workspace's route one owner

Cause: each job was owned by the daemon that got it, so connections to engines lay idle past the engines' limit of 10 s and were opened anew.

Ruled out: longer idle times, since the engines close such connections.

Change: a submission is passed on to the daemon that ranks first for its workspace and route; if that one does not answer, it is kept as before.

--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -28,7 +28,7 @@
     JobHead,
     decode_head,
 )
-from .codec import encode_result
+from .codec import decode_job, encode_job, encode_result
 from .generation import Ports
 from .model import Job
 from .owned import Means, OwnedJob
@@ -55,6 +55,10 @@
 TAKE_OVER_DELAY_S = 0.4
 MOST_STAGGERS = 5
 SUBMIT_RETRY_S = 0.2
+# How long the daemon that should own a job may wait for the store, and the time beyond
+# that for its answer; after that the job is kept by the daemon that has it.
+PASS_ON_PATIENCE_S = 0.4
+PASS_ON_EXTRA_S = 0.3
 # Time beyond the wait for an owner to answer a read.
 READ_EXTRA_S = 0.5
 MAX_WAIT_S = 5.0
@@ -131,6 +135,7 @@
 
     def register(self, server: PeerServer) -> None:
         """Serve the peer calls about jobs."""
+        server.register("SubmitJob", self._serve_submit)
         server.register("ReadJob", self._serve_read)
         server.register("StopJob", self._serve_stop)
 
@@ -151,6 +156,17 @@
             workspace. ``NotDone`` if no part of it runs or will run.
         """
         uncertain: Unknown | None = None
+        passed_on = self._submit_to_preferred(job)
+        if isinstance(passed_on, Done):
+            return passed_on
+        if isinstance(passed_on, Unknown):
+            uncertain = passed_on
+        return self._submit_here(job, deadline, uncertain)
+
+    def _submit_here(
+        self, job: Job, deadline: float, uncertain: Unknown | None
+    ) -> Outcome[bool]:
+        """Keep a job in the store, owned by this daemon."""
         while True:
             # A daemon that stops leaves the job to the others.
             lease = 0 if self._stopping else self.session.lease
@@ -306,6 +322,49 @@
         member = self.members.self_member
         return f"{member.vm} {member.incarnation}"
 
+    def _submit_to_preferred(self, job: Job) -> Outcome[bool]:
+        """Pass a job on to the daemon that should own it, if that is another one.
+
+        All jobs of a workspace's route have the same owner, so that its connections
+        to engines are used again and it knows their pace.
+        """
+        live = [m for m in self.members.live() if not m.leaving]
+        preferred = rendezvous_order(f"{job.workspace}/{job.route}", live)[:1]
+        vm = self.members.self_member.vm
+        if not preferred or preferred[0].vm == vm:
+            return NotDone("this daemon should own the job")
+        request = peer_pb2.SubmitJobRequest(
+            job=encode_job(job), patience=PASS_ON_PATIENCE_S
+        )
+        timeout = PASS_ON_PATIENCE_S + PASS_ON_EXTRA_S
+        outcome = self.peers.call(preferred[0].vm, "SubmitJob", request, timeout)
+        if not isinstance(outcome, Done):
+            return outcome
+        match outcome.value.result:
+            case peer_pb2.SubmitJobReply.ACCEPTED:
+                return Done(True)
+            case peer_pb2.SubmitJobReply.OTHER_WORKSPACE:
+                return Done(False)
+            case peer_pb2.SubmitJobReply.NOT_ACCEPTED:
+                return NotDone(f"{preferred[0].vm} did not accept the job")
+        return Unknown(f"{preferred[0].vm} may have accepted the job")
+
+    def _serve_submit(
+        self, request: peer_pb2.SubmitJobRequest
+    ) -> peer_pb2.SubmitJobReply:
+        job = decode_job(request.job)
+        outcome = self._submit_here(job, boottime() + request.patience, None)
+        result = peer_pb2.SubmitJobReply.UNKNOWN
+        if isinstance(outcome, NotDone):
+            result = peer_pb2.SubmitJobReply.NOT_ACCEPTED
+        elif isinstance(outcome, Done):
+            result = (
+                peer_pb2.SubmitJobReply.ACCEPTED
+                if outcome.value
+                else peer_pb2.SubmitJobReply.OTHER_WORKSPACE
+            )
+        return peer_pb2.SubmitJobReply(result=result)
+
     def _create(self, job: Job, lease: int) -> Outcome[tuple[JobHead, int] | Conflict]:
         # The mirror may show the job before the answer arrives.
         self._adopting.add(job.id)
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -62,6 +62,10 @@
     async def CallStore(self, stream: 'grpclib.server.Stream[peer_pb2.CallStoreRequest, peer_pb2.CallStoreReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def SubmitJob(self, stream: 'grpclib.server.Stream[peer_pb2.SubmitJobRequest, peer_pb2.SubmitJobReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def ReadJob(self, stream: 'grpclib.server.Stream[peer_pb2.ReadJobRequest, peer_pb2.ReadJobReply]') -> None:
         pass
@@ -148,6 +152,12 @@
                 peer_pb2.CallStoreRequest,
                 peer_pb2.CallStoreReply,
             ),
+            '/mulberryport.peer.Peer/SubmitJob': grpclib.const.Handler(
+                self.SubmitJob,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.SubmitJobRequest,
+                peer_pb2.SubmitJobReply,
+            ),
             '/mulberryport.peer.Peer/ReadJob': grpclib.const.Handler(
                 self.ReadJob,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -244,6 +254,12 @@
             peer_pb2.CallStoreRequest,
             peer_pb2.CallStoreReply,
         )
+        self.SubmitJob = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/SubmitJob',
+            peer_pb2.SubmitJobRequest,
+            peer_pb2.SubmitJobReply,
+        )
         self.ReadJob = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/ReadJob',
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -136,5 +136,6 @@
     CompleteIdempotency = _unary("CompleteIdempotency")
     HandOverIdempotency = _unary("HandOverIdempotency")
     CallStore = _unary("CallStore")
+    SubmitJob = _unary("SubmitJob")
     ReadJob = _unary("ReadJob")
     StopJob = _unary("StopJob")
