--- a/mulberryport/coordination/session.py
+++ b/mulberryport/coordination/session.py
@@ -24,9 +24,9 @@
 )
 
 # Short enough that the work of a dead daemon is taken over well within the time that
-# a step has, long enough for four renewals.
-SESSION_TTL_S = 4.0
-RENEWAL_PERIOD_S = 1.0
+# a step has, long enough for several renewals.
+SESSION_TTL_S = 3.0
+RENEWAL_PERIOD_S = 0.75
 # Given up by the holder, for clock drift and the time from a guard to the last byte.
 MARGIN_S = 0.5
 RETRY_S = 0.25
--- a/mulberryport/jobs/archive.py
+++ b/mulberryport/jobs/archive.py
@@ -214,9 +214,17 @@
             return Done({})
         return _decoded(decode_transcripts, outcome.value.value)
 
-    def claim(self, job_id: str, holder: str, lease: int) -> Outcome[int | None]:
+    def claim(
+        self, job_id: str, holder: str, lease: int, replaced: int = 0
+    ) -> Outcome[int | None]:
         """Become the owner of an open job that has none.
 
+        Parameters
+        ----------
+        replaced : int
+            Revision of an ownership that is replaced because its owner is gone; 0 if
+            the job must have no owner.
+
         Returns
         -------
         Done of int, Done of None, NotDone or Unknown
@@ -225,7 +233,7 @@
         owner_key = OWNER_PREFIX + job_id
         outcome = self.store.commit(
             Transaction(
-                expected={owner_key: 0},
+                expected={owner_key: replaced},
                 puts=(Put(owner_key, holder.encode(), lease),),
             )
         )
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -12,7 +12,14 @@
 import eventlet
 from attrs import define, field, frozen
 
-from ..coordination import Change, Conflict, KeyValueStore, Mirror, Session
+from ..coordination import (
+    Change,
+    Conflict,
+    Item,
+    KeyValueStore,
+    Mirror,
+    Session,
+)
 from ..membership import Members, rendezvous_order
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from ..peering import Peers, PeerServer, peer_pb2
@@ -503,10 +510,17 @@
         if owned is not None and not owned.closed:
             return False
         owner = self.mirror.get(OWNER_PREFIX + job_id)
-        return owner is None or owner.lease == self.session.lease
+        return owner is None or self._is_own(owner)
+
+    def _is_own(self, owner: Item) -> bool:
+        """Whether this daemon, or a former incarnation of it, has a job."""
+        vm = owner.value.decode().partition(" ")[0]
+        return vm == self.members.self_member.vm
 
     def _patience(self, job_id: str) -> float:
         """Return how long to leave a job without an owner to other members."""
+        if self.mirror.get(OWNER_PREFIX + job_id) is not None:
+            return 0.0
         live = [m for m in self.members.live() if not m.leaving]
         order = [member.vm for member in rendezvous_order(job_id, live)]
         vm = self.members.self_member.vm
@@ -530,7 +544,9 @@
             if owner is not None and owner.lease == lease:
                 ownership: Outcome[int | None] = Done(owner.revision)
             else:
-                ownership = self.archive.claim(job_id, self._holder, lease)
+                # The owner is a former incarnation of this daemon, or nobody.
+                replaced = owner.revision if owner is not None else 0
+                ownership = self.archive.claim(job_id, self._holder, lease, replaced)
             if not isinstance(ownership, Done) or ownership.value is None:
                 return
             self._load(job_id, ownership.value, lease)
--- /dev/null
+++ b/mulberryport/jobs/tests/builders.py
@@ -0,0 +1,182 @@
+"""Builders of jobs, engines and daemons for tests."""
+
+import eventlet
+from attrs import define, evolve, field
+
+from ...coordination import Mirror, Session
+from ...coordination.tests.builders import MemoryStore, until
+from ...membership import Member, Members
+from ...outcomes import NotDone
+from ...tables import (
+    MODEL_ENGINE,
+    PLAIN_SERVICE,
+    BatchTerms,
+    Pool,
+    Route,
+    Snapshot,
+    SnapshotHolder,
+    Tables,
+    Workspace,
+)
+from ...targets import Dispatcher, TargetDirectory
+from ...targets.vm_list import ListedVm
+from ..archive import LIVE_PREFIX
+from ..generation import Ports
+from ..model import Job, JobItem, ScoringCall
+from ..service import JobService
+
+__all__ = ["Engine", "JobDaemon", "MemoryStore", "make_job", "until"]
+
+
+def make_job(job_id="job1", items=4, scored=True, **values):
+    """Return a job of two groups."""
+    values.setdefault("submitted_at", 1000.0)
+    return Job(
+        id=job_id,
+        workspace=values.pop("workspace", "roads"),
+        host="h.example",
+        route="drafts",
+        items=tuple(
+            JobItem(
+                id=f"{job_id}-{n}",
+                path="/drafts/1",
+                headers=(),
+                body=b"\x00\xff",
+                group=f"g{n % 2}",
+                model="m",
+                scoring=ScoringCall(f"s{n}", "h.example", "/score/", b"x")
+                if scored
+                else None,
+            )
+            for n in range(items)
+        ),
+        **values,
+    )
+
+
+@define(eq=False)
+class Engine:
+    """Ports whose engines make events; faults are taken from lists first.
+
+    Parameters
+    ----------
+    length : int
+        Events of each text.
+    faults, score_faults : list of Exception
+        Raised by the next calls.
+    """
+
+    length: int = 3
+    version: int = 5
+    pause: float = 0.0
+    faults: list = field(factory=list)
+    score_faults: list = field(factory=list)
+    calls: list = field(factory=list)
+    scored: list = field(factory=list)
+
+    def ports(self):
+        """Return the ports."""
+        return Ports(generate=self.generate, score=self.score)
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate the rest of a text."""
+        self.calls.append((item.id, len(transcript.events), view.id))
+        if self.faults:
+            raise self.faults.pop(0)
+        while len(transcript.events) < self.length:
+            eventlet.sleep(self.pause)
+            transcript.add(f"{item.id}.{len(transcript.events) + 1}", self.version)
+            on_event()
+
+    def score(self, view, call, seconds):
+        """Return a score."""
+        self.scored.append(call.id)
+        if self.score_faults:
+            raise self.score_faults.pop(0)
+        return f"score of {call.id}"
+
+
+class NoPeers:
+    """Peers that cannot be reached."""
+
+    def call(self, vm, method, request, timeout):
+        """Fail."""
+        return NotDone("no peers")
+
+
+def make_tables():
+    """Return tables with a route of jobs and one of scoring calls."""
+    terms = BatchTerms(due=5.0, give_up=60.0)
+    return Tables(
+        workspaces={"roads": Workspace(name="roads")},
+        routes={
+            "drafts": Route(
+                name="drafts", path="/drafts/", pool="engines", batch=terms, attempts=3
+            ),
+            "score": Route(name="score", path="/score/", pool="desk", attempts=2),
+        },
+        pools={
+            "engines": Pool(name="engines", kind=MODEL_ENGINE, queue=100),
+            "desk": Pool(name="desk", kind=PLAIN_SERVICE),
+        },
+    )
+
+
+class JobDaemon:
+    """The parts of a daemon that jobs need."""
+
+    def __init__(self, store, vm="vm1", engine=None, incarnation=1, peers=None):
+        self.store, self.engine = store, engine or Engine()
+        self.now = 1000.0
+        self.holder = SnapshotHolder()
+        self.directory = TargetDirectory()
+        self.dispatcher = Dispatcher(self.directory, "a")
+        self.holder.subscribe(self.directory.use_snapshot)
+        self.holder.subscribe(self.dispatcher.use_snapshot)
+        self.holder.adopt(Snapshot(1, "first", make_tables()), {})
+        self.directory.use_vm_list(
+            [
+                ListedVm(name, "127.0.0.1:1", "a", pool, False, False, 8, {"m": 5})
+                for name, pool in (("e1", "engines"), ("e2", "engines"), ("d1", "desk"))
+            ]
+        )
+        self.session = Session(store)
+        self.mirror = Mirror(store, LIVE_PREFIX)
+        self.jobs = JobService(
+            store,
+            self.mirror,
+            self.session,
+            Members(Member(vm, "a", "127.0.0.1:2", incarnation)),
+            peers or NoPeers(),
+            self.dispatcher,
+            lambda: self.holder.snapshot.tables,
+            self.engine.ports(),
+            lambda: self.now,
+        )
+        self.session.start()
+        self.mirror.start()
+        assert until(lambda: self.session.alive and self.mirror.loaded)
+        self._running = True
+        eventlet.spawn_n(self._run)
+
+    def _run(self):
+        while self._running:
+            self.dispatcher.refresh()
+            self.jobs.turn()
+            eventlet.sleep(0.02)
+
+    def change_tables(self, **changes):
+        """Put tables with changes in force."""
+        snapshot = self.holder.snapshot
+        tables = evolve(snapshot.tables, **changes)
+        number = snapshot.revision + 1
+        self.holder.adopt(Snapshot(number, f"change {number}", tables), {})
+
+    def die(self):
+        """Stop as a killed process does: its session ends later."""
+        self._running = False
+        self.session._stopped = True
+        self.mirror.stop()
+        for owned in list(self.jobs._owned.values()):
+            owned.close()
+        self.store.expire(self.session.lease)
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -236,11 +236,12 @@
         member = self.members.self_member
         self.duty = SessionDuty(
             f"{LIVE_PREFIX}duty/{CONTROL_DUTY}",
-            f"{member.vm} {member.incarnation}",
+            member.vm,
+            member.incarnation,
             self.store,
             self.live_keys,
             self.session,
-            settle=self.settings.platform.lease_ms / 1000,
+            turn_time=self.settings.platform.lease_ms / 1000,
             patience=self._duty_patience,
         )
 
