Keep accepted jobs on disks while the store is away, and long texts in it

Cause: steps that began in an outage of the store were refused or held until their callers gave up; after a kill the longest texts began anew.

Change: a job is synced to as many disks as may be lost plus one before it is accepted, and generated at once; nothing is listed before the store has it. The programs of the disks bring what nobody wrote. Owners keep texts of ten events and more once a second.

--- a/mulberryport/cli/processes.py
+++ b/mulberryport/cli/processes.py
@@ -1,6 +1,5 @@
 """Commands that run processes or check their files."""
 
-import signal
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -63,17 +62,25 @@
         EntryDaemon(settings, self.settings).run()
 
 
-@cappa.command(name="storage", help="Run on a storage VM; keeps nothing.")
+@cappa.command(name="storage", help="Keep accepted jobs on a storage VM's disk.")
 @define
 class StorageCommand:
-    """Run on a storage VM.
+    """Keep accepted jobs on a storage VM's disk while the store is away."""
 
-    All state is in the platform's store; the platform asks for a program here.
-    """
+    settings: Annotated[
+        str,
+        cappa.Arg(default=cappa.Env("MULBERRYPORT_SETTINGS"), help="Settings file."),
+    ]
 
     def __call__(self) -> None:
-        """Wait for the signal to stop."""
-        signal.sigwait({signal.SIGTERM, signal.SIGINT})
+        """Run the command."""
+        from ..platform.storage import StorageDaemon, load_storage_settings
+
+        try:
+            settings = load_storage_settings(self.settings)
+        except InvalidFileError as error:
+            report_faults(error, False)
+        StorageDaemon(settings).run()
 
 
 @cappa.command(name="check", help="Check a settings file or a file of tables.")
--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -30,6 +30,8 @@
 
 # A watch is one call of the store however long it waits.
 WATCH_WAIT_S = 12.0
+# The first watch after an interruption shows whether the store answers again.
+FIRST_WAIT_S = 0.3
 # Between two attempts while the store does not answer.
 RETRY_S = 0.25
 
@@ -136,7 +138,8 @@
         return True
 
     def _follow(self) -> bool:
-        outcome = self.store.watch(self.prefix, self._revision, WATCH_WAIT_S)
+        wait = WATCH_WAIT_S if self._following else FIRST_WAIT_S
+        outcome = self.store.watch(self.prefix, self._revision, wait)
         if not isinstance(outcome, Done):
             self._interrupted(outcome.reason)
             return False
--- a/mulberryport/jobs/archive.py
+++ b/mulberryport/jobs/archive.py
@@ -250,6 +250,7 @@
         position: int,
         results: list[JobResult],
         finished: JobHead | None,
+        transcripts: dict[str, Transcript] | None = None,
     ) -> Outcome[Committed | Conflict]:
         """List results from a position on; repeating the call changes nothing.
 
@@ -259,10 +260,12 @@
             Revision at which this daemon became the owner.
         finished : JobHead or None
             The head of the job, if these are its last results.
+        transcripts : dict of str to Transcript, optional
+            Unfinished texts, for another owner.
         """
         owner_key, head_key = OWNER_PREFIX + job_id, HEAD_PREFIX + job_id
         key = f"{RESULTS_PREFIX}{job_id}/{position:08}"
-        puts = [Put(key, encode_results(results))]
+        puts = [Put(key, encode_results(results)), *_partial(job_id, transcripts)]
         expected = {owner_key: ownership}
         removes: tuple[str, ...] = ()
         if finished is not None:
@@ -277,16 +280,25 @@
         self, job_id: str, ownership: int, transcripts: dict[str, Transcript]
     ) -> Outcome[Committed | Conflict]:
         """Leave a job to another daemon, with its unfinished texts."""
-        content = encode_transcripts(transcripts)
-        puts = (Put(PARTIAL_PREFIX + job_id, content),)
         return self.store.commit(
             Transaction(
                 expected={OWNER_PREFIX + job_id: ownership},
-                puts=puts if len(content) <= CHUNK_BYTES else (),
+                puts=_partial(job_id, transcripts),
                 removes=(OWNER_PREFIX + job_id,),
             )
         )
 
+    def checkpoint(
+        self, job_id: str, ownership: int, transcripts: dict[str, Transcript]
+    ) -> Outcome[Committed | Conflict]:
+        """Keep unfinished texts, from which another owner can go on."""
+        return self.store.commit(
+            Transaction(
+                expected={OWNER_PREFIX + job_id: ownership},
+                puts=_partial(job_id, transcripts),
+            )
+        )
+
     def end(self, job_id: str, head: JobHead) -> Outcome[Committed | Conflict]:
         """End a job: nothing is listed any more, and nobody owns it."""
         head_key = HEAD_PREFIX + job_id
@@ -316,6 +328,16 @@
         return outcome
 
 
+def _partial(job_id: str, transcripts: dict[str, Transcript] | None) -> tuple[Put, ...]:
+    """Return what keeps unfinished texts; nothing if they are too large together."""
+    if not transcripts:
+        return ()
+    content = encode_transcripts(transcripts)
+    if len(content) > CHUNK_BYTES:
+        return ()
+    return (Put(PARTIAL_PREFIX + job_id, content),)
+
+
 def _decoded(decode: Any, content: Any) -> Outcome[Any]:
     try:
         return Done(decode(content))
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -63,6 +63,10 @@
 GATHER_S = 0.25
 COMMIT_RETRY_S = 0.2
 COMMIT_BYTES = 500_000
+# Texts of some length are kept once a second, so that the loss of an owner costs no
+# more of them than that.
+CHECKPOINT_PERIOD_S = 1.0
+KEPT_EVENTS = 10
 # Pause before an attempt that follows one that did not start.
 RETRY_S = 0.05
 # How long an item waits for a place before its route and versions are looked at again.
@@ -137,12 +141,18 @@
     _finished: Signal = field(factory=Signal)
     _closed: bool = False
     _committing: bool = False
+    _kept_at: float = float("-inf")
 
     @property
     def closed(self) -> bool:
         """Whether nothing more is generated or listed here."""
         return self._closed
 
+    @property
+    def provisional(self) -> bool:
+        """Whether the job is kept on disks only, so that nothing can be listed."""
+        return not self.ownership
+
     @property
     def listed(self) -> list[bytes]:
         """The results that are listed, encoded, in order; not to be changed."""
@@ -200,6 +210,8 @@
             return
         pending = list(self._pending)
         self.close()
+        if self.provisional:
+            return
         if pending and not self._committing:
             self._commit(pending)
         unfinished = {
@@ -363,6 +375,7 @@
         while not self._closed and not self.complete:
             if not self._pending:
                 self._finished.wait(COMMIT_RETRY_S)
+                self._checkpoint()
                 continue
             if len(self._listed) + len(self._pending) < len(self.job.items):
                 eventlet.sleep(GATHER_S)
@@ -370,6 +383,24 @@
             while not self._closed and not self._commit(batch):
                 eventlet.sleep(COMMIT_RETRY_S)
 
+    def _long_texts(self) -> dict[str, Transcript]:
+        """Return the unfinished texts that are worth to be kept, if that is due."""
+        if boottime() - self._kept_at < CHECKPOINT_PERIOD_S:
+            return {}
+        return {
+            item: transcript
+            for item, transcript in self._transcripts.items()
+            if len(transcript.events) >= KEPT_EVENTS
+        }
+
+    def _checkpoint(self) -> None:
+        """Keep long unfinished texts for an owner after this one."""
+        texts = self._long_texts()
+        if self._closed or self.provisional or self._pending or not texts:
+            return
+        self._kept_at = boottime()
+        self.means.archive.checkpoint(self.job.id, self.ownership, texts)
+
     def _next_batch(self) -> list[JobResult]:
         batch: list[JobResult] = []
         size = 0
@@ -386,16 +417,22 @@
         A call without an answer is repeated as it was, so that whichever execution
         counts, the same results stand at the same positions.
         """
+        if self.provisional:
+            return False
         position = len(self._listed)
         last = position + len(batch) >= len(self.job.items)
         self._committing = True
         try:
+            texts = {} if last else self._long_texts()
+            if texts:
+                self._kept_at = boottime()
             outcome = self.means.archive.append(
                 self.job.id,
                 self.ownership,
                 position,
                 batch,
                 self.head if last else None,
+                texts,
             )
         finally:
             self._committing = False
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -51,6 +51,9 @@
 JOB_UNREADABLE = define_event(
     933, "job_unreadable", "error", "The store's record of a batch job is malformed."
 )
+JOB_KEPT_ON_DISKS = define_event(
+    935, "job_kept_on_disks", "info", "A job was accepted while the store is away."
+)
 JOB_NOT_ACCEPTED = define_event(
     934, "job_not_accepted", "warning", "A batch job could not be kept in the store."
 )
@@ -62,6 +65,8 @@
 TAKE_OVER_DELAY_S = 0.4
 MOST_STAGGERS = 5
 SUBMIT_RETRY_S = 0.2
+# Jobs on disks are in the store this long after it answers again.
+SETTLE_S = 3.0
 # How long the daemon that should own a job may wait for the store, and the time beyond
 # that for its answer; after that the job is kept by the daemon that has it.
 PASS_ON_PATIENCE_S = 0.4
@@ -112,6 +117,11 @@
         Returns seconds since 1970 by the fleet's clock.
     retention : float
         Seconds for which a job is kept after its submission.
+    keep : callable or None
+        Keeps a job on disks while the store is away.
+    settle : float
+        Seconds after the store answers again in which a job that it does not have may
+        still be on disks.
     """
 
     store: KeyValueStore
@@ -124,6 +134,8 @@
     ports: Ports
     now: Callable[[], float]
     retention: float = RETENTION_S
+    keep: Callable[[Job], Outcome[bool]] | None = None
+    settle: float = SETTLE_S
     archive: JobArchive = field(init=False)
     _owned: dict[str, OwnedJob] = field(factory=dict)
     _heads: dict[str, JobHead] = field(factory=dict)
@@ -162,6 +174,8 @@
             Whether the job is accepted; false if the id is that of another
             workspace. ``NotDone`` if no part of it runs or will run.
         """
+        if self._is_known(job):
+            return Done(True)
         uncertain: Unknown | None = None
         passed_on = self._submit_to_preferred(job)
         if isinstance(passed_on, Done):
@@ -173,8 +187,16 @@
     def _submit_here(
         self, job: Job, deadline: float, uncertain: Unknown | None
     ) -> Outcome[bool]:
-        """Keep a job in the store, owned by this daemon."""
+        """Keep a job in the store, owned by this daemon, or on disks meanwhile."""
         while True:
+            if self._is_known(job):
+                return Done(True)
+            if not self.mirror.following:
+                kept = self._keep_on_disks(job)
+                if isinstance(kept, Done):
+                    return kept
+                if isinstance(kept, Unknown):
+                    uncertain = kept
             # A daemon that stops leaves the job to the others.
             lease = 0 if self._stopping else self.session.lease
             outcome: Outcome[object] = NotDone("there is no session in the store")
@@ -269,6 +291,8 @@
                 return Done(False)
             if not head.open:
                 return Done(True)
+            if not head.revision:
+                return NotDone("the job is not in the store yet")
             outcome = self.archive.end(job_id, head)
             if not isinstance(outcome, Done):
                 return outcome
@@ -281,6 +305,7 @@
         """Take over jobs without an owner, and forget those that are old."""
         if self._stopping or not self.session.alive or not self.mirror.following:
             return
+        self._establish()
         now = boottime()
         for job_id, head in list(self._heads.items()):
             if self.now() - head.submitted_at > self.retention:
@@ -329,6 +354,31 @@
         member = self.members.self_member
         return f"{member.vm} {member.incarnation}"
 
+    def _is_known(self, job: Job) -> bool:
+        """Whether a job was accepted here before."""
+        owned = self._owned.get(job.id)
+        return owned is not None and owned.job.workspace == job.workspace
+
+    def _keep_on_disks(self, job: Job) -> Outcome[bool]:
+        """Accept a job that the store cannot take now.
+
+        This daemon begins to generate, but lists nothing before it owns the job in
+        the store.
+        """
+        if self.keep is None or self._stopping:
+            return NotDone("no disks keep jobs")
+        kept = self.keep(job)
+        if isinstance(kept, Done) and not self._is_known(job):
+            log(JOB_KEPT_ON_DISKS, job=job.id, items=len(job.items))
+            head = JobHead(
+                workspace=job.workspace,
+                route=job.route,
+                total=len(job.items),
+                submitted_at=job.submitted_at,
+            )
+            self._own(job, head, 0, 0, [], {})
+        return kept
+
     def _submit_to_preferred(self, job: Job) -> Outcome[bool]:
         """Pass a job on to the daemon that should own it, if that is another one.
 
@@ -412,7 +462,19 @@
     def _find_head(self, job_id: str) -> Outcome[JobHead | None]:
         """Return the head of a job, from the store if it is not known here."""
         head = self._heads.get(job_id)
-        return Done(head) if head is not None else self.archive.read_head(job_id)
+        if head is not None:
+            return Done(head)
+        owned = self._owned.get(job_id)
+        if owned is not None:
+            return Done(owned.head)
+        found = self.archive.read_head(job_id)
+        if isinstance(found, Done) and found.value is None and not self._is_settled():
+            return NotDone("jobs that only disks keep may not be in the store yet")
+        return found
+
+    def _is_settled(self) -> bool:
+        """Whether the store has had time to get the jobs that disks kept."""
+        return self.mirror.following and self.mirror.regained_for > self.settle
 
     def _read_once(
         self, job_id: str, head: JobHead, after: int, deadline: float
@@ -527,11 +589,28 @@
         rank = order.index(vm) if vm in order else MOST_STAGGERS
         return TAKE_OVER_DELAY_S + TAKE_OVER_STAGGER_S * min(rank, MOST_STAGGERS)
 
+    def _establish(self) -> None:
+        """Write jobs that only disks keep to the store, now that it answers."""
+        for job_id, owned in list(self._owned.items()):
+            if owned.provisional and not owned.closed and job_id not in self._adopting:
+                self._adopting.add(job_id)
+                eventlet.spawn_n(self._establish_one, owned)
+
+    def _establish_one(self, owned: OwnedJob) -> None:
+        try:
+            regained = self._regain(owned)
+            if isinstance(regained, Done) and not regained.value:
+                self._drop(owned.job.id)
+        finally:
+            self._adopting.discard(owned.job.id)
+
     def _regain_all(self) -> None:
         """Claim the owned jobs again after the session before ended."""
         for owned in list(self._owned.values()):
             if owned.lease == self.session.lease or owned.closed:
                 continue
+            if owned.provisional:
+                continue
             regained = self._regain(owned)
             if isinstance(regained, Done) and not regained.value:
                 owned.close()
@@ -587,6 +666,8 @@
         found = self.archive.read_head(job_id)
         if not isinstance(found, Done):
             return found
+        if found.value is None and owned.provisional:
+            return self._create_kept(owned, lease)
         if found.value is None or not found.value.open:
             return Done(False)
         claimed = self.archive.claim(job_id, self._holder, lease)
@@ -610,6 +691,19 @@
             # took effect; the job is loaded again by the next turn.
             return Done(False)
         owned.ownership, owned.lease, owned.head = ownership, lease, found.value
+        self._heads[job_id] = found.value
+        return Done(True)
+
+    def _create_kept(self, owned: OwnedJob, lease: int) -> Outcome[bool]:
+        """Write a job that only disks keep to the store."""
+        created = self.archive.create(owned.job, self._holder, lease)
+        if not isinstance(created, Done):
+            return created
+        if isinstance(created.value, Conflict):
+            return NotDone("a disk's program writes the job, or the session ended")
+        owned.head, owned.ownership = created.value
+        owned.lease = lease
+        self._heads[owned.job.id] = owned.head
         return Done(True)
 
     def _expire(self, job_id: str) -> None:
--- a/mulberryport/jobs/tests/__init__.py
+++ b/mulberryport/jobs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jobs."""
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -125,7 +125,9 @@
 class JobDaemon:
     """The parts of a daemon that jobs need."""
 
-    def __init__(self, store, vm="vm1", engine=None, incarnation=1, peers=None):
+    def __init__(
+        self, store, vm="vm1", engine=None, incarnation=1, peers=None, keep=None
+    ):
         self.store, self.engine = store, engine or Engine()
         self.now = 1000.0
         self.holder = SnapshotHolder()
@@ -152,10 +154,13 @@
             lambda: self.holder.snapshot.tables,
             self.engine.ports(),
             lambda: self.now,
+            keep=keep,
+            settle=0.1,
         )
         self.session.start()
         self.mirror.start()
         assert until(lambda: self.session.alive and self.mirror.loaded)
+        assert until(lambda: self.mirror.regained_for > 0.1)
         self._running = True
         eventlet.spawn_n(self._run)
 
--- a/mulberryport/peering/peers.py
+++ b/mulberryport/peering/peers.py
@@ -95,6 +95,21 @@
         member = self.members.get(vm)
         if member is None:
             return NotDone(f"peer {vm} is not known")
+        return self.call_member(member, method, request, timeout)
+
+    def call_member(
+        self, member: Member, method: str, request: Any, timeout: float
+    ) -> Outcome[Any]:
+        """Call a method of a daemon that need not be one of the members.
+
+        Parameters
+        ----------
+        member : Member
+            Id and peer address of the daemon.
+        method, request, timeout
+            As for ``call``.
+        """
+        vm = member.vm
         request.sender.CopyFrom(self.sender())
         link = self._link(member)
         try:
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -62,6 +62,10 @@
     async def CallStore(self, stream: 'grpclib.server.Stream[peer_pb2.CallStoreRequest, peer_pb2.CallStoreReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def KeepJob(self, stream: 'grpclib.server.Stream[peer_pb2.KeepJobRequest, peer_pb2.KeepJobReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def SubmitJob(self, stream: 'grpclib.server.Stream[peer_pb2.SubmitJobRequest, peer_pb2.SubmitJobReply]') -> None:
         pass
@@ -152,6 +156,12 @@
                 peer_pb2.CallStoreRequest,
                 peer_pb2.CallStoreReply,
             ),
+            '/mulberryport.peer.Peer/KeepJob': grpclib.const.Handler(
+                self.KeepJob,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.KeepJobRequest,
+                peer_pb2.KeepJobReply,
+            ),
             '/mulberryport.peer.Peer/SubmitJob': grpclib.const.Handler(
                 self.SubmitJob,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -254,6 +264,12 @@
             peer_pb2.CallStoreRequest,
             peer_pb2.CallStoreReply,
         )
+        self.KeepJob = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/KeepJob',
+            peer_pb2.KeepJobRequest,
+            peer_pb2.KeepJobReply,
+        )
         self.SubmitJob = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/SubmitJob',
--- a/mulberryport/platform/control.py
+++ b/mulberryport/platform/control.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 import orjson
-from attrs import define, field
+from attrs import define
 
-from ..coordination import Item, Mirror, Put, SessionDuty, Transaction
+from ..coordination import Mirror, SessionDuty
 from ..orders.fleet import ZoneOrder
 from ..outcomes import Done, NotDone, Outcome
 from ..routing import TargetView
@@ -19,21 +19,15 @@
 from ..telemetry import log
 from ..weights.rotation import Load
 from . import names
-from .store import PlatformStore
 
 __all__ = ["CONTROL_PREFIX", "ControlCalls", "announced_versions"]
 
-STORAGE_RELEASED = define_event(
-    1430, "storage_vm_released", "info", "A storage VM that is to leave holds no data."
-)
 ANNOUNCEMENT_SKIPPED = define_event(
     1431, "announcement_skipped", "warning", "An announcement of weights is malformed."
 )
 
 CONTROL_PREFIX = "op/"
 VERSION_PREFIX = "op/version/"
-RETIRE_PREFIX = "op/retire/"
-RETIRE_STATUS_PREFIX = "status/retire/"
 # A guarded call, from its guard to its effect.
 CALL_TIMEOUT_S = 1.0
 HOLDER, FENCE = "X-Duty-Holder", "X-Fence-Token"
@@ -65,18 +59,11 @@
         The duty.
     cloud : str
         IP number and port of the platform's interface.
-    store : PlatformStore
-        For the answers to the operator.
-    mirror : Mirror
-        Follows the operator's keys.
     """
 
     vm: str
     duty: SessionDuty
     cloud: str
-    store: PlatformStore
-    mirror: Mirror
-    _released: dict[str, int] = field(factory=dict)
 
     def order_load(self, view: TargetView, load: Load) -> Outcome[bool]:
         """Order an engine to load a version; true if it does so or has it.
@@ -151,25 +138,6 @@
             return NotDone("the report was refused")
         return outcome
 
-    def release_storage(self) -> None:
-        """Answer requests to empty storage VMs, which hold nothing that must last."""
-        if not self.duty.active:
-            return
-        for key, item in list(self.mirror.items.items()):
-            if key.startswith(RETIRE_PREFIX):
-                self._release(key.removeprefix(RETIRE_PREFIX), item)
-
-    def _release(self, vm: str, item: Item) -> None:
-        if self._released.get(vm) == item.revision:
-            return
-        value = orjson.dumps({"state": "completed"})
-        outcome = self.store.commit(
-            Transaction(puts=(Put(f"{RETIRE_STATUS_PREFIX}{vm}", value),))
-        )
-        if isinstance(outcome, Done):
-            self._released[vm] = item.revision
-            log(STORAGE_RELEASED, storage_vm=vm)
-
     def _post(
         self, url: str, body: object, headers: dict[str, str] | None = None
     ) -> Outcome[Any]:
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -14,6 +14,7 @@
 from ..gateway import CallerServer, Gateway, RequestEndedError
 from ..jobs import JobService, Ports
 from ..jobs.archive import LIVE_PREFIX
+from ..journal import JournalClient
 from ..membership import (
     HEARTBEAT_PERIOD_S,
     FleetClock,
@@ -270,6 +271,9 @@
             Ports(generate=engines.generate, score=engines.score),
             self.clock.now,
             self.settings.platform.retention,
+            JournalClient(
+                self.live_keys, self.peers, self.settings.platform.disk_losses + 1
+            ).keep,
         )
         self.jobs.register(self.peer_server)
         batches = BatchInterface(self.holder, self.jobs, self.clock.now)
@@ -292,8 +296,6 @@
             self.settings.vm.id,
             self.duty,
             self.settings.platform.cloud,
-            self.store,
-            self.operator_keys,
         )
         rotation = WeightRotation(
             self.duty,
@@ -321,7 +323,6 @@
         subscribe("jobs", JOBS_PERIOD_S, self.jobs.turn)
         subscribe("weights", CONTROL_PERIOD_S, rotation.turn)
         subscribe("orders", CONTROL_PERIOD_S, orders.turn)
-        subscribe("storage", CONTROL_PERIOD_S, calls.release_storage)
         subscribe("usage replicas", USAGE_PERIOD_S, self.replicator.turn)
         subscribe("usage", USAGE_PERIOD_S, ledger.turn)
 
--- a/mulberryport/platform/settings.py
+++ b/mulberryport/platform/settings.py
@@ -4,7 +4,9 @@
 ``deploy/storage.ini`` for the storage VMs.
 """
 
+from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 from attrs import field, frozen
 
@@ -23,7 +25,12 @@
 )
 from ..settings.model import ADDRESS, NAME, parse_seed
 
-__all__ = ["EntrySettings", "load_entry_settings", "parse_entry_settings"]
+__all__ = [
+    "EntrySettings",
+    "load_entry_settings",
+    "parse_entry_settings",
+    "read_settings",
+]
 
 SECONDS = "seconds from 0 to 3600"
 
@@ -57,6 +64,8 @@
     requires_fence: bool = option(switch, "yes or no", default=False)
     # Milliseconds in which two holders of a duty must not take turns.
     lease_ms: float = option(number(0, 3.6e6), "milliseconds", default=3000.0)
+    # Disks that may be lost at the same time without losing a job.
+    disk_losses: int = option(number(0, 100, int), "0 to 100", default=1)
     # Seconds for which batch jobs are kept.
     retention: float = option(number(0, 86400), "seconds", default=120.0)
 
@@ -100,6 +109,19 @@
 def parse_entry_settings(content: str, file: str) -> EntrySettings:
     """Read settings from INI text.
 
+    Raises
+    ------
+    InvalidFileError
+        An exception group with every fault of the text.
+    """
+    return EntrySettings(**parse_sections(content, file, SECTIONS))
+
+
+def parse_sections(
+    content: str, file: str, classes: Mapping[str, type]
+) -> dict[str, Any]:
+    """Read the sections of INI text into one record each.
+
     Raises
     ------
     InvalidFileError
@@ -107,23 +129,34 @@
     """
     sections, faults = read_sections(content, file)
     parts = {}
-    for name, cls in SECTIONS.items():
+    for name, cls in classes.items():
         parts[name], found = structure_section(
             cls, sections.pop(name, {}), file=file, section=name
         )
         faults.extend(found)
     for name in sections:
-        accepted = ", ".join(SECTIONS)
+        accepted = ", ".join(classes)
         message = f"unknown section; accepted sections: {accepted}"
         faults.append(FileFault(file, name, "", message))
     if faults:
         raise InvalidFileError.of(faults)
-    return EntrySettings(**parts)
+    return parts
 
 
 def load_entry_settings(path: str | Path) -> EntrySettings:
     """Read settings from a file.
 
+    Raises
+    ------
+    InvalidFileError
+        The file cannot be read or has faults.
+    """
+    return EntrySettings(**read_settings(path, SECTIONS))
+
+
+def read_settings(path: str | Path, classes: Mapping[str, type]) -> dict[str, Any]:
+    """Read the sections of an INI file into one record each.
+
     Raises
     ------
     InvalidFileError
@@ -134,4 +167,4 @@
     except (OSError, UnicodeDecodeError) as error:
         fault = FileFault(str(path), "", "", f"cannot be read: {error}")
         raise InvalidFileError.of([fault]) from error
-    return parse_entry_settings(content, str(path))
+    return parse_sections(content, str(path), classes)
