Read heads strictly, name requests in logs, and never wait for a log's reader

Cause: header lines with a space before the colon, bare line feeds, folded lines and NUL bytes were accepted and forwarded; stalled heads held connections; a refusal of a non-idempotent request by its target broke an invariant; log lines did not say which request they are about, and a reader that does not read would have stopped the daemon.

Ruled out: checking names after the parser, which has merged lines by then.

Change: heads are checked as bytes and bounded in size and time by the limits of the configuration; each request's lines carry its id, and explain shows what became of it; log lines that do not fit are dropped and counted; tests of the adapter against stand-ins that speak the platform's protocol, as processes too.

--- a/mulberryport/cli/program.py
+++ b/mulberryport/cli/program.py
@@ -12,7 +12,7 @@
     StandinCommand,
     StorageCommand,
 )
-from .status import StatusCommand, TimelineCommand
+from .status import ExplainCommand, StatusCommand, TimelineCommand
 from .tables import ApplyCommand, DiffCommand, ShowCommand
 
 __all__ = ["Program", "run"]
@@ -34,6 +34,7 @@
         | KeyCommand
         | StatusCommand
         | TimelineCommand
+        | ExplainCommand
         | StandinCommand
     ]
 
--- a/mulberryport/cli/status.py
+++ b/mulberryport/cli/status.py
@@ -10,10 +10,11 @@
 from ..outcomes import Done, NotDone, Outcome
 from ..runtime.http import call_json
 from ..settings import InvalidFileError, load_settings
+from ..telemetry.explain import entries_about, explain
 from ..telemetry.timeline import merge_entries, read_log_file, render_entry
 from .output import EXIT_FAILED, fail, print_json, report_faults
 
-__all__ = ["StatusCommand", "TimelineCommand"]
+__all__ = ["ExplainCommand", "StatusCommand", "TimelineCommand"]
 
 CALL_TIMEOUT_S = 3.0
 
@@ -139,3 +140,27 @@
                 print(render_entry(entry, self.json))
         except OSError as error:
             fail(f"{error.filename}: cannot be read: {error.strerror}")
+
+
+@cappa.command(name="explain", help="Tell what became of a request, job or item.")
+@define
+class ExplainCommand:
+    """Tell what became of a request, job or item."""
+
+    id: Annotated[str, cappa.Arg(help="Id of the request, job or item.")]
+    logs: Annotated[list[str], cappa.Arg(num_args=-1, help="Log files.")]
+    json: Annotated[bool, cappa.Arg(long=True, help="Print JSON.")] = False
+
+    def __call__(self) -> None:
+        """Run the command; exit with 1 if no entry names the id."""
+        try:
+            logs = [read_log_file(path) for path in self.logs]
+        except OSError as error:
+            fail(f"{error.filename}: cannot be read: {error.strerror}")
+        entries = entries_about(merge_entries(logs), self.id)
+        if not entries:
+            fail(f"no log line names {self.id}")
+        for entry in entries:
+            print(render_entry(entry, self.json))
+        if not self.json:
+            print(explain(entries))
--- a/mulberryport/gateway/active.py
+++ b/mulberryport/gateway/active.py
@@ -78,16 +78,19 @@
     ----------
     connection : socket or None
         The caller's connection, watched for its end.
-    sent : bool
-        Whether a part of the request may have reached a target.
+    id : str
+        Id that the caller gave the request, for logs.
+    sent : int
+        Attempts of which a part may have run at a target; 0 if none did.
     changes_state : bool
         Whether this daemon itself may have carried it out in part.
     """
 
     connection: socket.socket | None = None
+    id: str = ""
     key_digest: str = ""
     access: Access | None = None
-    sent: bool = False
+    sent: int = 0
     changes_state: bool = False
     _greenlet: Any = field(factory=eventlet.getcurrent)
     _wait: Wait | None = None
@@ -126,7 +129,7 @@
         if self._ended or self._finished:
             return
         self._ended = True
-        log(REQUEST_ENDED, status=error.status, reason=str(error))
+        log(REQUEST_ENDED, request=self.id, status=error.status, reason=str(error))
         self._throw(error, lambda: not self._finished)
 
     @contextmanager
@@ -206,9 +209,11 @@
         return len(self._requests)
 
     @contextmanager
-    def register(self, connection: socket.socket | None) -> Iterator[ActiveRequest]:
+    def register(
+        self, connection: socket.socket | None, request_id: str = ""
+    ) -> Iterator[ActiveRequest]:
         """Register a request while the context lasts."""
-        request = ActiveRequest(connection)
+        request = ActiveRequest(connection, request_id)
         self._requests.add(request)
         try:
             yield request
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -121,7 +121,8 @@
             self._mark_connection(environ)
             return start_response(status, headers)
 
-        with self.active.register(_connection(environ)) as active:
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        with self.active.register(_connection(environ), request_id) as active:
             try:
                 yield from self._serve(environ, start, active)
                 return
@@ -144,9 +145,16 @@
     ) -> None:
         if isinstance(error, RefusalError):
             require(not active.sent, "not_run_is_true", status=error.status)
-            log(REQUEST_REFUSED, status=error.status, reason=str(error))
+            event = REQUEST_REFUSED
         else:
-            log(REQUEST_UNKNOWN, status=error.status, reason=str(error))
+            event = REQUEST_UNKNOWN
+        log(
+            event,
+            request=active.id,
+            status=error.status,
+            reason=str(error),
+            revision=self.holder.snapshot.revision,
+        )
 
     def _mark_connection(self, environ: dict[str, Any]) -> None:
         """Let the server close the connection after this answer, and say so."""
@@ -280,7 +288,13 @@
     def _count(self, call: CallerRequest, view: Assignment, tokens: int = 0) -> None:
         """Count an answer that is complete but for its last byte."""
         access = call.access
-        log(REQUEST_SERVED, route=access.route.name, target=view.id)
+        log(
+            REQUEST_SERVED,
+            request=call.active.id,
+            route=access.route.name,
+            target=view.id,
+            revision=self.holder.snapshot.revision,
+        )
         if self.dialect.counts_starts:
             return
         counter = self.counters.add(
@@ -329,7 +343,7 @@
     """Note that the first byte is about to be sent to a target."""
     if not call.idempotent:
         require(not call.active.sent, "non_idempotent_sent_once")
-    call.active.sent = True
+    call.active.sent += 1
     if keyed:
         # The answer is kept for the caller's retry, whether it waits or not.
         call.active.detach_caller()
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -11,6 +11,8 @@
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse
 from ..targets import Assignment, Dispatcher, ShedError, TargetView, WorkRequest
+from ..telemetry import define as define_event
+from ..telemetry import log
 from .access import Access
 from .active import ActiveRequest, SilentConnectionError
 from .bodies import RequestBody
@@ -39,6 +41,13 @@
     "outgoing_request",
 ]
 
+ATTEMPT_FAILED = define_event(
+    607, "request_attempt_failed", "info", "An attempt at a target failed."
+)
+REQUEST_TRIED_AGAIN = define_event(
+    608, "request_tried_again", "info", "A request is sent to a further target."
+)
+
 # More attempts than targets usually fail at once gain little and cost load.
 MAX_ATTEMPTS = 3
 # How long a retry waits for another target before the first failure is reported.
@@ -189,6 +198,7 @@
             break
         except (NotSentError, OutcomeUnknownError, SilentConnectionError) as error:
             failure = error
+            log(ATTEMPT_FAILED, request=call.active.id, error=str(error))
             work = evolve(work, exclude=work.exclude | {view.id})
     raise _report(failure, call.active.sent) from failure
 
@@ -226,6 +236,12 @@
     ) -> tuple[ExitStack, Assignment, ForwardedAnswer]:
         with ExitStack() as place:
             failure = NotSentError("an earlier attempt") if excluded else None
+            if excluded:
+                log(
+                    REQUEST_TRIED_AGAIN,
+                    request=call.active.id,
+                    tried=sorted(excluded),
+                )
             tried = evolve(work, exclude=work.exclude | excluded)
             view = place.enter_context(targets.assign(tried, failure))
             note(view.id)
@@ -239,6 +255,7 @@
             return place.pop_all(), view, answer
 
     def may_repeat(error: Exception) -> bool:
+        log(ATTEMPT_FAILED, request=call.active.id, error=str(error))
         return not isinstance(error, ShedError) and targets.may_retry(work.pool)
 
     try:
@@ -288,16 +305,13 @@
 
     try:
         answer = forward(view, request, watch, sent, targets.wire)
-    except MisdirectedError:
+    except NotRunError as error:
+        # The target works and did not run it; its load says more than a failure.
         started = None
+        call.active.sent -= 1
         view.cancelled()
-        targets.dispatcher.directory.report_misdirected(view.id)
-        raise
-    except NotSentError as error:
-        started = None
-        if isinstance(error, NotRunError):
-            # A full target works; its load says more than a failure would.
-            view.cancelled()
+        if isinstance(error, MisdirectedError):
+            targets.dispatcher.directory.report_misdirected(view.id)
         raise
     finally:
         if started is not None:
--- a/mulberryport/gateway/generation.py
+++ b/mulberryport/gateway/generation.py
@@ -147,7 +147,7 @@
 
     timeout = call.access.route.timeout
     finished = False
-    sent_before, call.active.sent = call.active.sent, True
+    call.active.sent += 1
     try:
         for chunk in generate(view.address, attempt, timeout, watch):
             started = True
@@ -155,7 +155,7 @@
         finished = True
     except NotStartedError:
         finished = True
-        call.active.sent = sent_before
+        call.active.sent -= 1
         raise
     finally:
         if not finished:
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -76,7 +76,7 @@
 MAX_WAIT_S = 5.0
 RESULT_BYTES = 900_000
 # Results of closed jobs that are kept in memory for readers.
-CLOSED_BYTES = 8_000_000
+CLOSED_BYTES = 4_000_000
 # Jobs are kept for this time after their submission, or as the users ask.
 RETENTION_S = 120.0
 
--- a/mulberryport/platform/configuration.py
+++ b/mulberryport/platform/configuration.py
@@ -9,6 +9,7 @@
     MODEL_ENGINE,
     PLAIN_SERVICE,
     BatchTerms,
+    CallerLimits,
     KeyRecord,
     Pool,
     PoolShare,
@@ -67,7 +68,13 @@
         for name, route in routes.items()
         if route.pool in pools and all(share.pool in pools for share in route.split)
     }
-    tables = Tables(workspaces=workspaces, routes=known, pools=pools, keys=keys)
+    tables = Tables(
+        workspaces=workspaces,
+        routes=known,
+        pools=pools,
+        keys=keys,
+        limits=_limits(values.get("limits") or {}),
+    )
     return Snapshot(revision, f"configuration {revision}", tables)
 
 
@@ -108,6 +115,17 @@
     )
 
 
+def _limits(entry: dict[str, Any]) -> CallerLimits:
+    defaults = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(entry.get("max-header-bytes") or defaults.header_bytes),
+        body_bytes=int(entry.get("max-body-bytes") or defaults.body_bytes),
+        header_time=float(entry.get("header-timeout-ms") or 0) / 1000
+        or defaults.header_time,
+        idle_time=float(entry.get("idle-timeout-ms") or 0) / 1000 or defaults.idle_time,
+    )
+
+
 def _batch_terms(entry: dict[str, Any]) -> BatchTerms:
     return BatchTerms(
         due=float(entry["run-target-ms"]) / 1000,
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -37,6 +37,7 @@
 from ..telemetry import configure, log
 from ..telemetry import define as define_event
 from ..telemetry.metrics import render
+from ..telemetry.sink import LogSink
 from ..usage import UsageCounters, UsageReplicator
 from ..usage.ledger import UsageLedger
 from ..usage.messages import from_message
@@ -85,6 +86,8 @@
 # Daemons contend for the free duty in rendezvous order, this long after each other.
 # Jobs come and end a few times a second in the whole fleet; every daemon follows them.
 LIVE_GATHER_S = 0.4
+# Two engines finish their loads at the same time.
+REGISTRATIONS_GATHER_S = 0.15
 DUTY_STAGGER_S = 0.3
 MOST_STAGGERS = 6
 CONTROL_DUTY = "control"
@@ -126,6 +129,7 @@
     duty: SessionDuty = field(init=False)
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
+    _log_sink: LogSink = field(factory=lambda: LogSink(sys.stdout.fileno()))
     _stopping: bool = False
     _was_ready: bool = False
     _stopped: eventlet.event.Event = field(factory=eventlet.event.Event)
@@ -139,7 +143,7 @@
     def run(self) -> None:
         """Serve until a signal asks for a stop."""
         vm = self.settings.vm
-        configure(vm.id, sys.stdout.buffer, vm.log_level)
+        configure(vm.id, self._log_sink, vm.log_level)
         signal.signal(signal.SIGTERM, self._on_stop_signal)
         signal.signal(signal.SIGINT, self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
@@ -153,7 +157,11 @@
         if vm.metrics_port:
             host = vm.readiness_address.rpartition(":")[0]
             serve(listen(f"{host}:{vm.metrics_port}"), _serve_metrics)
-        self.caller_server = CallerServer(listen(vm.caller_address), self.gateway)
+        self.caller_server = CallerServer(
+            listen(vm.caller_address),
+            self.gateway,
+            lambda: self.holder.snapshot.tables.limits,
+        )
         self.caller_server.start()
         log(ENTRY_STARTED, zone=vm.zone, caller_address=vm.caller_address)
         self._stopped.wait()
@@ -226,7 +234,7 @@
         self.operator_keys = Mirror(self.store, CONTROL_PREFIX)
         self.live_keys = Mirror(self.store, LIVE_PREFIX, gather=LIVE_GATHER_S)
         self.registrations = Registrations(
-            Mirror(self.store, REGISTRATIONS_PREFIX),
+            Mirror(self.store, REGISTRATIONS_PREFIX, gather=REGISTRATIONS_GATHER_S),
             self.directory,
             self.dispatcher.refresh,
         )
@@ -399,7 +407,7 @@
         except ExceptionGroup as error:
             log(SETTINGS_RELOADED, accepted=False, error=str(error))
             return
-        configure(settings.vm.id, sys.stdout.buffer, settings.vm.log_level)
+        configure(settings.vm.id, self._log_sink, settings.vm.log_level)
         log(SETTINGS_RELOADED, accepted=True)
 
 
--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -20,6 +20,7 @@
 from ..settings.model import ADDRESS, NAME
 from ..telemetry import configure, log
 from ..telemetry import define as define_event
+from ..telemetry.sink import LogSink
 from .daemon import PEER_TOKEN
 from .settings import read_settings
 from .store import PlatformStore
@@ -111,7 +112,7 @@
     def run(self) -> None:
         """Serve until a signal asks for a stop."""
         vm = self.settings.vm
-        configure(vm.id, sys.stdout.buffer)
+        configure(vm.id, LogSink(sys.stdout.fileno()))
         signal.signal(signal.SIGTERM, self._on_stop_signal)
         signal.signal(signal.SIGINT, self._on_stop_signal)
         # The settings of a storage VM do not change while it runs.
--- /dev/null
+++ b/mulberryport/platform/tests/test_decoding.py
@@ -0,0 +1,244 @@
+"""Tests of what is decoded from the platform's wire."""
+
+import re
+from pathlib import Path
+
+import orjson
+import pytest
+
+from ...coordination import Change, Item, Mirror
+from ...coordination.tests.builders import MemoryStore
+from ...gateway.bodies import RequestBody
+from ...gateway.forwarding import OutgoingRequest, Verdict
+from ...jobs import GenerationBrokenError
+from ...runtime.clock import boottime
+from ...settings import InvalidFileError
+from ...tables import find_key
+from ...targets import TargetDirectory
+from ..configuration import decode_configuration
+from ..engines import EventParser
+from ..ingress import _refuse, _verdict
+from ..registrations import Registrations, decode_registration
+from ..settings import parse_entry_settings, parse_sections
+from ..storage import StoragePlatform, StorageVm
+from .builders import KEY, make_configuration
+
+DEPLOY = Path(__file__).parents[3] / "deploy"
+VALUES = {
+    "node": "front-a-1",
+    "zone": "a",
+    "ip": "10.0.0.1",
+    "listen.front": "10.0.0.1:8405",
+    "listen.ready": "10.0.0.1:8406",
+    "listen.control": "10.0.0.1:8407",
+    "internal-ports.0": "7660",
+    "internal-ports.1": "7661",
+    "bounds.grace-s": "8",
+    "bounds.lease-ms": "3000",
+    "bounds.status-ttl-s": "120",
+    "bounds.usage-window-s": "5",
+    "bounds.usage-late-s": "10",
+    "tolerate.machines": "1",
+    "platform.address": "10.0.0.2:8408",
+    "cloud.address": "10.0.0.3:8408",
+    "data-dir": "/data",
+}
+
+
+def render(template: str) -> str:
+    """Fill in a settings template as the platform does."""
+    seeds = "".join(f"\n    seed{n} a 10.0.0.{n + 4}:8407" for n in range(3))
+    text = re.sub(r"\{\{#seeds\}\}.*\{\{/seeds\}\}", seeds, template, flags=re.S)
+    text = re.sub(r"\{\{#[^}]*\}\}yes\{\{/[^}]*\}\}", "", text)
+    text = re.sub(r"\{\{\^[^}]*\}\}(.*?)\{\{/[^}]*\}\}", r"\1", text)
+    return re.sub(r"\{\{([^}]*)\}\}", lambda match: VALUES[match[1]], text)
+
+
+def test_the_settings_templates_give_valid_settings():
+    # Guards against a template and settings that drift apart.
+    text = render((DEPLOY / "entry.ini").read_text())
+    settings = parse_entry_settings(text, "entry.ini")
+    assert settings.vm.id == "front-a-1"
+    assert [seed.peer_address for seed in settings.peers.seeds][2] == "10.0.0.6:8407"
+    assert settings.platform.lease_ms == 3000
+    classes = {"vm": StorageVm, "platform": StoragePlatform}
+    text = render((DEPLOY / "storage.ini").read_text())
+    assert parse_sections(text, "storage.ini", classes)["vm"].data_folder == "/data"
+
+
+def test_all_faults_of_settings_are_reported_at_once():
+    with pytest.raises(InvalidFileError) as caught:
+        parse_entry_settings("[vm]\nid = a b\nzone = z\n[other]\n", "f")
+    text = " ".join(str(error) for error in caught.value.exceptions)
+    assert "caller-address" in text and "other" in text and "store" in text
+
+
+def test_a_configuration_becomes_tables():
+    snapshot = decode_configuration(orjson.dumps(make_configuration(7)))
+    assert snapshot.revision == 7
+    routes = snapshot.tables.routes
+    assert routes["desk"].is_idempotent("POST")
+    assert not routes["once"].is_idempotent("POST")
+    assert routes["drafts"].batch.give_up == 40
+    assert find_key(snapshot.tables, KEY).workspace == "roads"
+    assert snapshot.tables.pools["engines"].models == ("m",)
+
+
+def test_wrong_entries_of_a_configuration_are_left_out_and_the_others_hold():
+    configuration = make_configuration()
+    configuration["routes"] += [
+        {"name": "broken"},
+        "text",
+        {**configuration["routes"][0], "name": "lost", "service": "none"},
+        {
+            **configuration["routes"][0],
+            "name": "split",
+            "service": None,
+            "split": [{"service": "desk", "weight": "x"}],
+        },
+    ]
+    tables = decode_configuration(orjson.dumps(configuration)).tables
+    assert sorted(tables.routes) == ["desk", "drafts", "once", "score"]
+    for content in (b"", b"[]", b"{}", b'{"version": "x"}', b"\xff"):
+        with pytest.raises(ValueError):
+            decode_configuration(content)
+
+
+def test_split_routes_share_their_requests_by_weight():
+    configuration = make_configuration()
+    route = configuration["routes"][0]
+    del route["service"]
+    route["split"] = [
+        {"service": "desk", "weight": 3},
+        {"service": "engines", "weight": 1},
+        {"service": "engines", "weight": 0},
+    ]
+    found = decode_configuration(orjson.dumps(configuration)).tables.routes["desk"]
+    pools = [found.pool_for(n / 100) for n in range(100)]
+    assert pools.count("desk") == 75 and pools.count("engines") == 25
+
+
+def test_without_tenants_nobody_needs_a_key():
+    configuration = make_configuration()
+    del configuration["tenants"]
+    tables = decode_configuration(orjson.dumps(configuration)).tables
+    assert all(route.open for route in tables.routes.values())
+
+
+GOOD = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready"}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\x00",
+        b"[]",
+        b"null",
+        *(
+            orjson.dumps({**GOOD, **change})
+            for change in (
+                {"state": "odd"},
+                {"state": ["ready"]},
+                {"address": 7},
+                {"address": "nowhere"},
+                {"slots": "many"},
+                {"slots": -1},
+                {"models": [{"name": "m"}]},
+                {"models": [{"name": "m", "version": "2"}]},
+                {"models": 3},
+                {"service": None},
+            )
+        ),
+    ],
+)
+def test_entries_of_other_writers_name_no_target(value):
+    with pytest.raises(ValueError):
+        decode_registration(Item("servers/x", value, 1))
+
+
+def test_a_wrong_entry_takes_only_its_own_target_away():
+    directory = TargetDirectory()
+    mirror = Mirror(MemoryStore(), "servers/")
+    registrations = Registrations(mirror, directory)
+    registrations.start()
+    for name in ("a", "b"):
+        item = Item(f"servers/{name}", orjson.dumps(GOOD), 1)
+        mirror.apply(Change(item.key, 1, item))
+    wrong = Item("servers/a", b"?", 2)
+    mirror.apply(Change(wrong.key, 2, wrong))
+    assert sorted(registrations.listed) == ["servers/b"]
+
+
+def test_entries_that_lapse_in_an_outage_stay_until_they_had_time_to_return():
+    # Guards against dropping all targets because the store was away.
+    mirror = Mirror(MemoryStore(), "servers/")
+    registrations = Registrations(mirror, TargetDirectory())
+    registrations.start()
+    item = Item("servers/a", orjson.dumps(GOOD), 1)
+    mirror.apply(Change(item.key, 1, item))
+    mirror._following, mirror._regained_at = True, boottime() - 1.0
+    mirror.apply(Change(item.key, 2))
+    registrations.turn()
+    assert "servers/a" in registrations.listed
+    mirror._regained_at = boottime() - 10.0
+    registrations.turn()
+    assert registrations.listed == {}
+
+
+def test_a_stream_is_split_at_any_byte():
+    # Guards against events that are lost or doubled at the edge of a packet.
+    stream = (
+        b"id: 1\ndata: a\n\nx-weight-versions: 4\nid: 2\ndata: b\n\n"
+        b"id: 3\ndata: c\ndata: d\n\nid: 4\ndata: cut"
+    )
+    expected = [(1, "a", 3), (2, "b", 4), (3, "c\nd", 4)]
+    for size in range(1, len(stream)):
+        parser = EventParser(3)
+        parts = [stream[n : n + size] for n in range(0, len(stream), size)]
+        assert [e for part in parts for e in parser.feed(part)] == expected
+
+
+def test_malformed_streams_raise_value_errors():
+    for content in (b"id: x\ndata: a\n\n", b"x-weight-versions: y\n\n", b"\xff\n\n"):
+        with pytest.raises(ValueError):
+            list(EventParser(1).feed(content))
+    assert issubclass(GenerationBrokenError, Exception)
+
+
+def request(request_id="r1"):
+    """Return a request with an id."""
+    headers = [("X-Request-Id", request_id)]
+    return OutgoingRequest("POST", "/", headers, RequestBody(0, b"", True))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, {"X-Request-Id": "r1", "X-Server-Stamp": "s"}, Verdict.ANSWER),
+        (200, {"X-Request-Id": "r2", "X-Server-Stamp": "s"}, Verdict.FOREIGN),
+        (200, {"X-Request-Id": "r1"}, Verdict.FOREIGN),
+        (200, {"X-Server-Stamp": "s"}, Verdict.FOREIGN),
+        (500, {"X-Request-Id": "r1"}, Verdict.ANSWER),
+        (503, {"X-Not-Run": "1"}, Verdict.NOT_RUN),
+        (503, {"X-Request-Id": "r1"}, Verdict.ANSWER),
+        (503, {"X-Request-Id": "r2", "X-Not-Run": "1"}, Verdict.FOREIGN),
+        (421, {}, Verdict.MISDIRECTED),
+    ],
+)
+def test_the_head_of_an_answer_is_judged(status, headers, verdict):
+    assert _verdict(request(), status, headers) is verdict
+
+
+def test_only_refusals_that_did_not_run_tell_when_to_come_back():
+    from ...gateway import OutcomeUnknownError, RefusalError
+
+    seen = []
+
+    def start(status, headers):
+        seen.append((status[:3], dict(headers).get("Retry-After")))
+
+    _refuse(start, RefusalError(503, "full", 0.25))
+    _refuse(start, OutcomeUnknownError(502, "broken"))
+    _refuse(start, RefusalError(404, "no route"))
+    assert seen == [("503", "0.25"), ("502", None), ("404", None)]
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -37,6 +37,7 @@
     408: "Request Timeout",
     409: "Conflict",
     410: "Gone",
+    412: "Precondition Failed",
     413: "Content Too Large",
     429: "Too Many Requests",
     500: "Internal Server Error",
--- /dev/null
+++ b/mulberryport/standins/platform_targets.py
@@ -0,0 +1,132 @@
+"""Stand-ins of engines and plain services that speak the users' platform's protocol."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import eventlet
+from attrs import define, field
+
+from ..runtime.wsgi import StartResponse, read_json, respond
+
+__all__ = ["EngineStandin", "ServiceStandin"]
+
+DATA = "text/event-stream"
+
+
+@define(eq=False)
+class ServiceStandin:
+    """A plain service; also scores texts.
+
+    Parameters
+    ----------
+    id : str
+        Id of the target; a request that expects another one gets 421.
+    statuses : list of int
+        Statuses of the next answers; 200 when it is empty. 0 breaks the answer off.
+    pause : float
+        Seconds until an answer.
+    """
+
+    id: str
+    statuses: list[int] = field(factory=list)
+    pause: float = 0.0
+    requests: list[dict[str, str]] = field(factory=list)
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        """Answer one request."""
+        seen = {
+            name: value
+            for name, value in environ.items()
+            if name.startswith("HTTP_") or name in ("REQUEST_METHOD", "PATH_INFO")
+        }
+        seen["body"] = environ["wsgi.input"].read().decode("latin-1")
+        self.requests.append(seen)
+        eventlet.sleep(self.pause)
+        if environ.get("HTTP_X_EXPECT_INSTANCE", self.id) != self.id:
+            start_response("421 Misdirected Request", [("Content-Length", "0")])
+            return []
+        status = self.statuses.pop(0) if self.statuses else 200
+        headers = [
+            ("X-Request-Id", environ.get("HTTP_X_REQUEST_ID", "")),
+            ("X-Server-Load", "1,0,8"),
+        ]
+        if status == 503:
+            return respond(start_response, 503, {}, [*headers, ("X-Not-Run", "1")])
+        if status == 0:
+            start_response("200 OK", [*headers, ("Content-Length", "100")])
+            return [b"short"]
+        headers.append(("X-Server-Stamp", f"stamp of {self.id}"))
+        return respond(start_response, status, {"from": self.id}, headers)
+
+
+@define(eq=False)
+class EngineStandin:
+    """A model engine that streams events and takes orders to load weights.
+
+    Parameters
+    ----------
+    id : str
+        Id of the target.
+    model : str
+        Its model.
+    version : int
+        Weight version of the model.
+    events : int
+        Events of each text.
+    pause : float
+        Seconds between two events.
+    on_load : callable
+        Called after weights were loaded.
+    """
+
+    id: str
+    model: str = "m"
+    version: int = 1
+    events: int = 3
+    pause: float = 0.01
+    on_load: Callable[[], None] = lambda: None
+    orders: list[dict[str, Any]] = field(factory=list)
+    started: list[tuple[str, int]] = field(factory=list)
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Any:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        if environ.get("HTTP_X_EXPECT_INSTANCE", self.id) != self.id:
+            start_response("421 Misdirected Request", [("Content-Length", "0")])
+            return []
+        if path == "/mulberryport/report":
+            body = {"busy": False, "seq": len(self.orders), "models": []}
+            return respond(start_response, 200, body)
+        if path == "/mulberryport/order":
+            order = read_json(environ)
+            self.orders.append(order)
+            self.version = order["version"]
+            self.on_load()
+            return respond(start_response, 202, {})
+        return self._generate(environ, start_response)
+
+    def _generate(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterator[bytes]:
+        environ["wsgi.input"].read()
+        item = environ["HTTP_X_REQUEST_ID"]
+        after = int(environ.get("HTTP_LAST_EVENT_ID", 0))
+        self.started.append((item, after))
+        start_response(
+            "200 OK",
+            [
+                ("Content-Type", DATA),
+                ("X-Request-Id", item),
+                ("X-Server-Stamp", f"stamp of {self.id}"),
+                ("X-Server-Load", "1,0,8"),
+                ("X-Weight-Versions", str(self.version)),
+            ],
+        )
+        version = self.version
+        for number in range(after + 1, self.events + 1):
+            eventlet.sleep(self.pause)
+            head = f"x-weight-versions: {self.version}\n" * (version != self.version)
+            version = self.version
+            yield f"{head}id: {number}\ndata: {item}.{number}\n\n".encode()
--- a/mulberryport/tables/model.py
+++ b/mulberryport/tables/model.py
@@ -20,6 +20,7 @@
     "MODEL_ENGINE",
     "PLAIN_SERVICE",
     "BatchTerms",
+    "CallerLimits",
     "KeyRecord",
     "Pool",
     "PoolShare",
@@ -320,6 +321,26 @@
         return self.digest[:12]
 
 
+@frozen
+class CallerLimits:
+    """What a caller may send and how long it may take.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+        Size of the head and of the body of a request.
+    header_time : float
+        Seconds from the first byte of a head to its end.
+    idle_time : float
+        Seconds for which a connection may be idle, or a body may make no progress.
+    """
+
+    header_bytes: int = 65536
+    body_bytes: int = 2**40
+    header_time: float = 10.0
+    idle_time: float = 600.0
+
+
 @frozen
 class Tables:
     """Everything that operators declare."""
@@ -328,6 +349,7 @@
     routes: Mapping[str, Route] = field(factory=dict)
     pools: Mapping[str, Pool] = field(factory=dict)
     keys: Mapping[str, KeyRecord] = field(factory=dict)
+    limits: CallerLimits = field(factory=CallerLimits)
 
 
 @frozen
--- a/mulberryport/telemetry/logs.py
+++ b/mulberryport/telemetry/logs.py
@@ -8,7 +8,7 @@
 import os
 import sys
 from collections import deque
-from typing import Any, BinaryIO
+from typing import Any
 
 import orjson
 import structlog
@@ -28,14 +28,14 @@
 _logger: Any = None
 
 
-def configure(vm: str, stream: BinaryIO | None = None, level: str = "info") -> None:
+def configure(vm: str, stream: Any = None, level: str = "info") -> None:
     """Start logging of this process.
 
     Parameters
     ----------
     vm : str
         Id of the VM, part of each line.
-    stream : binary file, optional
+    stream : binary file or LogSink, optional
         Where lines go; standard error by default.
     level : {'debug', 'info', 'warning', 'error'}
         Events below this level are not logged.
--- a/mulberryport/telemetry/timeline.py
+++ b/mulberryport/telemetry/timeline.py
@@ -23,8 +23,9 @@
     entries = []
     with open(path, "rb") as file:
         for line in file:
+            # What collects logs may put the time and the VM before each line.
             try:
-                entry = orjson.loads(line)
+                entry = orjson.loads(line[max(0, line.find(b"{")) :])
             except orjson.JSONDecodeError:
                 continue
             if isinstance(entry, dict) and isinstance(entry.get("clock"), int):
