Close left streams at once, notice stalled watches, and divide the jobs package

Reading the code and tests found what can cause them: a stream whose answer announced the end of its connection failed with an AttributeError and kept its socket; an owner without its session went on beside the next one, which resumes texts; a long watch by way of a peer, or on a silent connection, brought no change for up to 12 s.

Ruled out: the retry of a lost order and the relay of transactions, by their tests.

Change: answers are closed together with their connections; a new owner has the former one stop; long watches are never relayed, and heartbeats tell which changes others have seen; kept connections belong to an address as well.

--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -6,8 +6,10 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 import eventlet
+import eventlet.hubs
 from attrs import define, field
 
 from ..outcomes import Done
@@ -27,21 +29,34 @@
 SUBSCRIBER_FAILED = define_event(
     422, "mirror_subscriber_failed", "error", "A part failed to take a change."
 )
+MIRROR_STALLED = define_event(
+    423, "mirror_stalled", "warning", "Another daemon has seen a change, this one not."
+)
 
 # A watch is one call of the store however long it waits.
 WATCH_WAIT_S = 12.0
 # The first watch after an interruption shows whether the store answers again.
 FIRST_WAIT_S = 0.3
+# A watch that works brings a change within this time, also with gathered changes.
+NEWS_DELAY_S = 0.6
 # Between two attempts while the store does not answer.
 RETRY_S = 0.25
 
 Subscriber = Callable[[Change], None]
 
 
+class WatchStalledError(BaseException):
+    """The watch must end now; no handler of ordinary errors may swallow this."""
+
+
 @define(eq=False)
 class Mirror:
     """Follows the keys below a prefix.
 
+    A watch can stay open and yet bring nothing, as on a connection that went silent.
+    Other daemons tell which changes they have seen (``expect``); a mirror that lacks
+    one of them gives up its watch and reads the prefix in full.
+
     Parameters
     ----------
     store : KeyValueStore
@@ -57,6 +72,8 @@
     gather: float = 0.0
     _items: dict[str, Item] = field(factory=dict)
     _revision: int = -1
+    _newest: int = 0
+    _waiting: Any = None
     _subscribers: list[Subscriber] = field(factory=list)
     _following: bool = False
     _interrupted_at: float = float("-inf")
@@ -78,6 +95,11 @@
         """Whether the last call of the store was answered."""
         return self._following
 
+    @property
+    def newest(self) -> int:
+        """Revision of the newest change that was seen."""
+        return self._newest
+
     @property
     def regained_for(self) -> float:
         """Seconds since the store answered again after an interruption."""
@@ -91,6 +113,11 @@
         """Call a function with each change from now on."""
         self._subscribers.append(subscriber)
 
+    def expect(self, revision: int) -> None:
+        """Note that another daemon has seen a change at a revision."""
+        if revision > self._newest:
+            eventlet.spawn_after(NEWS_DELAY_S, self._check_news, revision)
+
     def start(self) -> None:
         """Follow the prefix until ``stop``."""
         eventlet.spawn_n(self._run)
@@ -101,6 +128,7 @@
 
     def apply(self, change: Change) -> None:
         """Take over a change that is known from elsewhere, such as an own commit."""
+        self._newest = max(self._newest, change.revision)
         known = self._items.get(change.key)
         if known is not None and known.revision >= change.revision:
             return
@@ -139,7 +167,14 @@
 
     def _follow(self) -> bool:
         wait = WATCH_WAIT_S if self._following else FIRST_WAIT_S
-        outcome = self.store.watch(self.prefix, self._revision, wait)
+        self._waiting = eventlet.getcurrent()
+        try:
+            outcome = self.store.watch(self.prefix, self._revision, wait)
+        except WatchStalledError:
+            self._revision = -1
+            return True
+        finally:
+            self._waiting = None
         if not isinstance(outcome, Done):
             self._interrupted(outcome.reason)
             return False
@@ -154,6 +189,20 @@
             eventlet.sleep(self.gather)
         return True
 
+    def _check_news(self, revision: int) -> None:
+        """Give up the watch if it has not brought a change by now."""
+        if self._newest >= revision or self._waiting is None:
+            return
+        log(MIRROR_STALLED, prefix=self.prefix, has=self._newest, lacks=revision)
+        waiting, self._waiting = self._waiting, None
+        eventlet.hubs.get_hub().schedule_call_global(
+            0, self._end_watch, waiting, WatchStalledError()
+        )
+
+    def _end_watch(self, waiting: Any, error: BaseException) -> None:
+        if not waiting.dead:
+            waiting.throw(error)
+
     def _interrupted(self, reason: str) -> None:
         if self._following or self._interrupted_at == float("-inf"):
             log(MIRROR_LOST, prefix=self.prefix, reason=reason)
--- a/mulberryport/coordination/tests/test_mirror.py
+++ b/mulberryport/coordination/tests/test_mirror.py
@@ -78,3 +78,18 @@
     store.write("a/1", b"x")
     assert until(lambda: seen)
     mirror.stop()
+
+
+def test_a_watch_that_brings_nothing_is_given_up_when_others_know_more():
+    # Guards against a withdrawn key that lives on behind a silent connection.
+    store = MemoryStore()
+    with following(store) as (mirror, _):
+        quiet = store._history
+        store._history = []
+        item = store.write("a/1", b"withdrawn")
+        store._history = quiet
+        assert not until(lambda: mirror.get("a/1") is not None, 0.5)
+        mirror.expect(item.revision)
+        assert until(lambda: mirror.get("a/1") is not None, 2.0)
+        mirror.expect(item.revision)
+        assert mirror.newest == item.revision
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -24,11 +24,12 @@
 from .calls import CallerRequest, Targets, open_answer, open_raced_answer
 from .credentials import secret_finder
 from .dialect import Dialect, own_dialect
-from .forwarding import OWN_WIRE, ForwardedAnswer
+from .forwarding import ForwardedAnswer
 from .generation import error_line, parse_generation, stream_generation
 from .once import Open, idempotency_key, run_once
 from .refusals import OutcomeUnknownError, RefusalError
 from .server import PROTOCOL_KEY
+from .wire import OWN_WIRE
 
 __all__ = ["Gateway"]
 
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -18,19 +18,17 @@
 from .bodies import RequestBody
 from .credentials import SecretFinder, forwardable_headers, forwardable_query
 from .forwarding import (
-    OWN_WIRE,
     ForwardedAnswer,
     MisdirectedError,
     NotRunError,
     NotSentError,
-    OutgoingRequest,
-    TargetWire,
     forward,
     hold_body,
 )
 from .headers import request_headers
 from .racing import race
 from .refusals import OutcomeUnknownError, RefusalError
+from .wire import OWN_WIRE, OutgoingRequest, TargetWire
 
 __all__ = [
     "MAX_ATTEMPTS",
--- a/mulberryport/gateway/dialect.py
+++ b/mulberryport/gateway/dialect.py
@@ -14,9 +14,9 @@
 from .bodies import RequestBody
 from .calls import CallerRequest, outgoing_request
 from .credentials import find_credential
-from .forwarding import OWN_WIRE, OutgoingRequest, TargetWire
 from .headers import request_headers
 from .refusals import refuse
+from .wire import OWN_WIRE, OutgoingRequest, TargetWire
 
 __all__ = ["Dialect", "own_dialect"]
 
--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -7,37 +7,31 @@
 dead and would leave the outcome unknown.
 """
 
-import enum
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, suppress
 from http.client import HTTPException
 
 import urllib3
-from attrs import define, field, frozen
+from attrs import define, field
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
 from ..targets import TargetView
 from ..targets.connections import ConnectionPool
-from ..telemetry import process_clock
-from .bodies import RequestBody
 from .headers import end_to_end, header_values
 from .refusals import OUTCOME_HEADER, OutcomeUnknownError
+from .wire import OWN_WIRE, OutgoingRequest, TargetWire, Verdict
 
 __all__ = [
     "ForwardedAnswer",
     "MisdirectedError",
     "NotRunError",
     "NotSentError",
-    "OutgoingRequest",
-    "TargetWire",
-    "Verdict",
     "forward",
     "hold_body",
 ]
 
-CLOCK_HEADER = "X-Mulberryport-Clock"
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 64 * 1024
 REFUSAL_BYTES = 16 * 1024
@@ -60,78 +54,6 @@
     """Another target answers at the address; it did not run the request."""
 
 
-class Verdict(enum.Enum):
-    """What the head of a target's answer says."""
-
-    ANSWER = "answer"
-    NOT_RUN = "not run"
-    MISDIRECTED = "another target"
-    FOREIGN = "another request"
-
-
-@frozen
-class OutgoingRequest:
-    """A request as a target may see it.
-
-    Parameters
-    ----------
-    method, target : str
-        Request line; the target is the path with the query.
-    headers : list of (str, str)
-        Without keys and without headers of the caller's connection.
-    body : RequestBody
-        Streamed to the target.
-    deadline : float
-        Boot time at which its caller stops to wait.
-    reusable : bool
-        Whether it may be sent on a connection that was used before.
-    """
-
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: RequestBody
-    deadline: float = float("inf")
-    reusable: bool = False
-
-
-def _clock_header(request: OutgoingRequest, view: TargetView) -> list[tuple[str, str]]:
-    return [(CLOCK_HEADER, str(process_clock.now()))]
-
-
-@frozen
-class TargetWire:
-    """How targets of one interface are spoken to.
-
-    Parameters
-    ----------
-    attempt_headers : callable
-        Returns headers that are added when a request is sent to a target.
-    verdict : callable
-        Judges the head of a target's answer from the target, the request, and the
-        status and headers of the answer.
-    connections : ConnectionPool or None
-        Connections that are kept for further requests; None for none.
-    unframed : bool
-        Whether an answer may end with its connection instead of a stated length.
-    probes : bool
-        Whether targets can be asked, beside a silent connection, for their queues.
-    """
-
-    attempt_headers: Callable[[OutgoingRequest, TargetView], list[tuple[str, str]]] = (
-        _clock_header
-    )
-    verdict: Callable[
-        [TargetView, OutgoingRequest, int, Mapping[str, str]], Verdict
-    ] = lambda view, request, status, headers: Verdict.ANSWER
-    connections: ConnectionPool | None = None
-    unframed: bool = False
-    probes: bool = True
-
-
-OWN_WIRE = TargetWire()
-
-
 @define
 class ForwardedAnswer:
     """The head of a target's answer and the stream of its body.
@@ -292,11 +214,13 @@
     if verdict is Verdict.ANSWER:
         return
     if verdict is Verdict.FOREIGN:
+        reply.close()
         connection.close()
         raise OutcomeUnknownError(502, f"target {view.id} answered another request")
     if wire.connections is not None and _drain(reply):
         _give_back(view, reply, connection, wire.connections)
     else:
+        reply.close()
         connection.close()
     if verdict is Verdict.MISDIRECTED:
         raise MisdirectedError(f"target {view.id} is not at its address any more")
@@ -382,6 +306,9 @@
 ) -> None:
     closing = "close" in (reply.headers.get("Connection") or "").lower()
     if closing or reply.version < HTTP_1_1:
+        reply.close()
         connection.close()
         return
-    connections.give_back(view.id, connection, reply.headers.get("Keep-Alive") or "")
+    connections.give_back(
+        view.id, view.address, connection, reply.headers.get("Keep-Alive") or ""
+    )
--- a/mulberryport/gateway/once.py
+++ b/mulberryport/gateway/once.py
@@ -19,9 +19,10 @@
 from ..runtime.invariants import require
 from ..targets import Assignment
 from .calls import CallerRequest
-from .forwarding import ForwardedAnswer, OutgoingRequest
+from .forwarding import ForwardedAnswer
 from .headers import header_values, request_headers
 from .refusals import OutcomeUnknownError, RefusalError
+from .wire import OutgoingRequest
 
 __all__ = ["idempotency_key", "run_once"]
 
--- a/mulberryport/jobs/__init__.py
+++ b/mulberryport/jobs/__init__.py
@@ -1,12 +1,14 @@
 """Batch jobs: accepted once, kept in the store, owned by one daemon at a time.
 
-``model`` and ``codec`` say what a job is, ``archive`` keeps it in the store,
-``owned`` generates its results and ``service`` finds the owner, takes over the jobs of
-lost daemons and answers readers.
+``model`` and ``codec`` say what a job is, and ``archive`` keeps it in the store.
+``items`` does the work on one item and ``owned`` lists the results of a job.
+``service`` is what callers use: it accepts jobs (``submission``), keeps and takes over
+ownerships (``takeover``) and answers readers (``reading``) by what ``board`` knows.
 """
 
 from .archive import JobArchive, JobHead
 from .generation import (
+    EngineLeftError,
     EngineStaleError,
     GenerationBrokenError,
     ItemFailedError,
@@ -16,9 +18,11 @@
     Transcript,
 )
 from .model import Job, JobItem, JobResult, ScoringCall
-from .service import JobService, Page
+from .reading import Page
+from .service import JobService
 
 __all__ = [
+    "EngineLeftError",
     "EngineStaleError",
     "GenerationBrokenError",
     "ItemFailedError",
--- a/mulberryport/jobs/archive.py
+++ b/mulberryport/jobs/archive.py
@@ -32,6 +32,7 @@
 from .model import Job, JobResult
 
 __all__ = [
+    "FINISHED",
     "HEAD_PREFIX",
     "LIVE_PREFIX",
     "OWNER_PREFIX",
@@ -243,6 +244,10 @@
             return Done(outcome.value.revision)
         return Done(None)
 
+    def read_owner(self, job_id: str) -> Outcome[Item | None]:
+        """Return the key of a job's owner, None if it has none."""
+        return self.store.read(OWNER_PREFIX + job_id)
+
     def append(
         self,
         job_id: str,
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -182,6 +182,6 @@
         self._running = False
         self.session._stopped = True
         self.mirror.stop()
-        for owned in list(self.jobs._owned.values()):
+        for owned in list(self.jobs.board.owned.values()):
             owned.close()
         self.store.expire(self.session.lease)
--- a/mulberryport/jobs/tests/test_service.py
+++ b/mulberryport/jobs/tests/test_service.py
@@ -2,6 +2,7 @@
 
 import eventlet
 import orjson
+from attrs import evolve
 
 from ...outcomes import Done, NotDone, Unknown
 from ...runtime.clock import boottime
@@ -130,7 +131,7 @@
     store.write(owner, b"vm2 1")
     eventlet.sleep(1.5)
     assert not any("/results/" in key for key in store.items)
-    assert all(owned.closed for owned in first.jobs._owned.values())
+    assert all(owned.closed for owned in first.jobs.board.owned.values())
     first.die()
 
 
@@ -303,3 +304,61 @@
     assert finished(daemon, 1)
     assert read_all(daemon)[0][1] == "errored"
     daemon.die()
+
+
+class StoppingPeers:
+    """Peers that can be told to stop a job."""
+
+    def __init__(self):
+        self.daemons = {}
+        self.asked = []
+
+    def call(self, vm, method, request, timeout):
+        """Stop a job at a daemon."""
+        if method != "StopJob" or vm not in self.daemons:
+            return NotDone("no such call")
+        self.asked.append(vm)
+        return Done(self.daemons[vm].jobs._serve_stop(request))
+
+
+def test_an_owner_that_lives_without_its_session_stops_before_another_goes_on():
+    # Guards against a text that goes on at a second engine beside the first.
+    store, peers = MemoryStore(), StoppingPeers()
+    first = JobDaemon(store, "vm1", Engine(length=200, pause=0.02), peers=peers)
+    first.jobs.submit(make_job(), soon())
+    second = JobDaemon(store, "vm2", Engine(length=200), peers=peers)
+    assert until(lambda: second.jobs.board.owner_vm("job1") == "vm1")
+    peers.daemons = {"vm1": first}
+    first._running = False
+    first.session._stopped = True
+    store.expire(first.session.lease)
+    assert until(lambda: second.engine.calls)
+    assert peers.asked == ["vm1"]
+    assert "job1" not in first.jobs.board.owned
+    assert finished(second)
+    first.die()
+    second.die()
+
+
+def test_a_text_of_several_versions_is_made_anew_where_one_is_wanted():
+    daemon = JobDaemon(MemoryStore())
+    snapshot = daemon.holder.snapshot
+    route = snapshot.tables.routes["drafts"]
+    terms = evolve(route.batch, single_version=True)
+    routes = {**snapshot.tables.routes, "drafts": evolve(route, batch=terms)}
+    daemon.change_tables(routes=routes)
+    engine = daemon.engine
+    generate = engine.generate
+
+    def mixed(view, job, item, transcript, on_event):
+        if not engine.calls:
+            transcript.add("old", 4)
+        generate(view, job, item, transcript, on_event)
+
+    daemon.jobs._means = evolve(
+        daemon.jobs._means, ports=evolve(engine.ports(), generate=mixed)
+    )
+    daemon.jobs.submit(make_job(items=1), soon())
+    assert finished(daemon, 1)
+    assert read_all(daemon)[0][3] == [5]
+    daemon.die()
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -23,10 +23,7 @@
     new_incarnation,
     rendezvous_order,
 )
-from ..orders.fleet import FleetOrders
-from ..outcomes import Done
 from ..peering import Peers, PeerServer, peer_pb2
-from ..routing import TargetView
 from ..runtime import TimerService
 from ..runtime.clock import wall_time
 from ..runtime.wsgi import StartResponse, listen, respond, serve
@@ -39,13 +36,11 @@
 from ..telemetry.metrics import render
 from ..telemetry.sink import LogSink
 from ..usage import UsageCounters, UsageReplicator
-from ..usage.ledger import UsageLedger
-from ..usage.messages import from_message
-from ..weights.rotation import WeightRotation
 from . import names
 from .batches import BatchInterface
 from .configuration import CONFIGURATION_KEY, decode_configuration
-from .control import CONTROL_PREFIX, ControlCalls, announced_versions
+from .control import CONTROL_PREFIX
+from .duties import ControlDuties
 from .engines import Engines
 from .ingress import make_wire, platform_dialect
 from .registrations import REGISTRATIONS_PREFIX, Registrations
@@ -78,7 +73,6 @@
 REGISTRATIONS_PERIOD_S = 0.5
 CONNECTIONS_PERIOD_S = 1.0
 USAGE_PERIOD_S = 1.0
-COLLECT_TIMEOUT_S = 1.5
 # The balancer asks once a second and needs two misses.
 DRAIN_DELAY_S = 3.0
 # Left of the grace time for the end of requests that are broken off.
@@ -129,6 +123,7 @@
     duty: SessionDuty = field(init=False)
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
+    _duties: ControlDuties = field(init=False)
     _log_sink: LogSink = field(factory=lambda: LogSink(sys.stdout.fileno()))
     _stopping: bool = False
     _was_ready: bool = False
@@ -223,12 +218,26 @@
         heartbeats.contributors += [
             lambda heartbeat, peer: add_demand(heartbeat, self.dispatcher),
             _add_wall_time,
+            self._tell_revisions,
         ]
         heartbeats.listeners += [
             lambda heartbeat: take_demand(heartbeat, self.dispatcher),
             lambda heartbeat: self.clock.heard(heartbeat.sender.vm, heartbeat.wall),
+            self._hear_revisions,
         ]
 
+    def _shared_mirrors(self) -> tuple[Mirror, ...]:
+        """Mirrors whose changes must not be missed, whatever becomes of a watch."""
+        return self.operator_keys, self.registrations.mirror
+
+    def _tell_revisions(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
+        for mirror in self._shared_mirrors():
+            heartbeat.mirrored[mirror.prefix] = mirror.newest
+
+    def _hear_revisions(self, heartbeat: peer_pb2.Heartbeat) -> None:
+        for mirror in self._shared_mirrors():
+            mirror.expect(heartbeat.mirrored.get(mirror.prefix, 0))
+
     def _connect_state(self) -> None:
         self.session = Session(self.store)
         self.operator_keys = Mirror(self.store, CONTROL_PREFIX)
@@ -299,27 +308,20 @@
             ),
         )
 
-    def _subscribe(self) -> None:
-        calls = ControlCalls(
+        self._duties = ControlDuties.of(
             self.settings.vm.id,
-            self.duty,
             self.settings.platform.cloud,
-        )
-        rotation = WeightRotation(
             self.duty,
-            self._engines_of,
-            lambda: announced_versions(self.operator_keys),
-            self.jobs.required_version,
-            calls.order_load,
-        )
-        orders = FleetOrders(self.duty, self.directory.pools, calls.scale)
-        ledger = UsageLedger(
             self.store,
-            self.duty,
+            self.operator_keys,
+            self.directory,
+            self.jobs,
             self.counters,
-            self._collect_usage,
-            calls.report_usage,
+            self.members,
+            self.peers,
         )
+
+    def _subscribe(self) -> None:
         subscribe = self.timers.subscribe
         subscribe("peers", HEARTBEAT_PERIOD_S, self.peers.update)
         subscribe("members", HEARTBEAT_PERIOD_S, self.members.expire)
@@ -329,10 +331,10 @@
         subscribe("connections", CONNECTIONS_PERIOD_S, self.connections.expire)
         subscribe("duty", CONTROL_PERIOD_S, self.duty.turn)
         subscribe("jobs", JOBS_PERIOD_S, self.jobs.turn)
-        subscribe("weights", CONTROL_PERIOD_S, rotation.turn)
-        subscribe("orders", CONTROL_PERIOD_S, orders.turn)
+        subscribe("weights", CONTROL_PERIOD_S, self._duties.rotation.turn)
+        subscribe("orders", CONTROL_PERIOD_S, self._duties.orders.turn)
         subscribe("usage replicas", USAGE_PERIOD_S, self.replicator.turn)
-        subscribe("usage", USAGE_PERIOD_S, ledger.turn)
+        subscribe("usage", USAGE_PERIOD_S, self._duties.ledger.turn)
 
     def _duty_patience(self) -> float:
         """Return how long to leave the free duty to other members."""
@@ -344,34 +346,6 @@
         rank = order.index(vm) if vm in order else MOST_STAGGERS
         return DUTY_STAGGER_S * min(rank, MOST_STAGGERS)
 
-    def _engines_of(self, model: str) -> list[TargetView]:
-        return [
-            view
-            for pool in self.directory.pools()
-            if model in pool.models
-            for view in self.directory.views(pool.name)
-        ]
-
-    def _collect_usage(self, first: int, last: int) -> list[Any]:
-        """Return the counters of all other members, asked side by side."""
-        pool = eventlet.GreenPool()
-        request = {"from_window": max(0, first), "up_to_window": last, "shards": 1}
-        outcomes = pool.imap(
-            lambda member: self.peers.call(
-                member.vm,
-                "CollectUsage",
-                peer_pb2.CollectUsageRequest(**request),
-                COLLECT_TIMEOUT_S,
-            ),
-            self.members.live()[1:],
-        )
-        return [
-            from_message(counter)
-            for outcome in outcomes
-            if isinstance(outcome, Done)
-            for counter in outcome.value.counters
-        ]
-
     def _on_operator_change(self, change: Change) -> None:
         if change.key != CONFIGURATION_KEY or change.item is None:
             return
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -31,7 +31,6 @@
 
 # A stream makes an event every few tens of milliseconds; a change of weights pauses it
 # for a second, or longer while several engines load.
-FIRST_EVENT_TIMEOUT_S = 3.0
 EVENT_TIMEOUT_S = 2.5
 READ_BYTES = 64 * 1024
 # An engine that refuses is full or loads the model, which takes a second.
@@ -132,14 +131,12 @@
         if transcript.events:
             headers.append((names.LAST_EVENT_ID, str(len(transcript.events))))
         connection, reply = self._send(
-            view, item.path, headers, item.body, FIRST_EVENT_TIMEOUT_S
+            view, item.path, headers, item.body, EVENT_TIMEOUT_S
         )
         whole = False
         try:
             self._check(view, reply, item.id)
-            whole = self._stream(
-                view, job, item, transcript, connection, reply, on_event
-            )
+            whole = self._stream(view, job, item, transcript, reply, on_event)
         except NotStartedError:
             whole = _drain(reply)
             self.directory.report_refusal(view.id, item.model, REFUSAL_PAUSE_S)
@@ -246,7 +243,6 @@
         job: Job,
         item: JobItem,
         transcript: Transcript,
-        connection: HTTPConnection,
         reply: urllib3.BaseHTTPResponse,
         on_event: Callable[[], None],
     ) -> bool:
@@ -255,7 +251,6 @@
         self._check_version(view, job, item, version)
         framed = reply.chunked or reply.headers.get("Content-Length") is not None
         parser = EventParser(version)
-        connection.sock.settimeout(EVENT_TIMEOUT_S)
         try:
             while part := reply.read1(READ_BYTES):
                 for number, data, version in parser.feed(part):
@@ -288,9 +283,11 @@
         closing = "close" in (reply.headers.get("Connection") or "").lower()
         if whole and not closing:
             self.connections.give_back(
-                view.id, connection, reply.headers.get("Keep-Alive") or ""
+                view.id, view.address, connection, reply.headers.get("Keep-Alive") or ""
             )
         else:
+            # An answer that announced the end of its connection holds the socket.
+            reply.close()
             connection.close()
 
 
--- a/mulberryport/platform/ingress.py
+++ b/mulberryport/platform/ingress.py
@@ -8,8 +8,8 @@
 from ..gateway.bodies import RequestBody
 from ..gateway.calls import CallerRequest
 from ..gateway.dialect import Dialect
-from ..gateway.forwarding import OutgoingRequest, TargetWire, Verdict
 from ..gateway.headers import end_to_end, header_values, request_headers
+from ..gateway.wire import OutgoingRequest, TargetWire, Verdict
 from ..routing import LoadReport, TargetView
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse, respond
--- a/mulberryport/platform/names.py
+++ b/mulberryport/platform/names.py
@@ -2,6 +2,11 @@
 
 __all__ = [
     "DEADLINE",
+    "ITEMS_PATH",
+    "ORDER_PATH",
+    "READINESS_PATH",
+    "REPORT_PATH",
+    "RESULTS_PATH",
     "EXPECT_INSTANCE",
     "EXPECT_VERSION",
     "KEY",
@@ -9,7 +14,6 @@
     "LOAD",
     "MODEL",
     "NOT_RUN",
-    "PREFIX",
     "REQUEST_ID",
     "STAMP",
     "TENANT",
@@ -38,7 +42,6 @@
 # 0 to 9, where 0 is first.
 URGENCY = "X-Urgency"
 MODEL = "X-Model"
-PREFIX = "X-Prompt-Prefix"
 # Milliseconds that a read may be kept waiting.
 WAIT = "X-Wait-Ms"
 
--- a/mulberryport/platform/settings.py
+++ b/mulberryport/platform/settings.py
@@ -21,7 +21,6 @@
     option,
     read_sections,
     structure_section,
-    switch,
 )
 from ..settings.model import ADDRESS, NAME, parse_seed
 
@@ -61,7 +60,6 @@
 
     store: str = option(address, ADDRESS)
     cloud: str = option(address, ADDRESS)
-    requires_fence: bool = option(switch, "yes or no", default=False)
     # Milliseconds in which two holders of a duty must not take turns.
     lease_ms: float = option(number(0, 3.6e6), "milliseconds", default=3000.0)
     # Disks that may be lost at the same time without losing a job.
@@ -75,8 +73,6 @@
     """Section ``[usage]``: windows of the usage reports."""
 
     window: int = option(number(1, 86400, int), "seconds from 1 to 86400", default=5)
-    # Seconds after the end of a window until which its report is in time.
-    late: float = option(number(0, 3600), SECONDS, default=10.0)
 
 
 @frozen(kw_only=True)
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -146,15 +146,17 @@
         self, prefix: str, after: int, wait: float
     ) -> Outcome[Changes | HistoryLost]:
         """Wait up to ``wait`` seconds for changes after a revision."""
-        if not self._direct:
-            # A way that is not known to work is tried for a short time only.
+        # A watch by way of a peer, or on a way that is not known to work, is short.
+        by_peers = not self._direct
+        if by_peers:
             wait = min(wait, UNPROVEN_WAIT_S)
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait * 1000)}
         path = f"/mulberryport/kv-watch?{urlencode(query)}"
         watcher = eventlet.getcurrent()
         self._watchers.add(watcher)
         try:
-            outcome = self._call("GET", path, timeout=wait + WATCH_EXTRA_S)
+            timeout = wait + WATCH_EXTRA_S
+            outcome = self._call("GET", path, timeout=timeout, by_peers=by_peers)
         except StorePathLostError as error:
             outcome = NotDone(str(error))
         finally:
@@ -213,14 +215,23 @@
         body: object = None,
         timeout: float = CALL_TIMEOUT_S,
         repeatable: bool = True,
+        by_peers: bool = True,
     ) -> Outcome[tuple[int, bytes]]:
-        """Make a call directly, or through peers if the direct way fails."""
+        """Make a call directly, or through peers if the direct way fails.
+
+        Parameters
+        ----------
+        repeatable : bool
+            Whether a second execution has the same answer.
+        by_peers : bool
+            Whether peers may make the call.
+        """
         content = b"" if body is None else orjson.dumps(body)
         tried = self._direct or boottime() - self._failed_at >= DIRECT_RETRY_S
         outcome: Outcome[tuple[int, bytes]] = NotDone("the store cannot be reached")
         if tried:
             outcome = self._call_directly(method, path, content, timeout)
-            if isinstance(outcome, Done):
+            if isinstance(outcome, Done) or not by_peers:
                 return outcome
         relayed = self._call_by_peers(method, path, content, timeout, outcome)
         if isinstance(relayed, Done):
--- a/mulberryport/platform/tests/test_decoding.py
+++ b/mulberryport/platform/tests/test_decoding.py
@@ -9,7 +9,7 @@
 from ...coordination import Change, Item, Mirror
 from ...coordination.tests.builders import MemoryStore
 from ...gateway.bodies import RequestBody
-from ...gateway.forwarding import OutgoingRequest, Verdict
+from ...gateway.wire import OutgoingRequest, Verdict
 from ...jobs import GenerationBrokenError
 from ...runtime.clock import boottime
 from ...settings import InvalidFileError
@@ -37,7 +37,6 @@
     "bounds.lease-ms": "3000",
     "bounds.status-ttl-s": "120",
     "bounds.usage-window-s": "5",
-    "bounds.usage-late-s": "10",
     "tolerate.machines": "1",
     "platform.address": "10.0.0.2:8408",
     "cloud.address": "10.0.0.3:8408",
--- a/mulberryport/tables/__init__.py
+++ b/mulberryport/tables/__init__.py
@@ -19,11 +19,8 @@
 from .model import (
     MODEL_ENGINE,
     PLAIN_SERVICE,
-    BatchTerms,
-    CallerLimits,
     KeyRecord,
     Pool,
-    PoolShare,
     Route,
     Snapshot,
     Tables,
@@ -31,6 +28,7 @@
     Workspace,
 )
 from .queries import Malformed, read_head, read_snapshot
+from .terms import BatchTerms, CallerLimits, PoolShare
 from .text import parse_tables, render_tables, with_keys_of
 
 __all__ = [
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -44,7 +44,8 @@
     connect_timeout: float = 1.0
     opened: int = 0
     reused: int = 0
-    _idle: dict[str, list[Kept]] = field(factory=dict)
+    # A target that starts again under its id may have another address.
+    _idle: dict[tuple[str, str], list[Kept]] = field(factory=dict)
 
     def take(
         self, target: str, address: str, *, fresh: bool = False
@@ -63,7 +64,7 @@
         OSError, urllib3.exceptions.HTTPError
             No connection could be opened.
         """
-        kept = [] if fresh else self._idle.get(target, [])
+        kept = [] if fresh else self._idle.get((target, address), [])
         while kept:
             candidate = kept.pop()
             if boottime() < candidate.until and _is_quiet(candidate.connection):
@@ -86,7 +87,11 @@
         return connection, False
 
     def give_back(
-        self, target: str, connection: HTTPConnection, keep_alive: str = ""
+        self,
+        target: str,
+        address: str,
+        connection: HTTPConnection,
+        keep_alive: str = "",
     ) -> None:
         """Keep a connection whose last answer was read to its end.
 
@@ -95,7 +100,7 @@
         keep_alive : str
             The answer's header of this name; empty if there was none.
         """
-        idle = self._idle.setdefault(target, [])
+        idle = self._idle.setdefault((target, address), [])
         limit = _idle_limit(keep_alive)
         if limit <= 0 or len(idle) >= MOST_IDLE or not _is_quiet(connection):
             connection.close()
@@ -104,8 +109,8 @@
 
     def forget(self, known: set[str]) -> None:
         """Close the idle connections of targets that are not known any more."""
-        for target in self._idle.keys() - known:
-            for kept in self._idle.pop(target):
+        for key in [key for key in self._idle if key[0] not in known]:
+            for kept in self._idle.pop(key):
                 kept.connection.close()
 
     def expire(self) -> None:
--- a/mulberryport/targets/tests/test_connections.py
+++ b/mulberryport/targets/tests/test_connections.py
@@ -31,7 +31,7 @@
     pool = ConnectionPool()
     first, reused = pool.take("t", address)
     assert not reused
-    pool.give_back("t", first, "timeout=10")
+    pool.give_back("t", address, first, "timeout=10")
     assert pool.take("t", address) == (first, True)
 
 
@@ -39,7 +39,7 @@
     address, _ = server
     pool = ConnectionPool()
     first, _ = pool.take("t", address)
-    pool.give_back("t", first)
+    pool.give_back("t", address, first)
     again, reused = pool.take("t", address, fresh=True)
     assert again is not first and not reused
 
@@ -58,7 +58,7 @@
     for spoil in (talk, close):
         first, _ = pool.take("t", address)
         eventlet.sleep(0.01)
-        pool.give_back("t", first)
+        pool.give_back("t", address, first)
         spoil(accepted[-1])
         eventlet.sleep(0.05)
         again, reused = pool.take("t", address)
@@ -69,7 +69,7 @@
     address, _ = server
     pool = ConnectionPool()
     first, _ = pool.take("t", address)
-    pool.give_back("t", first, "timeout=0")
+    pool.give_back("t", address, first, "timeout=0")
     assert pool.take("t", address)[1] is False
 
 
@@ -78,7 +78,7 @@
     address, _ = server
     pool = ConnectionPool()
     first, _ = pool.take("t", address)
-    pool.give_back("t", first)
+    pool.give_back("t", address, first)
     assert pool.take("u", address)[1] is False
     pool.forget(set())
     assert pool.take("t", address)[1] is False
