Count what a read in full covers as seen

Cause: after lost history, a mirror that read its prefix in full lacked the revisions of removals that others told of, and would have read it again at each heartbeat.

Change: a change is lacking only above the revision that the last answer covered.

--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -115,7 +115,7 @@
 
     def expect(self, revision: int) -> None:
         """Note that another daemon has seen a change at a revision."""
-        if revision > self._newest:
+        if self._lacks(revision):
             eventlet.spawn_after(NEWS_DELAY_S, self._check_news, revision)
 
     def start(self) -> None:
@@ -189,9 +189,13 @@
             eventlet.sleep(self.gather)
         return True
 
+    def _lacks(self, revision: int) -> bool:
+        """Whether a change at a revision has not been seen or covered by a read."""
+        return revision > max(self._newest, self._revision)
+
     def _check_news(self, revision: int) -> None:
         """Give up the watch if it has not brought a change by now."""
-        if self._newest >= revision or self._waiting is None:
+        if not self._lacks(revision) or self._waiting is None:
             return
         log(MIRROR_STALLED, prefix=self.prefix, has=self._newest, lacks=revision)
         waiting, self._waiting = self._waiting, None
--- a/mulberryport/coordination/tests/test_mirror.py
+++ b/mulberryport/coordination/tests/test_mirror.py
@@ -93,3 +93,16 @@
         assert until(lambda: mirror.get("a/1") is not None, 2.0)
         mirror.expect(item.revision)
         assert mirror.newest == item.revision
+
+
+def test_a_read_in_full_covers_removals_that_others_saw():
+    # Guards against reading the prefix again for ever after lost history.
+    store = MemoryStore()
+    store.write("a/1", b"x")
+    with following(store) as (mirror, _):
+        removed = store.revision + 1
+        store.forget_history({"a/2": b"y"})
+        assert until(lambda: mirror.get("a/2") is not None)
+        calls = store.calls
+        mirror.expect(removed)
+        assert not until(lambda: store.calls > calls + 1, 1.0)
