--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -77,11 +77,11 @@
 DRAIN_DELAY_S = 3.0
 # Left of the grace time for the end of requests that are broken off.
 BREAK_MARGIN_S = 1.5
-# Daemons contend for the free duty in rendezvous order, this long after each other.
 # Jobs come and end a few times a second in the whole fleet; every daemon follows them.
 LIVE_GATHER_S = 0.4
 # Two engines finish their loads at the same time.
 REGISTRATIONS_GATHER_S = 0.15
+# Daemons contend for the free duty in rendezvous order, this long after each other.
 DUTY_STAGGER_S = 0.3
 MOST_STAGGERS = 6
 CONTROL_DUTY = "control"
@@ -307,7 +307,6 @@
                 batches.submit,
             ),
         )
-
         self._duties = ControlDuties.of(
             self.settings.vm.id,
             self.settings.platform.cloud,
--- a/mulberryport/platform/settings.py
+++ b/mulberryport/platform/settings.py
@@ -19,8 +19,7 @@
     listing,
     number,
     option,
-    read_sections,
-    structure_section,
+    structure_sections,
 )
 from ..settings.model import ADDRESS, NAME, parse_seed
 
@@ -123,17 +122,7 @@
     InvalidFileError
         An exception group with every fault of the text.
     """
-    sections, faults = read_sections(content, file)
-    parts = {}
-    for name, cls in classes.items():
-        parts[name], found = structure_section(
-            cls, sections.pop(name, {}), file=file, section=name
-        )
-        faults.extend(found)
-    for name in sections:
-        accepted = ", ".join(classes)
-        message = f"unknown section; accepted sections: {accepted}"
-        faults.append(FileFault(file, name, "", message))
+    parts, faults = structure_sections(content, file, classes)
     if faults:
         raise InvalidFileError.of(faults)
     return parts
--- a/mulberryport/settings/ini.py
+++ b/mulberryport/settings/ini.py
@@ -7,7 +7,7 @@
 
 import configparser
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import attrs
@@ -23,6 +23,7 @@
     "option",
     "read_sections",
     "structure_section",
+    "structure_sections",
     "switch",
     "text",
     "url",
@@ -163,6 +164,39 @@
     return {name: dict(parser.items(name)) for name in parser.sections()}, []
 
 
+def structure_sections(
+    content: str, file: str, classes: Mapping[str, type]
+) -> tuple[dict[str, Any], list[FileFault]]:
+    """Build one attrs object from each section of INI text.
+
+    Parameters
+    ----------
+    content, file : str
+        The text, and the name of its source for faults.
+    classes : mapping of str to type
+        Attrs class of each section.
+
+    Returns
+    -------
+    parts : dict
+        The object of each section; None if it has faults.
+    faults : list of FileFault
+        Every fault of the text.
+    """
+    sections, faults = read_sections(content, file)
+    parts = {}
+    for name, cls in classes.items():
+        parts[name], found = structure_section(
+            cls, sections.pop(name, {}), file=file, section=name
+        )
+        faults.extend(found)
+    for name in sections:
+        accepted = ", ".join(classes)
+        message = f"unknown section; accepted sections: {accepted}"
+        faults.append(FileFault(file, name, "", message))
+    return parts, faults
+
+
 def structure_section(
     cls: type[T], values: dict[str, str], *, file: str, section: str, **given: Any
 ) -> tuple[T | None, list[FileFault]]:
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -107,12 +107,6 @@
             return
         idle.append(Kept(connection, boottime() + limit))
 
-    def forget(self, known: set[str]) -> None:
-        """Close the idle connections of targets that are not known any more."""
-        for key in [key for key in self._idle if key[0] not in known]:
-            for kept in self._idle.pop(key):
-                kept.connection.close()
-
     def expire(self) -> None:
         """Close the connections that were idle for too long."""
         now = boottime()
