Keep results without the spare room of their encoder's buffer

Cause: the JSON encoder returns bytes whose buffer has eight bytes for each character of a text, and does not give the rest back; daemons keep encoded results for their readers.

Ruled out: unfinished texts (2 MB), green threads, timers and connections (below 1 MB each), and more jobs kept than wanted (the kept results have their limit of 4 MB).

Change: a result is copied to its own length once.

--- a/mulberryport/jobs/codec.py
+++ b/mulberryport/jobs/codec.py
@@ -54,9 +54,11 @@
 
 def encode_result(result: JobResult) -> bytes:
     """Return a result as bytes."""
-    return orjson.dumps(
+    encoded = orjson.dumps(
         [result.id, result.state, result.text, result.versions, result.score]
     )
+    # The encoder's buffer has eight bytes for each character, and results are kept.
+    return bytes(memoryview(encoded))
 
 
 def decode_result(content: bytes) -> JobResult:
