Let two daemons of each zone watch the store for the others

Cause: each daemon watched all prefixes of the store itself, so calls grew with daemons times changes.

Ruled out: longer gathering of changes (a target that leaves must be known in 2 s), and heartbeats that carry the changes (one second each way, and lists that are too long).

Change: coordination.feeds. Providers serve the changes of their mirrors to followers of their zone over the peer protocol; revisions are the store's. A provider serves only what the store itself told it. Followers without an answer for 1.3 s, or behind what heartbeats tell, watch the store themselves. The configuration is still watched by every daemon, apart from the announcements of weights, which change every few seconds. A mirror that has to read in full stays loaded meanwhile, so that readiness does not flicker.

--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -6,17 +6,18 @@
 """
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import eventlet
 import eventlet.hubs
 from attrs import define, field
 
-from ..outcomes import Done
+from ..outcomes import Done, Outcome
 from ..runtime.clock import boottime
+from ..runtime.signals import Signal
 from ..telemetry import define as define_event
 from ..telemetry import log
-from .model import Change, Changes, Item, KeyValueStore
+from .model import Change, Changes, HistoryLost, Item, Listing
 
 __all__ = ["Mirror"]
 
@@ -33,8 +34,8 @@
     423, "mirror_stalled", "warning", "Another daemon has seen a change, this one not."
 )
 
-# A watch is one call of the store however long it waits.
-WATCH_WAIT_S = 12.0
+# A watch is one call of the store however long it waits; the store takes 30 s.
+WATCH_WAIT_S = 25.0
 # The first watch after an interruption shows whether the store answers again.
 FIRST_WAIT_S = 0.3
 # A watch that works brings a change within this time, also with gathered changes.
@@ -45,6 +46,18 @@
 Subscriber = Callable[[Change], None]
 
 
+class WatchedStore(Protocol):
+    """Where a mirror reads: the store, or a daemon that follows it."""
+
+    def list(self, prefix: str) -> Outcome[Listing]:
+        """Return all keys below a prefix."""
+
+    def watch(
+        self, prefix: str, after: int, wait: float
+    ) -> Outcome[Changes | HistoryLost]:
+        """Wait up to ``wait`` seconds for changes after a revision."""
+
+
 class WatchStalledError(BaseException):
     """The watch must end now; no handler of ordinary errors may swallow this."""
 
@@ -60,19 +73,24 @@
     Parameters
     ----------
     store : KeyValueStore
-        The store.
+        The store, or another source of its keys.
     prefix : str
         Prefix of the keys.
     gather : float
         Seconds after a change in which further ones gather, to save calls.
+    progress : Signal
+        Sent when the store has answered, or has failed to.
     """
 
-    store: KeyValueStore
+    store: WatchedStore
     prefix: str
     gather: float = 0.0
+    progress: Signal = field(factory=Signal)
     _items: dict[str, Item] = field(factory=dict)
     _revision: int = -1
     _newest: int = 0
+    # Whether changes may have been missed since.
+    _outdated: bool = True
     _waiting: Any = None
     _subscribers: list[Subscriber] = field(factory=list)
     _following: bool = False
@@ -95,6 +113,11 @@
         """Whether the last call of the store was answered."""
         return self._following
 
+    @property
+    def revision(self) -> int:
+        """Revision up to which all changes were seen; -1 before the first read."""
+        return self._revision
+
     @property
     def newest(self) -> int:
         """Revision of the newest change that was seen."""
@@ -146,7 +169,7 @@
 
     def _run(self) -> None:
         while not self._stopped:
-            if not (self._load() if self._revision < 0 else self._follow()):
+            if not (self._load() if self._outdated else self._follow()):
                 eventlet.sleep(RETRY_S)
 
     def _load(self) -> bool:
@@ -162,7 +185,8 @@
         for key in [key for key in self._items if key not in listed]:
             if self._items[key].revision <= listing.revision:
                 self.apply(Change(key, listing.revision))
-        self._revision = listing.revision
+        self._revision, self._outdated = listing.revision, False
+        self.progress.send()
         return True
 
     def _follow(self) -> bool:
@@ -171,7 +195,7 @@
         try:
             outcome = self.store.watch(self.prefix, self._revision, wait)
         except WatchStalledError:
-            self._revision = -1
+            self._outdated = True
             return True
         finally:
             self._waiting = None
@@ -180,11 +204,12 @@
             return False
         self._answered()
         if not isinstance(outcome.value, Changes):
-            self._revision = -1
+            self._outdated = True
             return True
         for change in outcome.value.changes:
             self.apply(change)
         self._revision = max(self._revision, outcome.value.revision)
+        self.progress.send()
         if self.gather and outcome.value.changes:
             eventlet.sleep(self.gather)
         return True
@@ -212,6 +237,7 @@
             log(MIRROR_LOST, prefix=self.prefix, reason=reason)
             self._interrupted_at = boottime()
         self._following = False
+        self.progress.send()
 
     def _answered(self) -> None:
         if not self._following:
--- a/mulberryport/coordination/tests/builders.py
+++ b/mulberryport/coordination/tests/builders.py
@@ -165,6 +165,10 @@
         self._changed.send()
         return item
 
+    def remove(self, key):
+        """Remove a key without a condition."""
+        self._remove(key)
+
     def forget_history(self, hidden):
         """Make changes that no watch sees, and drop the history."""
         for key, value in hidden.items():
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -62,6 +62,10 @@
     async def CallStore(self, stream: 'grpclib.server.Stream[peer_pb2.CallStoreRequest, peer_pb2.CallStoreReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def FollowKeys(self, stream: 'grpclib.server.Stream[peer_pb2.FollowKeysRequest, peer_pb2.FollowKeysReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def KeepJob(self, stream: 'grpclib.server.Stream[peer_pb2.KeepJobRequest, peer_pb2.KeepJobReply]') -> None:
         pass
@@ -156,6 +160,12 @@
                 peer_pb2.CallStoreRequest,
                 peer_pb2.CallStoreReply,
             ),
+            '/mulberryport.peer.Peer/FollowKeys': grpclib.const.Handler(
+                self.FollowKeys,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.FollowKeysRequest,
+                peer_pb2.FollowKeysReply,
+            ),
             '/mulberryport.peer.Peer/KeepJob': grpclib.const.Handler(
                 self.KeepJob,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -264,6 +274,12 @@
             peer_pb2.CallStoreRequest,
             peer_pb2.CallStoreReply,
         )
+        self.FollowKeys = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/FollowKeys',
+            peer_pb2.FollowKeysRequest,
+            peer_pb2.FollowKeysReply,
+        )
         self.KeepJob = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/KeepJob',
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -136,6 +136,7 @@
     CompleteIdempotency = _unary("CompleteIdempotency")
     HandOverIdempotency = _unary("HandOverIdempotency")
     CallStore = _unary("CallStore")
+    FollowKeys = _unary("FollowKeys")
     KeepJob = _unary("KeepJob")
     SubmitJob = _unary("SubmitJob")
     ReadJob = _unary("ReadJob")
--- a/mulberryport/platform/control.py
+++ b/mulberryport/platform/control.py
@@ -20,13 +20,12 @@
 from ..weights.rotation import Load
 from . import names
 
-__all__ = ["CONTROL_PREFIX", "ControlCalls", "announced_versions"]
+__all__ = ["VERSION_PREFIX", "ControlCalls", "announced_versions"]
 
 ANNOUNCEMENT_SKIPPED = define_event(
     1431, "announcement_skipped", "warning", "An announcement of weights is malformed."
 )
 
-CONTROL_PREFIX = "op/"
 VERSION_PREFIX = "op/version/"
 # A guarded call, from its guard to its effect.
 CALL_TIMEOUT_S = 1.0
@@ -37,8 +36,6 @@
     """Return the newest announced weight version of each model."""
     versions = {}
     for key, item in mirror.items.items():
-        if not key.startswith(VERSION_PREFIX):
-            continue
         try:
             values = orjson.loads(item.value)
             versions[str(values["model"])] = int(values["version"])
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -3,13 +3,22 @@
 import signal
 import sys
 from collections.abc import Iterable
+from functools import partial
 from typing import Any
 
 import eventlet
 import eventlet.event
 from attrs import define, field
 
-from ..coordination import Change, Mirror, Session, SessionDuty
+from ..coordination import (
+    Change,
+    Mirror,
+    MirrorFeeds,
+    Session,
+    SessionDuty,
+    SharedWatch,
+    choose_providers,
+)
 from ..daemon.heartbeats import Heartbeats
 from ..gateway import CallerServer, Gateway, RequestEndedError
 from ..jobs import JobService, Ports
@@ -39,7 +48,7 @@
 from . import names
 from .batches import BatchInterface
 from .configuration import CONFIGURATION_KEY, decode_configuration
-from .control import CONTROL_PREFIX
+from .control import VERSION_PREFIX
 from .duties import ControlDuties
 from .engines import Engines
 from .ingress import make_wire, platform_dialect
@@ -110,7 +119,8 @@
     members: Members = field(init=False)
     store: PlatformStore = field(init=False)
     session: Session = field(init=False)
-    operator_keys: Mirror = field(init=False)
+    configuration_key: Mirror = field(init=False)
+    announcements: Mirror = field(init=False)
     live_keys: Mirror = field(init=False)
     registrations: Registrations = field(init=False)
     peers: Peers = field(init=False)
@@ -144,7 +154,7 @@
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         self.peer_server.start()
         self.peers.update()
-        for mirror in (self.operator_keys, self.registrations.mirror, self.live_keys):
+        for mirror in (*self._shared_mirrors(), self.live_keys):
             mirror.start()
         self.session.start()
         self._subscribe()
@@ -228,7 +238,7 @@
 
     def _shared_mirrors(self) -> tuple[Mirror, ...]:
         """Mirrors whose changes must not be missed, whatever becomes of a watch."""
-        return self.operator_keys, self.registrations.mirror
+        return self.configuration_key, self.announcements, self.registrations.mirror
 
     def _tell_revisions(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
         for mirror in self._shared_mirrors():
@@ -240,15 +250,28 @@
 
     def _connect_state(self) -> None:
         self.session = Session(self.store)
-        self.operator_keys = Mirror(self.store, CONTROL_PREFIX)
-        self.live_keys = Mirror(self.store, LIVE_PREFIX, gather=LIVE_GATHER_S)
+        # It changes rarely, and a withdrawn key must not wait for a provider.
+        self.configuration_key = Mirror(self.store, CONFIGURATION_KEY)
+        announcements, live, registrations = (
+            SharedWatch(self.store, self.peers, partial(choose_providers, self.members))
+            for _ in range(3)
+        )
+        self.announcements = Mirror(announcements, VERSION_PREFIX)
+        self.live_keys = Mirror(live, LIVE_PREFIX, gather=LIVE_GATHER_S)
         self.registrations = Registrations(
-            Mirror(self.store, REGISTRATIONS_PREFIX, gather=REGISTRATIONS_GATHER_S),
+            Mirror(registrations, REGISTRATIONS_PREFIX, gather=REGISTRATIONS_GATHER_S),
             self.directory,
             self.dispatcher.refresh,
         )
         self.registrations.start()
-        self.operator_keys.subscribe(self._on_operator_change)
+        MirrorFeeds(
+            [
+                (self.announcements, announcements),
+                (self.live_keys, live),
+                (self.registrations.mirror, registrations),
+            ]
+        ).register(self.peer_server)
+        self.configuration_key.subscribe(self._on_configuration)
         self.holder.subscribe(self.directory.use_snapshot)
         self.holder.subscribe(self.dispatcher.use_snapshot)
         member = self.members.self_member
@@ -312,7 +335,7 @@
             self.settings.platform.cloud,
             self.duty,
             self.store,
-            self.operator_keys,
+            self.announcements,
             self.directory,
             self.jobs,
             self.counters,
@@ -345,7 +368,7 @@
         rank = order.index(vm) if vm in order else MOST_STAGGERS
         return DUTY_STAGGER_S * min(rank, MOST_STAGGERS)
 
-    def _on_operator_change(self, change: Change) -> None:
+    def _on_configuration(self, change: Change) -> None:
         if change.key != CONFIGURATION_KEY or change.item is None:
             return
         try:
