Start entry daemons without loading the command line

Cause: when all processes are killed at once, callers get no connection until a daemon is up again.

Ruled out: waiting for the store or for peers (targets and configuration are there 0.02 s after the start).

Change: platform.entry runs the daemon with the settings file that the platform's variable names. `mulberryport entry` uses the same function. A test checks that the command line is not loaded.

--- a/mulberryport/cli/processes.py
+++ b/mulberryport/cli/processes.py
@@ -51,15 +51,12 @@
 
     def __call__(self) -> None:
         """Run the command."""
-        from ..platform.settings import load_entry_settings
+        from ..platform.entry import run_entry
 
         try:
-            settings = load_entry_settings(self.settings)
+            run_entry(self.settings)
         except InvalidFileError as error:
             report_faults(error, False)
-        from ..platform.daemon import EntryDaemon
-
-        EntryDaemon(settings, self.settings).run()
 
 
 @cappa.command(name="storage", help="Keep accepted jobs on a storage VM's disk.")
--- /dev/null
+++ b/mulberryport/platform/tests/test_entry.py
@@ -0,0 +1,43 @@
+"""Tests of the program that runs an entry daemon."""
+
+import os
+import subprocess
+import sys
+
+COMMAND = [sys.executable, "-m", "mulberryport.platform.entry"]
+
+
+def run(settings, *arguments):
+    """Run the program, or other Python code, and return the finished process."""
+    return subprocess.run(
+        arguments or COMMAND,
+        env={**os.environ, "MULBERRYPORT_SETTINGS": str(settings)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+def test_faults_of_the_settings_end_the_program_with_a_clear_message(tmp_path):
+    settings = tmp_path / "entry.ini"
+    settings.write_text("[vm]\nid = a\n")
+    process = run(settings)
+    assert process.returncode == 1
+    assert "zone" in process.stderr
+    assert "Traceback" not in process.stderr
+
+
+def test_a_missing_settings_file_is_named(tmp_path):
+    process = run(tmp_path / "none.ini")
+    assert process.returncode == 1
+    assert "none.ini" in process.stderr
+
+
+def test_the_program_loads_nothing_of_the_command_line():
+    # Guards against daemons that come back later because of commands they never run.
+    code = (
+        "import sys, mulberryport.platform.entry, mulberryport.platform.daemon;"
+        "print([m for m in sys.modules if m.startswith(('cappa', 'mulberryport.cli'))])"
+    )
+    process = run("", sys.executable, "-W", "ignore", "-c", code)
+    assert process.stdout.strip() == "[]", process.stderr
