Load weights on a fifth of the engines at once; prefer targets with idle connections

And each of many daemons with few requests opened a connection to another target nearly every time.

Ruled out: more engines for each step by older versions (jobs do not accept them), and loads on all engines at once (each load takes longer, and none serves meanwhile).

Change: a fifth of the engines, at least two, load at the same time. Selection compares targets to which this daemon has an idle connection and prefers them unless they are busier by a fifth of their places.

--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -224,7 +224,9 @@
         self.peer_server = PeerServer(vm.peer_address, PEER_TOKEN)
         self.peer_server.register("Exchange", heartbeats.answer)
         self.store.register(self.peer_server)
-        self.dispatcher = Dispatcher(self.directory, vm.zone)
+        self.dispatcher = Dispatcher(
+            self.directory, vm.zone, connected=self.connections.connected
+        )
         heartbeats.contributors += [
             lambda heartbeat, peer: add_demand(heartbeat, self.dispatcher),
             _add_wall_time,
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -6,7 +6,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import xxhash
 from attrs import define, field
@@ -114,11 +114,14 @@
     ----------
     zone : str
         Availability zone of this daemon.
+    connected : callable
+        Returns the ids of the targets to which this daemon has an idle connection.
     usable : list of Candidate
         Healthy, not leaving and not ejected.
     """
 
     zone: str
+    connected: Callable[[], Collection[str]] = frozenset
     usable: list[Candidate] = field(factory=list)
     _all: dict[str, Candidate] = field(factory=dict)
     # Targets that left the pool while requests still ran there; one that comes
--- a/mulberryport/routing/selection.py
+++ b/mulberryport/routing/selection.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from .candidates import Candidate, CandidateSet
 from .model import WorkRequest
@@ -21,6 +21,12 @@
 ZONE_BOUND = 0.1
 # Part of the capacity by which cheap targets may be busier than on-demand ones.
 CHEAP_BOUND = 0.1
+# Part of the capacity by which a target with an idle connection of this daemon may be
+# busier than one without: one request at a target with five places. A new connection
+# takes a place there for some time.
+CONNECTION_BOUND = 0.2
+# Targets with an idle connection that are compared.
+CONNECTED_CHOICES = 3
 # Largest random addition for an old report, as a part of the capacity. It keeps
 # daemons from sending all their requests to the same apparently idle target.
 UNCERTAINTY = 0.2
@@ -73,21 +79,29 @@
     Candidate or None
         None if no target can take the request now.
     """
+    connected = targets.connected()
+
+    def rate(candidate: Candidate, draw: float) -> float:
+        known = candidate.id in connected
+        value = score(candidate, work, targets, draw)
+        return value if known else value + CONNECTION_BOUND
+
     compared = [
         *_sample(targets, work, True, generator),
         *_sample(targets, work, False, generator),
+        *_connected(targets, work, connected),
     ]
     if not compared:
         return None
-    scored = [(score(c, work, targets, generator.random()), c) for c in compared]
-    lowest, best = min(scored, key=lambda item: item[0])
+    rated = [(rate(candidate, generator.random()), candidate) for candidate in compared]
+    lowest, best = min(rated, key=lambda item: item[0])
     allowed = targets.for_work(work, local=False)
     for owner in targets.owners(work):
         candidate = targets.get(owner)
         if (
             candidate in allowed
             and _has_place(candidate, work)
-            and score(candidate, work, targets, 0.0) <= lowest + AFFINITY_BOUND
+            and rate(candidate, 0.0) <= lowest + AFFINITY_BOUND
         ):
             return candidate
     return best
@@ -101,6 +115,21 @@
     )
 
 
+def _connected(
+    targets: CandidateSet, work: WorkRequest, connected: Collection[str]
+) -> list[Candidate]:
+    """Return some targets with a place and an idle connection."""
+    allowed = targets.for_work(work, local=False)
+    found: list[Candidate] = []
+    for target in connected:
+        candidate = targets.get(target)
+        if candidate in allowed and _has_place(candidate, work):
+            found.append(candidate)
+            if len(found) == CONNECTED_CHOICES:
+                break
+    return found
+
+
 def _sample(
     targets: CandidateSet, work: WorkRequest, local: bool, generator: random.Random
 ) -> Sequence[Candidate]:
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -47,6 +47,10 @@
     # A target that starts again under its id may have another address.
     _idle: dict[tuple[str, str], list[Kept]] = field(factory=dict)
 
+    def connected(self) -> set[str]:
+        """Return the targets to which there is an idle connection."""
+        return {target for (target, _), idle in self._idle.items() if idle}
+
     def take(
         self, target: str, address: str, *, fresh: bool = False
     ) -> tuple[HTTPConnection, bool]:
@@ -110,10 +114,12 @@
     def expire(self) -> None:
         """Close the connections that were idle for too long."""
         now = boottime()
-        for idle in self._idle.values():
+        for target, idle in list(self._idle.items()):
             for kept in [kept for kept in idle if kept.until <= now]:
                 idle.remove(kept)
                 kept.connection.close()
+            if not idle:
+                del self._idle[target]
 
 
 def _idle_limit(keep_alive: str) -> float:
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any
 
@@ -124,11 +124,14 @@
         Availability zone of this daemon.
     generator : random.Random
         Source of randomness of the policy.
+    connected : callable
+        Returns the ids of the targets to which this daemon has an idle connection.
     """
 
     directory: TargetDirectory
     zone: str
     generator: random.Random = field(factory=random.Random)
+    connected: Callable[[], Collection[str]] = frozenset
     _weights: dict[str, float] = field(factory=dict)
     _schedulers: dict[str, PoolScheduler] = field(factory=dict)
     _viewed_at: dict[str, float] = field(factory=dict)
@@ -264,7 +267,7 @@
         if scheduler is None:
             shares = Shares(lambda name: self._weights.get(name, 1.0))
             scheduler = self._schedulers[pool] = PoolScheduler(
-                CandidateSet(self.zone),
+                CandidateSet(self.zone, self.connected),
                 FairQueue(shares.weight, 0),
                 shares,
                 self.generator,
--- a/mulberryport/weights/rotation.py
+++ b/mulberryport/weights/rotation.py
@@ -33,8 +33,10 @@
     1011, "load_failed", "warning", "An order to load weights failed or has no answer."
 )
 
-# Engines that load at the same time; with more of them each load takes longer.
-AT_ONCE = 2
+# Engines that load at the same time, at least, and as a part of all. With more of them
+# each load takes longer, and with fewer a large deployment falls behind its versions.
+LEAST_AT_ONCE = 2
+AT_ONCE_PART = 0.2
 # An order without visible effect is repeated after this time.
 LOAD_TIMEOUT_S = 3.0
 RETRY_S = 0.5
@@ -171,10 +173,11 @@
         ]
         # The model with the longest queue is served first, then by turns.
         queues.sort(key=len, reverse=True)
+        at_once = max(LEAST_AT_ONCE, int(AT_ONCE_PART * len(views)))
         for load in chain.from_iterable(zip_longest(*queues)):
             if load is None:
                 continue
-            if len(self._loading) >= AT_ONCE:
+            if len(self._loading) >= at_once:
                 return
             if load.target not in self._loading:
                 due = boottime() + LOAD_TIMEOUT_S
