Serve a provider's own commits only after the watch has reached them

Cause: seen when reading. A daemon that takes the duty notes its commit in its mirror before the watch brings it. A provider served such a change to a follower that it could not move on from its revision, so the follower asked again without a pause until the next answer of the watch, up to 0.4 s later.

Ruled out: leaving such changes out of the feed; the watch does not tell them again.

Change: changes are served up to the revision that the mirror has reached. The new test fails without it.

--- a/mulberryport/coordination/__init__.py
+++ b/mulberryport/coordination/__init__.py
@@ -2,8 +2,8 @@
 
 ``KeyValueStore`` is the interface that an adapter implements. A ``Mirror`` follows the
 keys below some prefixes, from the store or from another daemon (``SharedWatch``), a
-``Session`` proves that this daemon lives, and a
-``SessionDuty`` is held by one session at a time.
+``Session`` proves that this daemon lives, and a ``SessionDuty`` is held by one session
+at a time.
 """
 
 from .duty import SessionDuty
--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -98,10 +98,12 @@
                 return _reply(items, mirror.revision)
             if after < self._floor:
                 return peer_pb2.FollowKeysReply(served=True, history_lost=True)
-            news = [change for change in self._changes if change.revision > after]
+            # Own commits can be known here before the watch brings what precedes them.
+            known = mirror.revision
+            news = [c for c in self._changes if after < c.revision <= known]
             left = deadline - boottime()
             if news or left <= 0:
-                return _reply(news, max(after, mirror.revision))
+                return _reply(news, max(after, known))
             mirror.progress.wait(left)
         return peer_pb2.FollowKeysReply(served=False)
 
--- a/mulberryport/coordination/tests/test_feeds.py
+++ b/mulberryport/coordination/tests/test_feeds.py
@@ -11,6 +11,7 @@
 from .. import feeds
 from ..feeds import MirrorFeeds, SharedWatch, choose_providers
 from ..mirror import Mirror
+from ..model import Change, Item
 from .builders import MemoryStore, until
 
 
@@ -165,6 +166,23 @@
         assert until(lambda: all(follower.value(f"a/{n}") == b"x" for n in range(5)))
 
 
+def test_an_own_commit_that_overtook_the_watch_is_not_served_again_and_again():
+    # Guards against followers that ask without a pause until the watch catches up.
+    with provider_and_follower() as (store, peers, provider, _):
+        after = provider.mirror.revision
+        provider.mirror.apply(
+            Change("a/own", after + 9, Item("a/own", b"x", after + 9))
+        )
+        request = feeds.peer_pb2.FollowKeysRequest(prefix="a/", after=after, wait=0.2)
+        reply = peers.handlers["p"](request)
+        assert not reply.changes and reply.revision == after
+        for _ in range(9):
+            store.write("a/other", b"y")
+        request.wait = 1.0
+        assert until(lambda: provider.mirror.revision >= after + 9)
+        assert "a/own" in {c.key for c in peers.handlers["p"](request).changes}
+
+
 def test_news_that_a_provider_lacks_make_its_follower_leave_it():
     # Guards against a provider whose watch went silent without an error.
     with provider_and_follower() as (store, _, provider, follower):
