Take weight versions only from what an engine itself tells

A text that is left at its last event goes on elsewhere with an answer without a version; the version of the text, made by another engine, was then noted for this one. Since noted versions only rise, jobs went on to ask that engine, and it was not loaded.

Change: a version is noted only if the answer names one, and an event for which no version is known is not used. Two new tests failed before.

--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -37,6 +37,7 @@
 REFUSAL_PAUSE_S = 0.3
 # The body of a refusal is short.
 REFUSAL_BYTES = 16 * 1024
+NO_VERSION = "the answer names no weight version"
 VERSION_PREFIX = names.VERSIONS.lower() + ":"
 
 
@@ -247,13 +248,20 @@
         on_event: Callable[[], None],
     ) -> bool:
         """Append the events of a stream; true at its clean end."""
-        version = _version(reply, transcript)
-        self._check_version(view, job, item, version)
+        version = _version(reply)
+        if version:
+            self._check_version(view, job, item, version)
+        elif not transcript.events:
+            raise GenerationBrokenError(NO_VERSION)
+        # A text that was left at its last event goes on with nothing, and such an
+        # answer names no version.
         framed = reply.chunked or reply.headers.get("Content-Length") is not None
         parser = EventParser(version)
         try:
             while part := reply.read1(READ_BYTES):
                 for number, data, version in parser.feed(part):
+                    if not version:
+                        raise GenerationBrokenError(NO_VERSION)
                     self._check_version(view, job, item, version)
                     if number != len(transcript.events) + 1:
                         raise GenerationBrokenError(f"event {number} is out of order")
@@ -291,15 +299,10 @@
             connection.close()
 
 
-def _version(reply: urllib3.BaseHTTPResponse, transcript: Transcript) -> int:
-    """Return the weight version of the next event."""
-    value = reply.headers.get(names.VERSIONS) or ""
-    if not value and transcript.versions:
-        # A text that was left at its last event goes on with nothing.
-        return transcript.versions[-1]
-    if not value.strip().isdigit():
-        raise GenerationBrokenError("the answer names no weight version")
-    return int(value)
+def _version(reply: urllib3.BaseHTTPResponse) -> int:
+    """Return the weight version of the next event, 0 if the answer names none."""
+    value = (reply.headers.get(names.VERSIONS) or "").strip()
+    return int(value) if value.isdigit() else 0
 
 
 def _drain(reply: urllib3.BaseHTTPResponse) -> bool:
--- a/mulberryport/platform/tests/test_engines.py
+++ b/mulberryport/platform/tests/test_engines.py
@@ -104,6 +104,29 @@
     assert script.generate(Transcript(["a"], [4])).events == ["a"]
 
 
+def test_an_answer_without_a_version_says_nothing_of_the_engine():
+    # Guards against an engine that is taken to have the weights of the one before,
+    # which is then asked again and again although its weights are too old.
+    directory, made = TargetDirectory(), make_job()
+    Engines(directory).generate(
+        Script(END, version="").view,
+        made,
+        made.items[0],
+        Transcript(["a"], [7]),
+        lambda: None,
+    )
+    state = directory.judgement("e1")
+    assert state is None or not state.versions
+
+
+def test_an_event_without_a_version_is_not_used():
+    # Guards against events that are labelled with the version of another engine.
+    transcript = Transcript(["a"], [7])
+    with pytest.raises(GenerationBrokenError):
+        Script(EVENT % (2, b"b"), END, version="").generate(transcript)
+    assert transcript.events == ["a"]
+
+
 @pytest.mark.parametrize(
     "parts",
     [
