Exchange heartbeats in a large zone through its relays, and start faster

Cause: with 33 daemons in a zone, each exchanged heartbeats with the 32 others and, as seeds have placeholder names in the own zone, with the three seeds for ever; followers called their provider at least three times a second. The programs imported the daemon of the project's own interface (191 of 398 ms of imports, measured beside other work) and, because the command line's libraries were installed, rich.

Ruled out: a ring or random peers, which would need gossip over several hops and more time to notice a lost member.

Change: members of a zone of more than eight exchange heartbeats with the zone's relays only; relays pass on the traffic of the zone's members, the median of its clocks and VMs that can read the store. In a fleet too large for a full mesh, a call to a provider waits for up to 10 s and ends when the provider's heartbeats are overdue. Both programs have an entry point without the command line.

--- a/mulberryport/cli/processes.py
+++ b/mulberryport/cli/processes.py
@@ -34,7 +34,7 @@
             settings = load_settings(self.settings)
         except InvalidFileError as error:
             exit_with_faults(error, False)
-        from ..daemon import Daemon
+        from ..daemon.process import Daemon
 
         Daemon(settings).run()
 
@@ -71,13 +71,12 @@
 
     def __call__(self) -> None:
         """Run the command."""
-        from ..platform.storage import StorageDaemon, load_storage_settings
+        from ..platform.storage_program import run_storage
 
         try:
-            settings = load_storage_settings(self.settings)
+            run_storage(self.settings)
         except InvalidFileError as error:
             exit_with_faults(error, False)
-        StorageDaemon(settings).run()
 
 
 @cappa.command(name="check", help="Check a settings file or a file of tables.")
--- a/mulberryport/coordination/__init__.py
+++ b/mulberryport/coordination/__init__.py
@@ -7,7 +7,13 @@
 """
 
 from .duty import SessionDuty
-from .feeds import SharedWatch, WatchServer, choose_providers
+from .feeds import (
+    SharedWatch,
+    WatchServer,
+    choose_providers,
+    choose_wait_s,
+    is_silent,
+)
 from .mirror import Mirror
 from .model import (
     Change,
@@ -40,4 +46,6 @@
     "SharedWatch",
     "Transaction",
     "choose_providers",
+    "choose_wait_s",
+    "is_silent",
 ]
--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -15,7 +15,10 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from typing import Any
 
+import eventlet
+import eventlet.hubs
 from attrs import define, field
 
 from ..membership import Members, rendezvous_order
@@ -28,7 +31,13 @@
 from .mirror import Mirror
 from .model import Change, Changes, HistoryLost, Item, KeyValueStore, Listing
 
-__all__ = ["SharedWatch", "WatchServer", "choose_providers"]
+__all__ = [
+    "SharedWatch",
+    "WatchServer",
+    "choose_providers",
+    "choose_wait_s",
+    "is_silent",
+]
 
 PROVIDER_LEFT = define_event(
     424, "provider_left", "info", "Stopped following a provider for a while."
@@ -36,15 +45,38 @@
 
 # Changes that a provider buffers for its followers: minutes at a low rate of changes.
 MAX_BUFFERED_CHANGES = 2000
-# Longest wait of one call to a provider. It bounds the time until a provider that hangs
-# is noticed; targets may be used for at most 2 s after they announce that they leave.
+# Longest wait of one call to a provider. In a small deployment it bounds the time until
+# a provider that hangs is noticed; targets may be used for at most 2 s after they
+# announce that they leave. In a large one, where each call costs the providers more,
+# missing heartbeats of the provider end the call.
 PROVIDER_WAIT_S = 1.0
+LARGE_FLEET_WAIT_S = 10.0
+# Age of the last heartbeat at which a provider counts as hanging.
+MAX_HEARTBEAT_AGE_S = 1.8
 # Added to the wait to get the timeout of the call; a provider replies in milliseconds.
 REPLY_MARGIN_S = 0.3
 # How long a provider is not called after a failure.
 PROVIDER_BACKOFF_S = 3.0
 
 
+class ProviderSilentError(BaseException):
+    """Thrown into the green thread of a call to a provider that stays silent.
+
+    It derives from ``BaseException`` so that no ``except Exception`` swallows it.
+    """
+
+
+def choose_wait_s(members: Members) -> float:
+    """Return how long a call to a provider may wait for a change."""
+    return LARGE_FLEET_WAIT_S if members.is_large() else PROVIDER_WAIT_S
+
+
+def is_silent(members: Members, vm: str) -> bool:
+    """Return whether the heartbeats of a member are overdue."""
+    member = members.get(vm)
+    return member is None or boottime() - member.heard_at > MAX_HEARTBEAT_AGE_S
+
+
 def choose_providers(members: Members) -> list[str]:
     """Return the VMs that this daemon may follow; empty if it is a provider itself.
 
@@ -148,7 +180,7 @@
         buffer = self._buffers.get(request.prefix)
         if buffer is None:
             return peer_pb2.FollowKeysReply(served=False)
-        return buffer.serve(request.after, min(request.wait, PROVIDER_WAIT_S))
+        return buffer.serve(request.after, min(request.wait, LARGE_FLEET_WAIT_S))
 
 
 @define(eq=False)
@@ -166,6 +198,10 @@
     providers : callable
         Returns the VMs that this daemon may follow, in order of preference; empty if it
         must watch the store.
+    max_wait_s : callable
+        Returns how long a call to a provider may wait, in seconds.
+    is_silent : callable
+        Returns whether heartbeats of a VM are overdue.
     from_store : bool
         Whether the last request was answered by the store and not by a provider.
     """
@@ -173,9 +209,13 @@
     store: KeyValueStore
     peers: Peers
     providers: Callable[[], list[str]]
+    max_wait_s: Callable[[], float] = lambda: PROVIDER_WAIT_S
+    is_silent: Callable[[str], bool] = lambda vm: False
     from_store: bool = False
     _backoff_until: dict[str, float] = field(factory=dict)
     _newest_revision: int = -1
+    # The provider that a call waits for, and the green thread that waits.
+    _waiting: tuple[str, Any] | None = None
 
     def list(self, prefix: str) -> Outcome[Listing]:
         """Return all items under a prefix; its revision never goes backwards."""
@@ -213,11 +253,26 @@
             self._newest_revision = max(self._newest_revision, outcome.value.revision)
         return outcome
 
+    def check_provider(self) -> None:
+        """End the call to a provider whose heartbeats are overdue.
+
+        Call it a few times a second.
+        """
+        if self._waiting is not None and self.is_silent(self._waiting[0]):
+            eventlet.hubs.get_hub().schedule_call_global(
+                0, self._end_call, self._waiting
+            )
+
+    def _end_call(self, waiting: tuple[str, Any]) -> None:
+        # The call may have ended since the check.
+        if self._waiting is waiting:
+            waiting[1].throw(ProviderSilentError())
+
     def _select_provider(self) -> str:
         """Return the VM to follow; empty to use the store."""
         now = boottime()
         for vm in self.providers():
-            if self._backoff_until.get(vm, now) <= now:
+            if self._backoff_until.get(vm, now) <= now and not self.is_silent(vm):
                 return vm
         return ""
 
@@ -225,14 +280,20 @@
         self, vm: str, prefix: str, after: int, wait: float
     ) -> peer_pb2.FollowKeysReply | None:
         """Return the reply of a provider, or None if it failed or serves nothing."""
-        wait = min(wait, PROVIDER_WAIT_S)
+        wait = min(wait, self.max_wait_s())
         request = peer_pb2.FollowKeysRequest(prefix=prefix, after=after, wait=wait)
+        self._waiting = (vm, eventlet.getcurrent())
         try:
             outcome = self.peers.call(vm, "FollowKeys", request, wait + REPLY_MARGIN_S)
+        except ProviderSilentError:
+            self._back_off(vm, prefix, "its heartbeats are overdue")
+            return None
         except BaseException as error:
             # A BaseException, because the mirror throws WatchStalledError in here.
             self._back_off(vm, prefix, repr(error))
             raise
+        finally:
+            self._waiting = None
         if isinstance(outcome, Done) and outcome.value.served:
             return outcome.value
         served = isinstance(outcome, Done)
--- a/mulberryport/membership/members.py
+++ b/mulberryport/membership/members.py
@@ -13,7 +13,13 @@
 from ..telemetry import log
 from .model import Member
 from .ranking import rendezvous_order
-from .topology import accepts_gossip, gossip_for, heartbeat_peers, is_large
+from .topology import (
+    accepts_gossip,
+    gossip_for,
+    heartbeat_peers,
+    is_large,
+    is_relay,
+)
 
 __all__ = ["HEARTBEAT_PERIOD_S", "LIVE_TIMEOUT_S", "Members"]
 
@@ -188,6 +194,14 @@
         """Return the ids of the members to exchange heartbeats with."""
         return heartbeat_peers(self.self_member, self.live(), self.known(), self._seeds)
 
+    def is_relay(self) -> bool:
+        """Return whether this daemon is a relay of its availability zone."""
+        return is_relay(self.self_member, self.live())
+
+    def is_large(self) -> bool:
+        """Return whether the fleet is too large for a full mesh of heartbeats."""
+        return is_large(self.live())
+
     def gossip_for(self, peer: Member) -> list[Member]:
         """Return the members to report to a peer."""
         direct = self._directly_live(boottime())
@@ -202,7 +216,7 @@
 
     def heartbeat_period(self, peer: Member) -> float:
         """Return the period of the heartbeats to a peer, in seconds."""
-        remote = peer.zone != self.self_member.zone and is_large(self.live())
+        remote = peer.zone != self.self_member.zone and self.is_large()
         return REMOTE_HEARTBEAT_PERIOD_S if remote else HEARTBEAT_PERIOD_S
 
     def owners(self, key: str, count: int) -> tuple[Member, ...]:
--- a/mulberryport/membership/topology.py
+++ b/mulberryport/membership/topology.py
@@ -1,11 +1,13 @@
 """Heartbeat topology: which members exchange heartbeats and whose gossip counts.
 
 In a small deployment all members exchange heartbeats with each other. In a large one,
-the members of an availability zone do so with each other, and the two relays of each
-zone also with the relays of the other zones. Gossip about a member then travels from
-its own zone to the relays of another zone, and from these to the members there. It is
-not forwarded further, so that two daemons cannot keep a dead member live by repeating
-each other's gossip.
+the members of an availability zone do so with each other, or, if the zone is large
+itself, only with its two relays. The relays of each zone also exchange heartbeats with
+the relays of the other zones. Gossip about a member then travels from the member to the
+relays of its zone, from these to the members of the zone and to the relays of another
+zone, and from those to the members there. Members only report members of their own zone
+from which they receive heartbeats themselves, so that two daemons cannot keep a dead
+member live by repeating each other's gossip.
 
 The functions of this module are pure.
 """
@@ -17,16 +19,26 @@
 
 __all__ = [
     "FULL_MESH_LIMIT",
+    "ZONE_MESH_LIMIT",
     "RELAYS_PER_ZONE",
     "accepts_gossip",
     "is_large",
+    "is_relay",
     "heartbeat_peers",
     "gossip_for",
     "relays",
 ]
 
 FULL_MESH_LIMIT = 12
+# Members of a zone up to which they all exchange heartbeats with each other.
+ZONE_MESH_LIMIT = 8
 RELAYS_PER_ZONE = 2
+RELAY_KEY = "relay"
+# Silent members that may be relays and are called nevertheless: after a loss of many
+# members of a zone, most of those that rank first come back.
+MAX_SILENT_RELAYS = 6
+# Other members that are called while too few relays are live. They know which are.
+MAX_CONTACTS = 2
 
 
 def is_large(members: Collection[Member]) -> bool:
@@ -45,7 +57,12 @@
         Live members.
     """
     local = (member for member in members if member.zone == zone)
-    return rendezvous_order("relay", local)[:RELAYS_PER_ZONE]
+    return rendezvous_order(RELAY_KEY, local)[:RELAYS_PER_ZONE]
+
+
+def is_relay(own: Member, live: Iterable[Member]) -> bool:
+    """Return whether a live member is a relay of its availability zone."""
+    return own.vm in {member.vm for member in relays(own.zone, live)}
 
 
 def heartbeat_peers(
@@ -70,8 +87,17 @@
     """
     if not is_large(known):
         return {member.vm for member in known}
-    result = {member.vm for member in known if member.zone == own.zone}
-    if own.vm not in {member.vm for member in relays(own.zone, live)}:
+    # The name and zone of a seed may be placeholders until it is heard.
+    local = [
+        member
+        for member in known
+        if member.zone == own.zone and (member.incarnation or member.vm not in seeds)
+    ]
+    if len(local) < ZONE_MESH_LIMIT:
+        result = {member.vm for member in local}
+    else:
+        result = _relays_to_call(own, live, local, seeds)
+    if not is_relay(own, live):
         return result
     # Relays also exchange heartbeats with the seeds, through which the relays of all
     # zones find each other.
@@ -84,6 +110,34 @@
     return result - {own.vm}
 
 
+def _relays_to_call(
+    own: Member,
+    live: Sequence[Member],
+    local: Sequence[Member],
+    seeds: Collection[str],
+) -> set[str]:
+    """Return the relays of the own zone, and silent members that may be relays.
+
+    While fewer relays are live than there should be, some other members and the seeds
+    are called as well.
+    """
+    live_ids = {member.vm for member in live}
+    result: set[str] = set()
+    live_relays = silent = 0
+    for member in rendezvous_order(RELAY_KEY, [own, *local]):
+        if member.vm in live_ids:
+            live_relays += 1
+        elif silent < MAX_SILENT_RELAYS:
+            silent += 1
+        else:
+            continue
+        result.add(member.vm)
+        if live_relays == RELAYS_PER_ZONE:
+            return result
+    contacts = rendezvous_order(own.vm, local)[:MAX_CONTACTS]
+    return result | {member.vm for member in contacts} | set(seeds)
+
+
 def _group_by_zone(members: Iterable[Member]) -> dict[str, list[Member]]:
     groups: dict[str, list[Member]] = {}
     for member in members:
@@ -123,9 +177,8 @@
 def accepts_gossip(own: Member, source: Member, about: Member) -> bool:
     """Return whether gossip of a peer makes another member count as live.
 
-    A peer in another zone is accepted for members of its own zone, and a peer in this
-    zone for members of other zones. Other gossip only provides a member's address.
+    A peer is accepted for members of its own zone, from which it receives heartbeats
+    itself, and a peer in this zone also for members of other zones. Other gossip only
+    provides a member's address.
     """
-    if about.zone == source.zone:
-        return source.zone != own.zone
-    return source.zone == own.zone
+    return source.zone in (about.zone, own.zone)
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -18,6 +18,8 @@
     SharedWatch,
     WatchServer,
     choose_providers,
+    choose_wait_s,
+    is_silent,
 )
 from ..daemon.heartbeats import Heartbeats
 from ..gateway import CallerServer, Gateway, RequestAbortedError
@@ -39,7 +41,7 @@
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
 from ..targets.connections import ConnectionPool
-from ..targets.traffic import add_traffic, apply_traffic
+from ..targets.traffic import TrafficExchange
 from ..telemetry import configure_logging, log
 from ..telemetry import define as define_event
 from ..telemetry.metrics import export_metrics
@@ -54,7 +56,7 @@
 from .ingress import make_target_protocol, platform_dialect
 from .registrations import REGISTRATIONS_PREFIX, Registrations
 from .relays import StoreRelays
-from .settings import EntrySettings, load_entry_settings
+from .settings import PEER_TOKEN, EntrySettings, load_entry_settings
 from .store import PlatformStore
 
 __all__ = ["EntryDaemon"]
@@ -84,9 +86,10 @@
 CONTROL_PERIOD_S = 0.2
 JOBS_PERIOD_S = 0.2
 QUEUES_PERIOD_S = 0.1
-REQUESTS_PERIOD_S = 0.15
+REQUESTS_PERIOD_S = 0.1
 REGISTRATIONS_PERIOD_S = 0.5
 CONNECTIONS_PERIOD_S = 1.0
+PROVIDERS_PERIOD_S = 0.2
 USAGE_PERIOD_S = 1.0
 # The load balancer probes readiness once per second and removes a daemon after two
 # failed probes.
@@ -103,8 +106,6 @@
 DUTY_STAGGER_S = 0.3
 MAX_STAGGERS = 6
 CONTROL_DUTY = "control"
-# Token of the peer port, which accepts calls from this project's daemons only.
-PEER_TOKEN = "mulberryport-entry-peers"
 
 
 @define(eq=False)
@@ -143,6 +144,7 @@
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
     _duties: ControlDuties = field(init=False)
+    _shared_watches: list[SharedWatch] = field(init=False)
     _log_sink: LogSink = field(factory=lambda: LogSink(sys.stdout.fileno()))
     _stopping: bool = False
     _last_ready: bool = False
@@ -243,16 +245,16 @@
             vm.zone,
             connected_targets=self.connections.connected_targets,
         )
+        traffic = TrafficExchange(self.dispatcher, self.members)
         heartbeats.contributors += [
-            lambda heartbeat, peer: add_traffic(heartbeat, self.dispatcher),
-            _add_wall_time,
+            traffic.add,
+            self._add_wall_time,
             self._add_mirror_revisions,
+            store_relays.add_relays,
         ]
         heartbeats.listeners += [
-            lambda heartbeat: apply_traffic(heartbeat, self.dispatcher),
-            lambda heartbeat: self.clock.add_sample(
-                heartbeat.sender.vm, heartbeat.wall
-            ),
+            traffic.apply,
+            self._apply_wall_time,
             self._apply_mirror_revisions,
         ]
 
@@ -263,6 +265,17 @@
         """
         return self.configuration_mirror, self.announcements, self.registrations.mirror
 
+    def _add_wall_time(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
+        heartbeat.wall = wall_time()
+        if peer.zone == self.settings.vm.zone and self.members.is_relay():
+            heartbeat.median_wall = self.clock.now()
+
+    def _apply_wall_time(self, heartbeat: peer_pb2.Heartbeat) -> None:
+        # Relays use the clocks themselves, so that no median is derived from another.
+        use_median = heartbeat.median_wall and not self.members.is_relay()
+        wall = heartbeat.median_wall if use_median else heartbeat.wall
+        self.clock.add_sample(heartbeat.sender.vm, wall)
+
     def _add_mirror_revisions(
         self, heartbeat: peer_pb2.Heartbeat, peer: Member
     ) -> None:
@@ -278,10 +291,17 @@
         # Watched directly: it changes rarely, and the revocation of an API key must
         # not depend on a provider of a shared watch.
         self.configuration_mirror = Mirror(self.store, CONFIGURATION_KEY)
-        announcements_watch, live_keys_watch, registrations_watch = (
-            SharedWatch(self.store, self.peers, partial(choose_providers, self.members))
+        self._shared_watches = [
+            SharedWatch(
+                self.store,
+                self.peers,
+                partial(choose_providers, self.members),
+                partial(choose_wait_s, self.members),
+                partial(is_silent, self.members),
+            )
             for _ in range(3)
-        )
+        ]
+        announcements_watch, live_keys_watch, registrations_watch = self._shared_watches
         self.announcements = Mirror(announcements_watch, ANNOUNCEMENTS_PREFIX)
         self.live_keys = Mirror(
             live_keys_watch, LIVE_PREFIX, batch_delay_s=LIVE_KEYS_BATCH_DELAY_S
@@ -387,6 +407,7 @@
             REGISTRATIONS_PERIOD_S,
             self.registrations.remove_missing_targets,
         )
+        subscribe("providers", PROVIDERS_PERIOD_S, self._check_providers)
         subscribe("connections", CONNECTIONS_PERIOD_S, self.connections.close_expired)
         subscribe("duty", CONTROL_PERIOD_S, self.duty.run_once)
         subscribe("jobs", JOBS_PERIOD_S, self.jobs.run_once)
@@ -399,6 +420,10 @@
             "usage", USAGE_PERIOD_S, self._duties.usage_ledger.report_closed_windows
         )
 
+    def _check_providers(self) -> None:
+        for watch in self._shared_watches:
+            watch.check_provider()
+
     def _duty_acquire_delay_s(self) -> float:
         """Return the seconds for which a free duty is left to preferred members."""
         if self._stopping:
@@ -451,10 +476,6 @@
         log(SETTINGS_RELOADED, accepted=True)
 
 
-def _add_wall_time(heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
-    heartbeat.wall = wall_time()
-
-
 def _serve_metrics(
     environ: dict[str, Any], start_response: StartResponse
 ) -> Iterable[bytes]:
--- a/mulberryport/platform/entry.py
+++ b/mulberryport/platform/entry.py
@@ -1,19 +1,13 @@
-"""Entry point of an entry daemon, configured by ``MULBERRYPORT_SETTINGS``.
+"""Entry point of an entry daemon: ``python -m mulberryport.platform.entry``.
 
-Run as ``python -m mulberryport.platform.entry``. It is equivalent to ``mulberryport
-entry`` but does not import the other commands, so that a killed daemon restarts
-faster.
+It is equivalent to ``mulberryport entry``.
 """
 
-import os
-import sys
-
 from ..runtime.hub import install_eventlet
+from .program import run_program
 
 __all__ = ["main", "run_entry"]
 
-SETTINGS_VARIABLE = "MULBERRYPORT_SETTINGS"
-
 
 def run_entry(path: str) -> None:
     """Run an entry daemon until a signal stops it.
@@ -28,7 +22,6 @@
     InvalidFileError
         The file cannot be read or is invalid.
     """
-    # Modules that open sockets must be imported after the standard library is patched.
     install_eventlet()
     from .daemon import EntryDaemon
     from .settings import load_entry_settings
@@ -38,14 +31,7 @@
 
 def main() -> None:
     """Run the entry daemon; exit with status 1 if its settings are invalid."""
-    from ..settings import InvalidFileError
-
-    try:
-        run_entry(os.environ.get(SETTINGS_VARIABLE, ""))
-    except InvalidFileError as error:
-        for fault in error.diagnostics:
-            print(fault, file=sys.stderr)
-        sys.exit(1)
+    run_program(run_entry)
 
 
 if __name__ == "__main__":
--- a/mulberryport/platform/relays.py
+++ b/mulberryport/platform/relays.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from ..membership import Members
+from ..membership import Member, Members
 from ..peering import peer_pb2
 from ..runtime.clock import boottime
 from .store import PlatformStore
@@ -11,6 +11,9 @@
 
 # Three heartbeat periods.
 REPORT_LIFETIME_S = 3.0
+# Relays that are reported to a member, so that it finds one if the relays of its zone
+# cannot reach the store either.
+MAX_REPORTED_RELAYS = 4
 
 
 @define(eq=False)
@@ -20,6 +23,8 @@
     store: PlatformStore
     members: Members
     _reported_at: dict[str, float] = field(factory=dict)
+    # Only members that reported it of themselves; others are not passed on.
+    _heard_at: dict[str, float] = field(factory=dict)
 
     @property
     def store_readable(self) -> bool:
@@ -28,11 +33,26 @@
 
     def apply_heartbeat(self, heartbeat: peer_pb2.Heartbeat) -> None:
         """Record whether the store responds to the sender of a heartbeat."""
-        vm = heartbeat.sender.vm
+        vm, now = heartbeat.sender.vm, boottime()
+        for relay in heartbeat.store_relays:
+            if relay != self.members.self_member.vm:
+                self._reported_at[relay] = now
         if heartbeat.store_readable and not heartbeat.leaving:
-            self._reported_at[vm] = boottime()
+            self._reported_at[vm] = self._heard_at[vm] = now
         else:
             self._reported_at.pop(vm, None)
+            self._heard_at.pop(vm, None)
+
+    def add_relays(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
+        """Add members that can relay calls to a heartbeat for a peer of this zone."""
+        now = boottime()
+        if peer.zone == self.members.self_member.zone:
+            heartbeat.store_relays.extend(
+                vm
+                for vm, reported_at in self._heard_at.items()
+                if now - reported_at <= REPORT_LIFETIME_S and vm != peer.vm
+            )
+            del heartbeat.store_relays[MAX_REPORTED_RELAYS:]
 
     def available_relays(self) -> list[str]:
         """Return the VMs that can relay calls, those of this zone first."""
--- a/mulberryport/platform/settings.py
+++ b/mulberryport/platform/settings.py
@@ -24,12 +24,16 @@
 from ..settings.model import ADDRESS_FORMAT, NAME_FORMAT, parse_seed
 
 __all__ = [
+    "PEER_TOKEN",
     "EntrySettings",
     "load_entry_settings",
     "parse_entry_settings",
     "read_settings",
 ]
 
+# Token of the peer port, which accepts calls from this project's daemons only.
+PEER_TOKEN = "mulberryport-entry-peers"
+
 SECONDS_RANGE = "seconds from 0 to 3600"
 
 
--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -21,8 +21,7 @@
 from ..telemetry import configure_logging, log
 from ..telemetry import define as define_event
 from ..telemetry.sink import LogSink
-from .daemon import PEER_TOKEN
-from .settings import read_settings
+from .settings import PEER_TOKEN, read_settings
 from .store import PlatformStore
 
 __all__ = ["StorageDaemon", "StorageSettings", "load_storage_settings"]
--- a/mulberryport/platform/tests/test_entry.py
+++ b/mulberryport/platform/tests/test_entry.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 
+import pytest
+
 COMMAND = [sys.executable, "-m", "mulberryport.platform.entry"]
 
 
@@ -33,11 +35,17 @@
     assert "none.ini" in process.stderr
 
 
-def test_entry_point_does_not_import_the_command_line():
-    # Guards against slow restarts caused by imports of commands that never run.
+@pytest.mark.parametrize(
+    ("program", "daemon"),
+    [("entry", "daemon"), ("storage_program", "storage")],
+)
+def test_programs_do_not_import_what_never_runs(program, daemon):
+    # Guards against slow restarts caused by imports of the command line and of the
+    # daemon of the project's own interface.
     code = (
-        "import sys, mulberryport.platform.entry, mulberryport.platform.daemon;"
-        "print([m for m in sys.modules if m.startswith(('cappa', 'mulberryport.cli'))])"
+        f"import sys, mulberryport.platform.{program}, mulberryport.platform.{daemon};"
+        "needless = ('cappa', 'mulberryport.cli', 'mulberryport.daemon.process');"
+        "print([m for m in sys.modules if m.startswith(needless)])"
     )
     process = run("", sys.executable, "-W", "ignore", "-c", code)
     assert process.stdout.strip() == "[]", process.stderr
