Watch the store with two daemons of a fleet, and open sessions on demand

Cause: calls of the store grew with the fleet. Two providers in each of five zones woke up for every change of the live keys, all daemons watched the configuration, all renewed a lease every 0.75 s although few own jobs, and each started with four listings and four watches. After the loss of many daemons, all members ranked fifth or later claimed a job at the same time.

Ruled out: stale first listings, since the pages do not say that their revision is that of the listed state; longer leases, which would delay takeovers.

Change: relays follow two of them, the roots, and the other daemons follow their relays; each watch knows its distance from the store, which excludes circles. The first listing of configuration and registrations still comes from the store. A daemon that has just started waits up to 1.5 s for a provider before it watches the store. Sessions are opened for jobs and duties and end when idle. Claims of jobs and duties are staggered over all members. A takeover checks the newest known head before it resumes a job, and an older head never replaces a newer one; the test of this was seen to fail without the check.

Tests that assumed a session in every daemon now request it.

--- a/mulberryport/coordination/__init__.py
+++ b/mulberryport/coordination/__init__.py
@@ -13,6 +13,7 @@
     choose_providers,
     choose_wait_s,
     is_silent,
+    max_provider_distance,
 )
 from .mirror import Mirror
 from .model import (
@@ -48,4 +49,5 @@
     "choose_providers",
     "choose_wait_s",
     "is_silent",
+    "max_provider_distance",
 ]
--- a/mulberryport/coordination/duty.py
+++ b/mulberryport/coordination/duty.py
@@ -64,6 +64,10 @@
     _usable_from: float = float("inf")
     _free_since: float | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Keep the session open while the duty is held."""
+        self.session.hold_while(lambda: self._fencing > 0)
+
     @property
     def fencing(self) -> int:
         """Fencing token of the current holder term; 0 while the duty is not held."""
@@ -107,11 +111,12 @@
         if item is not None and item.lease == self.session.lease:
             self._set_held(item)
             return
-        if not self.session.alive or not self.mirror.connected:
+        if not self.mirror.connected:
             self._free_since = None
             return
         if item is not None and self._is_from_previous_incarnation(item):
-            self._try_acquire(item.revision)
+            if self.session.request():
+                self._try_acquire(item.revision)
             return
         if item is not None:
             self._free_since = None
@@ -119,7 +124,8 @@
         now = boottime()
         if self._free_since is None:
             self._free_since = now
-        if now - self._free_since >= self.acquire_delay_s():
+        is_due = now - self._free_since >= self.acquire_delay_s()
+        if is_due and self.session.request():
             self._try_acquire(0)
 
     def _is_from_previous_incarnation(self, item: Item) -> bool:
--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -1,18 +1,21 @@
 """Fan-out of watches from a few daemons to the others of their availability zone.
 
 If every daemon watched the store, each change would cost one request per daemon. In a
-large deployment only some daemons of each zone, the providers, watch the store; the
-others, the followers, watch the mirrors of a provider. Providers pass on the revisions
-of the store, so a follower can switch to another provider or to the store at any
-revision.
-
-A provider serves only changes that it received from the store itself; otherwise two
-daemons could follow each other and both miss every change. It serves nothing while the
-store does not answer it. A follower whose provider does not answer, or turns out to be
-behind another daemon (``Mirror.expect_revision``), watches the store for some seconds
-before it uses that provider again.
+large deployment only some daemons watch the store; the others watch the mirrors of a
+provider. The relays of an availability zone are the providers of its other members, and
+two of the relays of all zones, the roots, are the providers of the other relays.
+Providers pass on the revisions of the store, so a daemon can switch to another provider
+or to the store at any revision.
+
+A watch knows its distance from the store: 0 if the store answers it, otherwise one more
+than that of its provider. A relay uses only providers at distance 0, the others also
+those at distance 1; otherwise two daemons could follow each other and both miss every
+change. A daemon serves nothing while it gets no answers itself. If a provider does not
+answer, or turns out to be behind another daemon (``Mirror.expect_revision``), its
+followers watch the store for some seconds before they use that provider again.
 """
 
+import random
 from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -21,7 +24,7 @@
 import eventlet.hubs
 from attrs import define, field
 
-from ..membership import Members, rendezvous_order
+from ..membership import Member, Members, rendezvous_order
 from ..membership.topology import relays
 from ..outcomes import Done, Outcome
 from ..peering import Peers, PeerServer, peer_pb2
@@ -37,6 +40,7 @@
     "choose_providers",
     "choose_wait_s",
     "is_silent",
+    "max_provider_distance",
 ]
 
 PROVIDER_LEFT = define_event(
@@ -55,6 +59,20 @@
 MAX_HEARTBEAT_AGE_S = 1.8
 # Added to the wait to get the timeout of the call; a provider replies in milliseconds.
 REPLY_MARGIN_S = 0.3
+# Added if overdue heartbeats end a call anyway.
+LARGE_FLEET_MARGIN_S = 2.0
+# Smallest part of the longest wait. Followers wait for different times, so that their
+# calls do not all end at the same time.
+MIN_WAIT_SHARE = 0.6
+ROOT_KEY = "root"
+ROOTS = 2
+# Distance of a watch that has had no answer yet.
+NOT_CONNECTED = 2**16
+# How long a daemon that has just started waits for the heartbeats of a provider. It
+# waits less if it turns out to have none.
+PROVIDER_WARM_UP_S = 1.5
+MIN_WARM_UP_S = 0.4
+WARM_UP_STEP_S = 0.05
 # How long a provider is not called after a failure.
 PROVIDER_BACKOFF_S = 3.0
 
@@ -66,31 +84,58 @@
     """
 
 
-def choose_wait_s(members: Members) -> float:
+def choose_wait_s(members: Members, vm: str) -> float:
     """Return how long a call to a provider may wait for a change."""
-    return LARGE_FLEET_WAIT_S if members.is_large() else PROVIDER_WAIT_S
+    if not _is_heard_often(members, vm):
+        return PROVIDER_WAIT_S
+    return LARGE_FLEET_WAIT_S * random.uniform(MIN_WAIT_SHARE, 1.0)
 
 
 def is_silent(members: Members, vm: str) -> bool:
-    """Return whether the heartbeats of a member are overdue."""
+    """Return whether a VM is unknown, or its heartbeats are overdue."""
     member = members.get(vm)
-    return member is None or boottime() - member.heard_at > MAX_HEARTBEAT_AGE_S
+    if member is None:
+        return True
+    age = boottime() - member.heard_at
+    return _is_heard_often(members, vm) and age > MAX_HEARTBEAT_AGE_S
+
+
+def _is_heard_often(members: Members, vm: str) -> bool:
+    """Whether the heartbeats of a VM show soon that it hangs."""
+    member = members.get(vm)
+    own_zone = members.self_member.zone
+    return members.is_large() and member is not None and member.zone == own_zone
 
 
 def choose_providers(members: Members) -> list[str]:
-    """Return the VMs that this daemon may follow; empty if it is a provider itself.
+    """Return the VMs that this daemon may follow; empty if it must watch the store.
 
-    Two daemons of each availability zone are providers. Rendezvous hashing of the
-    follower's id sets which of the two it prefers, so that the load is spread.
+    Rendezvous hashing of the daemon's id sets which of several it prefers, so that the
+    load is spread.
     """
     own = members.self_member
-    staying = [m for m in members.in_zone(own.zone) if not m.leaving]
+    staying = [member for member in members.live() if not member.leaving]
     providers = relays(own.zone, staying)
-    if own.leaving or own.vm in {member.vm for member in providers}:
+    if own.leaving:
         return []
+    if own.vm in {member.vm for member in providers}:
+        providers = _choose_roots(staying) if members.is_large() else []
+        if own.vm in {member.vm for member in providers}:
+            return []
     return [member.vm for member in rendezvous_order(own.vm, providers)]
 
 
+def _choose_roots(staying: list[Member]) -> list[Member]:
+    zones = sorted({member.zone for member in staying})
+    all_relays = [relay for zone in zones for relay in relays(zone, staying)]
+    return rendezvous_order(ROOT_KEY, all_relays)[:ROOTS]
+
+
+def max_provider_distance(members: Members) -> int:
+    """Return the largest distance from the store at which a provider may be used."""
+    return 0 if members.is_relay() else 1
+
+
 @define(eq=False)
 class ChangeBuffer:
     """The most recent changes of one mirror.
@@ -113,7 +158,9 @@
         """Subscribe to the changes of the mirror."""
         self.mirror.subscribe(self._on_change)
 
-    def serve(self, after: int, wait: float) -> peer_pb2.FollowKeysReply:
+    def serve(
+        self, after: int, wait: float, max_distance: int
+    ) -> peer_pb2.FollowKeysReply:
         """Return the changes after a revision, or all keys if it is negative.
 
         Parameters
@@ -122,26 +169,46 @@
             Revision of the store.
         wait : float
             Seconds to wait for a change.
+        max_distance : int
+            Largest distance from the store at which the caller uses a provider.
         """
         mirror, deadline = self.mirror, boottime() + wait
-        while mirror.loaded and mirror.connected and self.source.from_store:
+        while (
+            mirror.loaded and mirror.connected and self.source.distance <= max_distance
+        ):
             if self._compacted_revision is None:
                 self._compacted_revision = mirror.revision
             if after < 0:
                 items = [Change(i.key, i.revision, i) for i in mirror.items.values()]
-                return _encode_reply(items, mirror.revision)
+                return self._encode_reply(items, mirror.revision)
             if after < self._compacted_revision:
-                return peer_pb2.FollowKeysReply(served=True, history_lost=True)
+                return peer_pb2.FollowKeysReply(
+                    served=True, history_lost=True, distance=self.source.distance
+                )
             # This daemon's own commits may be applied before the watch has delivered
             # the changes that precede them.
             complete = mirror.revision
             changes = [c for c in self._changes if after < c.revision <= complete]
             timeout = deadline - boottime()
             if changes or timeout <= 0:
-                return _encode_reply(changes, max(after, complete))
+                return self._encode_reply(changes, max(after, complete))
             mirror.polled.wait(timeout)
         return peer_pb2.FollowKeysReply(served=False)
 
+    def _encode_reply(
+        self, changes: Iterable[Change], revision: int
+    ) -> peer_pb2.FollowKeysReply:
+        reply = peer_pb2.FollowKeysReply(
+            served=True, revision=revision, distance=self.source.distance
+        )
+        for change in changes:
+            message = reply.changes.add(key=change.key, revision=change.revision)
+            if change.item is None:
+                message.removed = True
+            else:
+                message.value, message.lease = change.item.value, change.item.lease
+        return reply
+
     def _on_change(self, change: Change) -> None:
         if self._compacted_revision is None:
             return
@@ -180,7 +247,8 @@
         buffer = self._buffers.get(request.prefix)
         if buffer is None:
             return peer_pb2.FollowKeysReply(served=False)
-        return buffer.serve(request.after, min(request.wait, LARGE_FLEET_WAIT_S))
+        wait = min(request.wait, LARGE_FLEET_WAIT_S)
+        return buffer.serve(request.after, wait, request.max_distance)
 
 
 @define(eq=False)
@@ -202,32 +270,54 @@
         Returns how long a call to a provider may wait, in seconds.
     is_silent : callable
         Returns whether heartbeats of a VM are overdue.
-    from_store : bool
-        Whether the last request was answered by the store and not by a provider.
+    max_distance : callable
+        Returns the largest distance from the store at which a provider may be used.
+    lists_at_once : bool
+        Whether a daemon that has just started lists the keys in the store, and does not
+        wait for a provider.
     """
 
     store: KeyValueStore
     peers: Peers
     providers: Callable[[], list[str]]
-    max_wait_s: Callable[[], float] = lambda: PROVIDER_WAIT_S
+    max_wait_s: Callable[[str], float] = lambda vm: PROVIDER_WAIT_S
     is_silent: Callable[[str], bool] = lambda vm: False
-    from_store: bool = False
+    max_distance: Callable[[], int] = lambda: 0
+    lists_at_once: bool = True
+    _distance: int = NOT_CONNECTED
+    _created_at: float = field(factory=boottime)
     _backoff_until: dict[str, float] = field(factory=dict)
     _newest_revision: int = -1
     # The provider that a call waits for, and the green thread that waits.
     _waiting: tuple[str, Any] | None = None
 
+    @property
+    def distance(self) -> int:
+        """Number of daemons between this one and the store."""
+        return self._distance
+
     def list(self, prefix: str) -> Outcome[Listing]:
         """Return all items under a prefix; its revision never goes backwards."""
+        # The first listing of a daemon that has just started must not be older than
+        # what it has acted on before.
+        is_first = self.lists_at_once and self._newest_revision < 0
+        if is_first and isinstance(outcome := self._list_in_store(prefix), Done):
+            return outcome
+        if not self.lists_at_once:
+            self._await_provider()
         vm = self._select_provider()
         if vm:
             reply = self._call_provider(vm, prefix, -1, 0.0)
             if reply is not None and reply.revision >= self._newest_revision:
-                self.from_store, self._newest_revision = False, reply.revision
+                self._distance = reply.distance + 1
+                self._newest_revision = reply.revision
                 items = [_decode_item(change) for change in reply.changes]
                 return Done(Listing(tuple(items), reply.revision))
+        return self._list_in_store(prefix)
+
+    def _list_in_store(self, prefix: str) -> Outcome[Listing]:
         outcome = self.store.list(prefix)
-        self.from_store = True
+        self._distance = 0
         if isinstance(outcome, Done):
             self._newest_revision = max(self._newest_revision, outcome.value.revision)
         return outcome
@@ -236,9 +326,10 @@
         self, prefix: str, after: int, wait: float
     ) -> Outcome[Changes | HistoryLost]:
         """Wait up to ``wait`` seconds for changes after a revision."""
+        self._await_provider()
         vm = self._select_provider()
         reply = self._call_provider(vm, prefix, after, wait) if vm else None
-        self.from_store = reply is None
+        self._distance = 0 if reply is None else reply.distance + 1
         if reply is not None and reply.history_lost:
             return Done(HistoryLost())
         if reply is not None:
@@ -268,6 +359,14 @@
         if self._waiting is waiting:
             waiting[1].throw(ProviderSilentError())
 
+    def _await_provider(self) -> None:
+        """Wait until a provider is heard, if this daemon has just started."""
+        while (age := boottime() - self._created_at) < PROVIDER_WARM_UP_S:
+            may_have_none = age >= MIN_WARM_UP_S and not self.providers()
+            if may_have_none or self._select_provider():
+                return
+            eventlet.sleep(WARM_UP_STEP_S)
+
     def _select_provider(self) -> str:
         """Return the VM to follow; empty to use the store."""
         now = boottime()
@@ -280,11 +379,14 @@
         self, vm: str, prefix: str, after: int, wait: float
     ) -> peer_pb2.FollowKeysReply | None:
         """Return the reply of a provider, or None if it failed or serves nothing."""
-        wait = min(wait, self.max_wait_s())
-        request = peer_pb2.FollowKeysRequest(prefix=prefix, after=after, wait=wait)
+        wait = min(wait, self.max_wait_s(vm))
+        request = peer_pb2.FollowKeysRequest(
+            prefix=prefix, after=after, wait=wait, max_distance=self.max_distance()
+        )
+        margin = LARGE_FLEET_MARGIN_S if wait > PROVIDER_WAIT_S else REPLY_MARGIN_S
         self._waiting = (vm, eventlet.getcurrent())
         try:
-            outcome = self.peers.call(vm, "FollowKeys", request, wait + REPLY_MARGIN_S)
+            outcome = self.peers.call(vm, "FollowKeys", request, wait + margin)
         except ProviderSilentError:
             self._back_off(vm, prefix, "its heartbeats are overdue")
             return None
@@ -309,17 +411,6 @@
         self._backoff_until[vm] = boottime() + PROVIDER_BACKOFF_S
 
 
-def _encode_reply(changes: Iterable[Change], revision: int) -> peer_pb2.FollowKeysReply:
-    reply = peer_pb2.FollowKeysReply(served=True, revision=revision)
-    for change in changes:
-        message = reply.changes.add(key=change.key, revision=change.revision)
-        if change.item is None:
-            message.removed = True
-        else:
-            message.value, message.lease = change.item.value, change.item.lease
-    return reply
-
-
 def _decode_item(message: peer_pb2.KeyChange) -> Item:
     return Item(message.key, message.value, message.revision, message.lease)
 
--- a/mulberryport/coordination/tests/test_duty.py
+++ b/mulberryport/coordination/tests/test_duty.py
@@ -103,6 +103,7 @@
     session = Session(store)
     session.on_open(lambda: opened.append(session.lease))
     session.start()
+    assert session.request(wait=1.0)
     assert until(lambda: opened)
     store.expire(session.lease)
     assert until(lambda: len(opened) == 2)
--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -94,6 +94,14 @@
             return NotDone("jobs that only disks keep may not be in the store yet")
         return found
 
+    def record_head(self, job_id: str, head: JobHead) -> JobHead:
+        """Record a head unless a newer one is known, and return the newest."""
+        known = self.heads.get(job_id)
+        if known is not None and known.revision > head.revision:
+            return known
+        self.heads[job_id] = head
+        return head
+
     def owner_key(self, job_id: str) -> Item | None:
         """Return the owner key of a job, as mirrored."""
         return self.mirror.get(OWNER_PREFIX + job_id)
--- a/mulberryport/jobs/submission.py
+++ b/mulberryport/jobs/submission.py
@@ -31,6 +31,8 @@
 )
 
 SUBMIT_RETRY_DELAY_S = 0.2
+# How long an attempt waits for the session; the store grants one within milliseconds.
+SESSION_WAIT_S = 0.3
 # How long the preferred owner may wait for the store, and the extra time allowed for
 # its reply. After that the daemon that received the job submits it itself.
 FORWARD_STORE_WAIT_S = 0.4
@@ -175,9 +177,10 @@
     def _create_in_store(self, job: Job) -> Outcome[bool]:
         """Create a job in the store."""
         # A stopping daemon creates the job without an owner, for others to claim.
-        lease = 0 if self._stopping else self.registry.session.lease
-        if not lease and not self._stopping:
+        session = self.registry.session
+        if not self._stopping and not session.request(SESSION_WAIT_S):
             return NotDone("there is no session in the store")
+        lease = 0 if self._stopping else session.lease
         # The mirror may show the job before the reply to the commit arrives.
         self.registry.jobs_in_transition.add(job.id)
         try:
@@ -194,8 +197,8 @@
             return self._check_existing_job(job)
         head, ownership = created.value
         log(JOB_ACCEPTED, job=job.id, items=len(job.items), workspace=job.workspace)
-        self.registry.heads[job.id] = head
-        if lease and job.id not in self.registry.owned:
+        is_open = self.registry.record_head(job.id, head).open
+        if lease and is_open and job.id not in self.registry.owned:
             self.start_job(job, head, ownership, lease)
         return Done(True)
 
--- a/mulberryport/jobs/takeover.py
+++ b/mulberryport/jobs/takeover.py
@@ -24,9 +24,9 @@
 )
 
 # Delay between successive members, in rendezvous order, that try to claim the jobs of a
-# lost member. A claim and its propagation to the mirrors take a few milliseconds.
+# lost member. A claim and its propagation to the mirrors take a few milliseconds. All
+# members have different delays, so that a large fleet does not claim a job at once.
 CLAIM_STAGGER_S = 0.15
-MAX_STAGGER_STEPS = 5
 # Lets an owner whose session expired in an outage reclaim its jobs first.
 TAKEOVER_DELAY_S = 0.4
 # A live daemon answers within milliseconds, and most previous owners are dead.
@@ -69,8 +69,11 @@
     _stopping: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """Reacquire owned jobs whenever a session is opened."""
+        """Reacquire owned jobs in each new session, and keep it open for them."""
         self.registry.session.on_open(self._reacquire_all)
+        self.registry.session.hold_while(
+            lambda: any(not job.is_closed for job in self.registry.owned.values())
+        )
 
     @property
     def _repository(self) -> JobRepository:
@@ -83,11 +86,7 @@
     def run_once(self) -> None:
         """Write provisional jobs to the store and take over orphaned jobs."""
         registry = self.registry
-        if (
-            self._stopping
-            or not registry.session.alive
-            or not registry.mirror.connected
-        ):
+        if self._stopping or not registry.mirror.connected:
             return
         self._persist_provisional_jobs()
         now = boottime()
@@ -96,7 +95,8 @@
                 self._orphaned_since.pop(job_id, None)
                 continue
             orphaned_since = self._orphaned_since.setdefault(job_id, now)
-            if now - orphaned_since >= self.takeover_delay_s(job_id):
+            is_due = now - orphaned_since >= self.takeover_delay_s(job_id)
+            if is_due and registry.session.request():
                 registry.jobs_in_transition.add(job_id)
                 eventlet.spawn_n(self._take_over, job_id)
 
@@ -106,8 +106,8 @@
             return 0.0
         candidates = [member.vm for member in self.registry.ranked_members(job_id)]
         vm = self.registry.vm
-        rank = candidates.index(vm) if vm in candidates else MAX_STAGGER_STEPS
-        return TAKEOVER_DELAY_S + CLAIM_STAGGER_S * min(rank, MAX_STAGGER_STEPS)
+        rank = candidates.index(vm) if vm in candidates else len(candidates)
+        return TAKEOVER_DELAY_S + CLAIM_STAGGER_S * rank
 
     def is_first_candidate(self, job_id: str) -> bool:
         """Whether this daemon is first in line to claim an orphaned job."""
@@ -177,7 +177,7 @@
         self, owned: OwnedJob, head: JobHead, ownership: int, lease: int
     ) -> None:
         owned.head, owned.ownership, owned.lease = head, ownership, lease
-        self.registry.heads[owned.job.id] = head
+        self.registry.record_head(owned.job.id, head)
 
     def _persist_provisional_jobs(self) -> None:
         """Create provisional jobs in the store now that it is reachable."""
@@ -266,6 +266,9 @@
         self._stop_previous_owner(job_id)
         if job_id in self.registry.owned and not self.registry.owned[job_id].is_closed:
             return
+        # The job may have ended, or been deleted, since its head was read.
+        if job_id not in self.registry.heads or not self.registry.heads[job_id].open:
+            return
         log(JOB_TAKEN_OVER, job=job_id, listed=len(results.value))
         replaced = self.registry.owned.pop(job_id, None)
         if replaced is not None:
--- a/mulberryport/jobs/tests/test_service.py
+++ b/mulberryport/jobs/tests/test_service.py
@@ -14,7 +14,7 @@
     StaleWeightsError,
     StreamInterruptedError,
 )
-from .builders import Engine, JobDaemon, MemoryStore, make_job, until
+from .builders import Engine, HookedStore, JobDaemon, MemoryStore, make_job, until
 
 
 def deadline_in(seconds=2.0):
@@ -365,3 +365,46 @@
     assert wait_for_results(daemon, 1)
     assert read_all(daemon)[0][3] == [5]
     daemon.die()
+
+
+def test_job_that_ends_while_it_is_taken_over_is_not_resumed():
+    # Guards against items that run for seconds after the end of their job was
+    # acknowledged: the new owner had read the head before the end, and its mirror had
+    # delivered the end before the job was among those that it owns.
+    store = MemoryStore()
+    first = JobDaemon(store, "vm1", Engine(pause=0.5))
+    first.jobs.submit(make_job(), deadline_in())
+    connection = HookedStore(store)
+    second = JobDaemon(connection, "vm2", Engine(pause=0.05))
+    reader = JobDaemon(store, "vm3")
+    reader.jobs._stopping = True
+
+    def end_job(key):
+        # The head was read before; this is a later call of the takeover.
+        if key.startswith("mulberryport/live/"):
+            return
+        connection.hook = lambda key: None
+        assert reader.jobs.end("job1", "roads") == Done(True)
+        assert until(lambda: not second.jobs.registry.heads["job1"].open)
+
+    connection.hook = end_job
+    first.die()
+    assert until(lambda: not second.jobs.registry.heads["job1"].open)
+    eventlet.sleep(0.3)
+    assert second.engine.calls == []
+    assert not second.jobs.registry.owned
+    second.die()
+    reader.die()
+
+
+def test_older_head_does_not_replace_the_end_of_a_job():
+    # Guards against a submission whose answer arrives after the job was ended.
+    daemon = JobDaemon(MemoryStore())
+    daemon.jobs.submit(make_job(), deadline_in())
+    registry = daemon.jobs.registry
+    opened = registry.heads["job1"]
+    assert daemon.jobs.end("job1", "roads") == Done(True)
+    assert until(lambda: not registry.heads["job1"].open)
+    assert not registry.record_head("job1", opened).open
+    assert not registry.heads["job1"].open
+    daemon.die()
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -20,6 +20,7 @@
     choose_providers,
     choose_wait_s,
     is_silent,
+    max_provider_distance,
 )
 from ..daemon.heartbeats import Heartbeats
 from ..gateway import CallerServer, Gateway, RequestAbortedError
@@ -90,6 +91,9 @@
 REGISTRATIONS_PERIOD_S = 0.5
 CONNECTIONS_PERIOD_S = 1.0
 PROVIDERS_PERIOD_S = 0.2
+# A daemon that has just started learns of the relays of its zone in two exchanges.
+JOIN_STEP_S = 0.15
+JOIN_STEPS = 8
 USAGE_PERIOD_S = 1.0
 # The load balancer probes readiness once per second and removes a daemon after two
 # failed probes.
@@ -104,7 +108,6 @@
 # Daemons try to acquire a free duty in rendezvous order, with this delay from one rank
 # to the next.
 DUTY_STAGGER_S = 0.3
-MAX_STAGGERS = 6
 CONTROL_DUTY = "control"
 
 
@@ -144,7 +147,7 @@
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
     _duties: ControlDuties = field(init=False)
-    _shared_watches: list[SharedWatch] = field(init=False)
+    _shared_watches: list[SharedWatch] = field(factory=list)
     _log_sink: LogSink = field(factory=lambda: LogSink(sys.stdout.fileno()))
     _stopping: bool = False
     _last_ready: bool = False
@@ -164,7 +167,7 @@
         signal.signal(signal.SIGINT, self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         self.peer_server.start()
-        self.peers.update_heartbeat_tasks()
+        eventlet.spawn_n(self._find_peers)
         for mirror in (*self._reliable_mirrors(), self.live_keys):
             mirror.start()
         self.session.start()
@@ -288,20 +291,14 @@
 
     def _connect_store_mirrors(self) -> None:
         self.session = Session(self.store)
-        # Watched directly: it changes rarely, and the revocation of an API key must
-        # not depend on a provider of a shared watch.
-        self.configuration_mirror = Mirror(self.store, CONFIGURATION_KEY)
-        self._shared_watches = [
-            SharedWatch(
-                self.store,
-                self.peers,
-                partial(choose_providers, self.members),
-                partial(choose_wait_s, self.members),
-                partial(is_silent, self.members),
-            )
-            for _ in range(3)
-        ]
-        announcements_watch, live_keys_watch, registrations_watch = self._shared_watches
+        # A daemon is ready once it has the configuration and the registrations.
+        configuration_watch = self._make_watch(lists_at_once=True)
+        registrations_watch = self._make_watch(lists_at_once=True)
+        announcements_watch = self._make_watch(lists_at_once=False)
+        live_keys_watch = self._make_watch(lists_at_once=False)
+        # In a small fleet it is watched directly: it changes rarely.
+        configuration_watch.providers = self._configuration_providers
+        self.configuration_mirror = Mirror(configuration_watch, CONFIGURATION_KEY)
         self.announcements = Mirror(announcements_watch, ANNOUNCEMENTS_PREFIX)
         self.live_keys = Mirror(
             live_keys_watch, LIVE_PREFIX, batch_delay_s=LIVE_KEYS_BATCH_DELAY_S
@@ -318,6 +315,7 @@
         self.registrations.start()
         WatchServer(
             [
+                (self.configuration_mirror, configuration_watch),
                 (self.announcements, announcements_watch),
                 (self.live_keys, live_keys_watch),
                 (self.registrations.mirror, registrations_watch),
@@ -338,6 +336,23 @@
             acquire_delay_s=self._duty_acquire_delay_s,
         )
 
+    def _make_watch(self, lists_at_once: bool) -> SharedWatch:
+        members = self.members
+        watch = SharedWatch(
+            self.store,
+            self.peers,
+            partial(choose_providers, members),
+            partial(choose_wait_s, members),
+            partial(is_silent, members),
+            partial(max_provider_distance, members),
+            lists_at_once,
+        )
+        self._shared_watches.append(watch)
+        return watch
+
+    def _configuration_providers(self) -> list[str]:
+        return choose_providers(self.members) if self.members.is_large() else []
+
     def _connect_services(self) -> None:
         vm, usage = self.settings.vm, self.settings.usage
         self.counters = UsageCounters(
@@ -420,6 +435,12 @@
             "usage", USAGE_PERIOD_S, self._duties.usage_ledger.report_closed_windows
         )
 
+    def _find_peers(self) -> None:
+        """Call the members that gossip names without waiting for the next timer."""
+        for _ in range(JOIN_STEPS):
+            self.peers.update_heartbeat_tasks()
+            eventlet.sleep(JOIN_STEP_S)
+
     def _check_providers(self) -> None:
         for watch in self._shared_watches:
             watch.check_provider()
@@ -431,8 +452,7 @@
         candidates = [m for m in self.members.live() if not m.leaving]
         order = [member.vm for member in rendezvous_order(CONTROL_DUTY, candidates)]
         vm = self.settings.vm.id
-        rank = order.index(vm) if vm in order else MAX_STAGGERS
-        return DUTY_STAGGER_S * min(rank, MAX_STAGGERS)
+        return DUTY_STAGGER_S * (order.index(vm) if vm in order else len(order))
 
     def _on_configuration(self, change: Change) -> None:
         if change.key != CONFIGURATION_KEY or change.item is None:
