Notice a store that falls silent while a session is not needed otherwise

Cause: with sessions on demand, a root that only watches the store makes no other call, so that a store that falls silent for it alone leaves its watches open for up to 25 s, and all followers with outdated targets and live keys.

Change: a daemon that watches the store itself keeps its session open. The renewals show the silence within two seconds. The test fails without it (still connected after 3 s).

--- a/mulberryport/coordination/__init__.py
+++ b/mulberryport/coordination/__init__.py
@@ -12,6 +12,7 @@
     WatchServer,
     choose_providers,
     choose_wait_s,
+    hold_session,
     is_silent,
     max_provider_distance,
 )
@@ -48,6 +49,7 @@
     "Transaction",
     "choose_providers",
     "choose_wait_s",
+    "hold_session",
     "is_silent",
     "max_provider_distance",
 ]
--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -33,12 +33,14 @@
 from ..telemetry import log
 from .mirror import Mirror
 from .model import Change, Changes, HistoryLost, Item, KeyValueStore, Listing
+from .session import Session
 
 __all__ = [
     "SharedWatch",
     "WatchServer",
     "choose_providers",
     "choose_wait_s",
+    "hold_session",
     "is_silent",
     "max_provider_distance",
 ]
@@ -136,6 +138,15 @@
     return 0 if members.is_relay() else 1
 
 
+def hold_session(session: Session, watches: Iterable["SharedWatch"]) -> None:
+    """Keep a session open while a watch waits for the store itself.
+
+    A store that falls silent leaves a watch open without an answer. The renewals of the
+    session show it within a second or two.
+    """
+    session.hold_while(lambda: any(watch.distance == 0 for watch in watches))
+
+
 @define(eq=False)
 class ChangeBuffer:
     """The most recent changes of one mirror.
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -19,6 +19,7 @@
     WatchServer,
     choose_providers,
     choose_wait_s,
+    hold_session,
     is_silent,
     max_provider_distance,
 )
@@ -299,6 +300,7 @@
         # In a small fleet it is watched directly: it changes rarely.
         configuration_watch.providers = self._configuration_providers
         self.configuration_mirror = Mirror(configuration_watch, CONFIGURATION_KEY)
+        hold_session(self.session, self._shared_watches)
         self.announcements = Mirror(announcements_watch, ANNOUNCEMENTS_PREFIX)
         self.live_keys = Mirror(
             live_keys_watch, LIVE_PREFIX, batch_delay_s=LIVE_KEYS_BATCH_DELAY_S
--- a/mulberryport/platform/tests/test_store.py
+++ b/mulberryport/platform/tests/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the client of the platform's store."""
 
+import eventlet
 import pytest
 
 from ...coordination import (
@@ -7,9 +8,14 @@
     Committed,
     Conflict,
     HistoryLost,
+    Mirror,
     Put,
+    Session,
+    SharedWatch,
     Transaction,
+    hold_session,
 )
+from ...coordination.tests.builders import until
 from ...outcomes import Done, NotDone, Unknown
 from ...peering import peer_pb2
 from ...runtime.wsgi import listen, serve
@@ -141,3 +147,31 @@
         peer_pb2.CallStoreRequest(method="GET", path="/none", timeout=1.0)
     )
     assert response.status == 404
+
+
+def test_watch_notices_a_store_that_falls_silent():
+    # Guards against a daemon that serves outdated targets and keys to its followers for
+    # the 25 s of a watch: without renewals of its session it made no other call.
+    standin, silent = PlatformStandin(), []
+
+    def answer(environ, start_response):
+        response = standin(environ, start_response)
+        if silent:
+            eventlet.sleep(60.0)
+        return response
+
+    listener = listen("127.0.0.1:0")
+    host, port = listener.getsockname()
+    serve(listener, answer)
+    store = PlatformStore(f"{host}:{port}")
+    watch = SharedWatch(store, None, list)
+    session, mirror = Session(store), Mirror(watch, "p/")
+    hold_session(session, [watch])
+    session.start()
+    mirror.start()
+    assert until(lambda: mirror.connected)
+    eventlet.sleep(0.5)
+    silent.append(True)
+    assert until(lambda: not mirror.connected, 3.0)
+    mirror.stop()
+    session._stopped = True
