Bound what a target can send without end

Cause: bytes that are no answer may come without end, in a head or a body. The time-out of a socket starts anew with each byte, http.client reads interim responses and trailers for ever, an event had no longest length, the bodies of scores and of control calls were read whole, and a socket that always has data never yields to other green threads.

Ruled out: a time limit alone, which cannot fire while a socket always has data.

Change: connections to targets bound interim responses and trailers; heads of engines have a time limit; a stream must make progress by complete events within EVENT_TIMEOUT_S and stays under 16 MiB; bodies of scores, refusals, control calls and store calls are bounded in bytes and time. One function reads the body of a refusal where there were two.

Figures: 20 cases (status line, interim responses, header, headers, chunk size, trailers, event line, empty lines, comments, refusal; fast and one byte at a time) end within their limits.

--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -18,7 +18,7 @@
 from urllib3.util import SKIP_HEADER
 
 from ..targets import TargetView
-from ..targets.connections import ConnectionPool
+from ..targets.connections import ConnectionPool, drain_refusal
 from .headers import end_to_end, header_values
 from .refusals import OUTCOME_HEADER, OutcomeUnknownError
 from .target_protocol import NATIVE_PROTOCOL, OutgoingRequest, TargetProtocol, Verdict
@@ -34,7 +34,6 @@
 
 CONNECT_TIMEOUT_S = 2.0
 READ_CHUNK_BYTES = 64 * 1024
-MAX_REFUSAL_BODY_BYTES = 16 * 1024
 BODYLESS_STATUSES = (204, 304)
 # HTTP/1.1 in the notation of http.client's ``version``.
 HTTP_1_1 = 11
@@ -218,7 +217,7 @@
         reply.close()
         connection.close()
         raise OutcomeUnknownError(502, f"target {view.id} answered another request")
-    if protocol.connections is not None and _drain_refusal(reply):
+    if protocol.connections is not None and drain_refusal(reply):
         _release_connection(view, reply, connection, protocol.connections)
     else:
         reply.close()
@@ -228,15 +227,6 @@
     raise NotRunError(f"target {view.id} did not run the request: {reply.status}")
 
 
-def _drain_refusal(reply: urllib3.HTTPResponse) -> bool:
-    """Read the short body of a refusal; return whether all of it was read."""
-    try:
-        reply.read(MAX_REFUSAL_BODY_BYTES)
-        return not reply.read1(1)
-    except (HTTPError, HTTPException, OSError):
-        return False
-
-
 def _make_response(
     view: TargetView,
     request: OutgoingRequest,
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -4,6 +4,7 @@
 from http.client import HTTPException
 from typing import Any
 
+import eventlet
 import urllib3
 from attrs import define, field
 from urllib3.connection import HTTPConnection
@@ -22,8 +23,9 @@
     Transcript,
 )
 from ..routing import TargetView
+from ..runtime.clock import boottime
 from ..targets import TargetDirectory
-from ..targets.connections import ConnectionPool
+from ..targets.connections import ConnectionPool, drain_refusal
 from . import names
 from .ingress import record_reported_load
 
@@ -35,8 +37,10 @@
 READ_SIZE_BYTES = 64 * 1024
 # An engine that refuses a request is full or loading the model, which takes a second.
 MODEL_SUSPENSION_S = 0.3
-# Sufficient for the body of a refusal, which is short.
-MAX_REFUSAL_BYTES = 16 * 1024
+# Bounds on what a faulty target may send. An event holds a few tokens.
+MAX_EVENT_BYTES = 256 * 1024
+MAX_TEXT_BYTES = 16 * 1024 * 1024
+MAX_SCORE_BODY_BYTES = 1024 * 1024
 NO_VERSION_REASON = "the response has no weight version"
 VERSION_LINE_PREFIX = names.VERSIONS.lower() + ":"
 
@@ -71,6 +75,8 @@
             The stream is malformed.
         """
         *blocks, self._buffer = (self._buffer + content).split(b"\n\n")
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ValueError("an event is too long")
         for block in blocks:
             number, data = 0, []
             for line in block.decode().split("\n"):
@@ -142,7 +148,7 @@
                 view, job, item, transcript, response, on_event
             )
         except NotStartedError:
-            complete = _read_refusal_body(response)
+            complete = drain_refusal(response)
             self.directory.suspend_model(view.id, item.model, MODEL_SUSPENSION_S)
             raise
         finally:
@@ -169,11 +175,10 @@
         try:
             try:
                 self._check_head(view, response, call.id)
-                while response.read1(READ_SIZE_BYTES):
-                    pass
+                _skip_body(response, boottime() + timeout_s)
                 complete = True
             except NotStartedError:
-                complete = _read_refusal_body(response)
+                complete = drain_refusal(response)
                 raise
             except (HTTPError, HTTPException, OSError) as error:
                 raise StreamInterruptedError(repr(error)) from error
@@ -206,15 +211,18 @@
         try:
             connection.timeout = timeout
             connection.sock.settimeout(timeout)
-            connection.request(
-                "POST",
-                path,
-                body=body,
-                headers=fields,
-                preload_content=False,
-                decode_content=False,
-            )
-            return connection, connection.getresponse()
+            # The time-out of the socket starts anew with each byte.
+            late = StreamInterruptedError(f"no response head within {timeout} s")
+            with eventlet.Timeout(timeout, late):
+                connection.request(
+                    "POST",
+                    path,
+                    body=body,
+                    headers=fields,
+                    preload_content=False,
+                    decode_content=False,
+                )
+                return connection, connection.getresponse()
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             connection.close()
             raise StreamInterruptedError(repr(error)) from error
@@ -264,8 +272,11 @@
             response.chunked or response.headers.get("Content-Length") is not None
         )
         parser = EventParser(version)
+        # Progress is a complete event; single bytes and empty lines are none.
+        progress_at, size = boottime(), 0
         try:
             while part := response.read1(READ_SIZE_BYTES):
+                size += len(part)
                 for number, data, version in parser.feed(part):
                     if not version:
                         raise StreamInterruptedError(NO_VERSION_REASON)
@@ -274,6 +285,13 @@
                         raise StreamInterruptedError(f"event {number} is out of order")
                     transcript.add(data, version)
                     on_event()
+                    progress_at = boottime()
+                if boottime() - progress_at > EVENT_TIMEOUT_S:
+                    raise StreamInterruptedError(
+                        f"no complete event within {EVENT_TIMEOUT_S} s"
+                    )
+                if size > MAX_TEXT_BYTES:
+                    raise StreamInterruptedError("the stream is too long")
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise StreamInterruptedError(repr(error)) from error
         if not is_framed:
@@ -310,16 +328,16 @@
             connection.close()
 
 
+def _skip_body(response: urllib3.BaseHTTPResponse, deadline: float) -> None:
+    """Read a body that is not used, until a deadline in boot time."""
+    size = 0
+    while part := response.read1(READ_SIZE_BYTES):
+        size += len(part)
+        if size > MAX_SCORE_BODY_BYTES or boottime() > deadline:
+            raise StreamInterruptedError("the body of the score does not end")
+
+
 def _weight_version(response: urllib3.BaseHTTPResponse) -> int:
     """Return the weight version of the first event; 0 if the head has none."""
     value = (response.headers.get(names.VERSIONS) or "").strip()
     return int(value) if value.isdigit() else 0
-
-
-def _read_refusal_body(response: urllib3.BaseHTTPResponse) -> bool:
-    """Read the short body of a refusal; return whether it was read completely."""
-    try:
-        response.read(MAX_REFUSAL_BYTES)
-        return not response.read1(1)
-    except (HTTPError, HTTPException, OSError):
-        return False
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -32,7 +32,7 @@
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from ..peering import Peers, PeerServer, peer_pb2
 from ..runtime.clock import boottime
-from ..runtime.http import NOT_SENT_ERRORS
+from ..runtime.http import NOT_SENT_ERRORS, read_and_release
 from ..runtime.sockets import TCP_SOCKET_OPTIONS
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -288,7 +288,9 @@
                 headers={"Content-Type": "application/json"} if content else None,
                 timeout=urllib3.Timeout(connect=CALL_TIMEOUT_S, read=timeout),
                 retries=False,
+                preload_content=False,
             )
+            data = read_and_release(response, CALL_TIMEOUT_S)
         except NOT_SENT_ERRORS as error:
             return NotDone(f"{method} {path}: {error}")
         except (HTTPError, OSError, EOFError) as error:
@@ -297,7 +299,7 @@
             return NotDone(f"{method} {path}: status {response.status}")
         if response.status >= 500:
             return Unknown(f"{method} {path}: status {response.status}")
-        return Done((response.status, response.data))
+        return Done((response.status, data))
 
     def _call_through_peers(
         self,
--- /dev/null
+++ b/mulberryport/platform/tests/test_endless_bytes.py
@@ -0,0 +1,158 @@
+"""Tests of targets that send bytes that are no answer, without end.
+
+Guards against green threads and memory that are lost to such a target until the caller
+closes: each call ends by itself within a stated time, whatever its part that does not
+end, fast or one byte at a time.
+"""
+
+from contextlib import contextmanager
+
+import eventlet
+import pytest
+
+from ...jobs import ScoringCall, StreamInterruptedError, Transcript
+from ...jobs.tests.builders import make_job
+from ...outcomes import Unknown
+from ...routing import TargetView
+from ...runtime.clock import boottime
+from ...runtime.http import call_json
+from ...runtime.wsgi import listen
+from ...targets import TargetDirectory
+from ...targets.connections import ConnectionPool
+from .. import engines
+from ..engines import EngineCalls
+from ..store import PlatformStore
+
+PATIENCE_S = 0.6
+BYTE_PAUSE_S = 0.05
+STATUS = b"HTTP/1.1 200 X\r\n"
+FIELDS = b"X-Request-Id: job1-0\r\nX-Server-Stamp: s\r\nX-Weight-Versions: 5\r\n"
+CHUNKED = STATUS + FIELDS + b"Transfer-Encoding: chunked\r\n\r\n"
+REFUSED = b"HTTP/1.1 503 X\r\nX-Not-Run: full\r\nTransfer-Encoding: chunked\r\n\r\n"
+BLOCK = b"x" * 4096
+
+
+def chunk(content):
+    """Return a chunk of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(content), content)
+
+
+# What is sent once, and what follows it again and again.
+ENDLESS = {
+    "status line": (b"HTTP/1.1 200 ", BLOCK),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
+    "header line": (STATUS + b"X-Long: ", BLOCK),
+    "headers": (STATUS, b"X-More: 1\r\n" * 50),
+    "chunk size": (CHUNKED, b"0" * 4096),
+    "trailers": (CHUNKED + b"0\r\n", b"X-More: 1\r\n" * 50),
+    "event line": (CHUNKED, chunk(b"data: " + BLOCK)),
+    "empty lines": (CHUNKED, chunk(b"\n" * 4096)),
+    "comments": (CHUNKED, chunk(b":\n\n" * 1000)),
+    "body of a refusal": (REFUSED, chunk(BLOCK)),
+}
+SLOWLY = {
+    "status line": (b"HTTP/1.1 200 ", b"x"),
+    "header line": (STATUS + b"X-Long: ", b"x"),
+    "event line": (CHUNKED, chunk(b"x")),
+    "empty lines": (CHUNKED, chunk(b"\n")),
+    "body of a refusal": (REFUSED, chunk(b"x")),
+}
+
+
+@contextmanager
+def sending(first, again, pause_s):
+    """Serve connections on which bytes are sent until they are closed."""
+    closed = []
+
+    def serve(connection):
+        connection.recv(65536)
+        try:
+            connection.sendall(first)
+            while True:
+                connection.sendall(again)
+                eventlet.sleep(pause_s)
+        except OSError:
+            closed.append(True)
+
+    def accept():
+        while True:
+            eventlet.spawn_n(serve, listener.accept()[0])
+
+    listener = listen("127.0.0.1:0")
+    thread = eventlet.spawn(accept)
+    host, port = listener.getsockname()
+    try:
+        yield f"{host}:{port}", closed
+    finally:
+        thread.kill()
+        listener.close()
+
+
+def view_of(address):
+    """Return the view of a target at an address."""
+    return TargetView(id="e1", address=address, zone="a", pool="p", kind="k")
+
+
+CASES = [
+    *((name, *parts, 0.0) for name, parts in ENDLESS.items()),
+    *((f"{name}, slowly", *parts, BYTE_PAUSE_S) for name, parts in SLOWLY.items()),
+]
+
+
+@pytest.mark.parametrize(
+    ("first", "again", "pause_s"),
+    [case[1:] for case in CASES],
+    ids=[c[0] for c in CASES],
+)
+def test_generation_ends(first, again, pause_s, monkeypatch):
+    monkeypatch.setattr(engines, "EVENT_TIMEOUT_S", PATIENCE_S)
+    with sending(first, again, pause_s) as (address, closed):
+        job, transcript, started_at = make_job(), Transcript(), boottime()
+        calls = EngineCalls(TargetDirectory())
+        with eventlet.Timeout(10.0), pytest.raises(Exception) as error:
+            calls.generate(
+                view_of(address), job, job.items[0], transcript, lambda: None
+            )
+        assert not isinstance(error.value, eventlet.Timeout)
+        assert boottime() - started_at < 3 * PATIENCE_S
+        assert not transcript.events
+        with eventlet.Timeout(5.0):
+            while not closed:
+                eventlet.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("again", "pause_s"), [(chunk(BLOCK), 0.0), (chunk(b"x"), BYTE_PAUSE_S)]
+)
+def test_scoring_ends(again, pause_s):
+    with sending(CHUNKED.replace(b"job1-0", b"s1"), again, pause_s) as (address, _):
+        started_at = boottime()
+        calls = EngineCalls(TargetDirectory())
+        call = ScoringCall("s1", "h", "/p", b"x")
+        with eventlet.Timeout(10.0), pytest.raises(StreamInterruptedError):
+            calls.score(view_of(address), call, PATIENCE_S)
+        assert boottime() - started_at < 3 * PATIENCE_S
+
+
+@pytest.mark.parametrize(
+    ("again", "pause_s"), [(chunk(BLOCK), 0.0), (chunk(b"x"), BYTE_PAUSE_S)]
+)
+def test_control_calls_end(again, pause_s):
+    with sending(CHUNKED, again, pause_s) as (address, _):
+        started_at = boottime()
+        with eventlet.Timeout(10.0):
+            report = call_json("GET", f"http://{address}/", timeout=PATIENCE_S)
+            read = PlatformStore(address).read("a")
+        assert isinstance(report, Unknown)
+        assert isinstance(read, Unknown)
+        assert boottime() - started_at < 6.0
+
+
+def test_pooled_connections_bound_what_precedes_a_response():
+    # Plain requests of callers use the same pool.
+    with sending(*ENDLESS["interim responses"], 0.0) as (address, _):
+        connection, _ = ConnectionPool().acquire("e1", address)
+        connection.request("GET", "/")
+        with eventlet.Timeout(5.0), pytest.raises(Exception, match="interim"):
+            connection.getresponse()
+        connection.close()
--- a/mulberryport/runtime/guarded.py
+++ b/mulberryport/runtime/guarded.py
@@ -23,7 +23,7 @@
 import orjson
 
 from ..outcomes import Done, NotDone, Outcome, Unknown
-from .http import JsonReply
+from .http import JsonReply, read_reply
 
 __all__ = ["call_json_guarded"]
 
@@ -120,7 +120,7 @@
             guard()
             connection.send(encoded_body)
         reply = connection.getresponse()
-        data = reply.read()
+        data = read_reply(reply, timeout)
         status, reply_headers = reply.status, dict(reply.getheaders())
     except eventlet.Timeout as expired:
         if expired is not call_timeout:
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -9,12 +9,23 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from ..outcomes import Done, NotDone, Outcome, Unknown
+from .clock import boottime
 
-__all__ = ["JsonReply", "call_json", "connection_pool"]
+__all__ = [
+    "JsonReply",
+    "call_json",
+    "connection_pool",
+    "read_and_release",
+    "read_reply",
+]
 
 # Errors that occur only before the first byte of a request is sent.
 NOT_SENT_ERRORS = (NewConnectionError, ConnectTimeoutError)
 
+# Longest body of a reply to a control call; a page of the store has 1 MB.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+READ_SIZE_BYTES = 64 * 1024
+
 _connection_pool = urllib3.PoolManager(num_pools=64, maxsize=32, retries=False)
 
 
@@ -40,6 +51,41 @@
     return _connection_pool
 
 
+def read_reply(reply: Any, timeout: float) -> bytes:
+    """Read the whole body of a reply, within bounds on its size and time.
+
+    Parameters
+    ----------
+    reply : response
+        Response of ``urllib3`` or ``http.client`` whose body was not read.
+    timeout : float
+        Seconds within which the body must end.
+
+    Raises
+    ------
+    OSError
+        The body does not end within the bounds.
+    """
+    deadline, parts, size = boottime() + timeout, [], 0
+    while part := reply.read1(READ_SIZE_BYTES):
+        parts.append(part)
+        size += len(part)
+        if size > MAX_REPLY_BYTES or boottime() > deadline:
+            raise OSError("the body of the reply does not end")
+    return b"".join(parts)
+
+
+def read_and_release(reply: urllib3.BaseHTTPResponse, timeout: float) -> bytes:
+    """Read a reply and return its connection to its pool; close it if that fails."""
+    try:
+        content = read_reply(reply, timeout)
+    except BaseException:
+        reply.close()
+        raise
+    reply.release_conn()
+    return content
+
+
 def call_json(
     method: str,
     url: str,
@@ -79,7 +125,9 @@
             headers=all_headers,
             timeout=urllib3.Timeout(connect=timeout, read=timeout),
             retries=False,
+            preload_content=False,
         )
+        content = read_and_release(reply, timeout)
     except NOT_SENT_ERRORS as error:
         return NotDone(f"{method} {url}: {error}")
     except (HTTPError, OSError, EOFError) as error:
@@ -87,7 +135,7 @@
     if reply.status >= 500:
         return Unknown(f"{method} {url}: status {reply.status}")
     try:
-        decoded = orjson.loads(reply.data) if reply.data else None
+        decoded = orjson.loads(content) if content else None
     except orjson.JSONDecodeError as error:
         return Unknown(f"{method} {url}: invalid JSON in the answer: {error}")
     return Done(JsonReply(reply.status, decoded, reply.headers))
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -2,18 +2,24 @@
 
 An idle connection may have been closed by the target, or may hold unexpected bytes
 that belong to no request. Both are checked before reuse; such a connection is closed.
+
+A faulty target may send without end. What is read and thrown away is bounded in bytes
+and in time, since a green thread whose socket always has data never yields to others.
 """
 
+import http.client
 import socket
 
+import urllib3
 from attrs import define, field
 from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
 
 from ..runtime.clock import boottime
 from ..runtime.sockets import TCP_SOCKET_OPTIONS
 from ..runtime.wsgi import split_address
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "drain_refusal"]
 
 # Used if the target's response states no keep-alive timeout.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
@@ -21,6 +27,53 @@
 IDLE_MARGIN_S = 0.7
 # A daemon rarely has more requests than this in flight at one target.
 MAX_IDLE_PER_TARGET = 24
+# Interim responses before the final one; targets send one at most.
+MAX_INTERIM_RESPONSES = 4
+MAX_TRAILER_LINES = 32
+MAX_TRAILER_LINE_BYTES = 8 * 1024
+# The body of a refusal is short.
+MAX_REFUSAL_BYTES = 16 * 1024
+MAX_REFUSAL_READ_S = 0.3
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """Response that fails if its interim responses or trailers do not end."""
+
+    _interim_responses = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        self._interim_responses += 1
+        if self._interim_responses > 1 + MAX_INTERIM_RESPONSES:
+            raise http.client.HTTPException("too many interim responses")
+        return super()._read_status()
+
+    def _read_and_discard_trailer(self) -> None:
+        for _ in range(MAX_TRAILER_LINES):
+            line = self.fp.readline(MAX_TRAILER_LINE_BYTES + 1)
+            if len(line) > MAX_TRAILER_LINE_BYTES:
+                raise http.client.LineTooLong("trailer line")
+            if line in (b"\r\n", b"\n", b""):
+                return
+        raise http.client.HTTPException("too many trailer lines")
+
+
+def drain_refusal(response: urllib3.BaseHTTPResponse) -> bool:
+    """Read the body of a refusal; return whether all of it was read.
+
+    Parameters
+    ----------
+    response : urllib3 response
+        Response whose body is not used.
+    """
+    deadline, size = boottime() + MAX_REFUSAL_READ_S, 0
+    try:
+        while part := response.read1(MAX_REFUSAL_BYTES):
+            size += len(part)
+            if size > MAX_REFUSAL_BYTES or boottime() > deadline:
+                return False
+    except (HTTPError, http.client.HTTPException, OSError):
+        return False
+    return True
 
 
 @define(eq=False)
@@ -83,6 +136,7 @@
             timeout=self.connect_timeout,
             socket_options=TCP_SOCKET_OPTIONS,
         )
+        connection.response_class = BoundedResponse
         try:
             connection.connect()
         except BaseException:
