Judge whose answer a late 421 is before taking it for this request's

Cause: a second copy of an answer may arrive late on a reused connection. Its request id is compared, but a status of 421 was taken first: a late 421 for an earlier request made the address count as reused, which removed a sound target, and said of this request that it had not run.

Change: the id is compared first, for plain requests and for engines.

--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -236,12 +236,13 @@
         """Raise unless the head reports success of this request."""
         headers = response.headers
         record_reported_load(self.directory, view, headers)
-        if response.status == 421:
-            self.directory.mark_address_reused(view.id)
-            raise NotStartedError("the address now belongs to another target")
+        # A late copy of an earlier refusal says nothing about this request.
         response_id = headers.get(names.REQUEST_ID)
         if response_id is not None and response_id != request_id:
             raise StreamInterruptedError("the response belongs to another request")
+        if response.status == 421:
+            self.directory.mark_address_reused(view.id)
+            raise NotStartedError("the address now belongs to another target")
         if headers.get(names.NOT_RUN):
             raise NotStartedError(f"refused with status {response.status}")
         if response.status == 422:
--- a/mulberryport/platform/ingress.py
+++ b/mulberryport/platform/ingress.py
@@ -97,12 +97,13 @@
 def _classify_response(
     request: OutgoingRequest, status: int, headers: Mapping[str, str]
 ) -> Verdict:
-    if status == MISDIRECTED_STATUS:
-        return Verdict.MISDIRECTED
+    # A late copy of an earlier refusal says nothing about this request.
     request_ids = header_values(request.headers, names.REQUEST_ID.lower())
     response_id = headers.get(names.REQUEST_ID)
     if response_id is not None and request_ids and response_id != request_ids[0]:
         return Verdict.OTHER_REQUEST
+    if status == MISDIRECTED_STATUS:
+        return Verdict.MISDIRECTED
     if headers.get(names.NOT_RUN):
         return Verdict.NOT_RUN
     if status in SUCCESS_STATUSES and (
--- a/mulberryport/platform/tests/test_decoding.py
+++ b/mulberryport/platform/tests/test_decoding.py
@@ -223,6 +223,7 @@
         (503, {"X-Request-Id": "r1"}, Verdict.RESPONSE),
         (503, {"X-Request-Id": "r2", "X-Not-Run": "1"}, Verdict.OTHER_REQUEST),
         (421, {}, Verdict.MISDIRECTED),
+        (421, {"X-Request-Id": "r2"}, Verdict.OTHER_REQUEST),
     ],
 )
 def test_the_head_of_an_answer_is_judged(status, headers, verdict):
