--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -1,6 +1,5 @@
 """The daemon: assembled from its settings, started and stopped gracefully."""
 
-import signal
 from typing import Any
 
 import eventlet
@@ -17,6 +16,7 @@
 from ..rollouts import RolloutService
 from ..rollouts.app import TrainerInterface
 from ..runtime import TimerService
+from ..runtime.signals import ignore_stop_signals, on_stop_signal
 from ..runtime.wsgi import listen, serve
 from ..settings import DaemonSettings
 from ..store import StoreClient
@@ -180,8 +180,7 @@
         # The stream stays open for as long as the process runs.
         stream = open(vm.log_file, "ab", buffering=0) if vm.log_file else None  # noqa: SIM115
         configure_logging(vm.id, stream, vm.log_level)
-        signal.signal(signal.SIGTERM, self._on_signal)
-        signal.signal(signal.SIGINT, self._on_signal)
+        on_stop_signal(self._on_signal)
         self.peer_server.start()
         self.peers.update_heartbeat_tasks()
         eventlet.spawn_n(self.distribution.run)
@@ -241,6 +240,7 @@
         subscribe("requests", CHECK_PERIOD_S, gateway.active.check)
         log(DAEMON_STARTED, zone=vm.zone, caller_address=vm.caller_address)
         self._stopped.wait()
+        ignore_stop_signals()
 
     def stop(self) -> None:
         """Release duties, drain the running requests, then stop all components."""
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -39,6 +39,7 @@
 from ..peering import Peers, PeerServer, peer_pb2
 from ..runtime import TimerService
 from ..runtime.clock import wall_time
+from ..runtime.signals import ignore_stop_signals, on_stop_signal
 from ..runtime.wsgi import StartResponse, listen, respond, serve
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
@@ -164,8 +165,7 @@
         """Serve until SIGTERM or SIGINT has stopped the daemon."""
         vm = self.settings.vm
         configure_logging(vm.id, self._log_sink, vm.log_level)
-        signal.signal(signal.SIGTERM, self._on_stop_signal)
-        signal.signal(signal.SIGINT, self._on_stop_signal)
+        on_stop_signal(self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         self.peer_server.start()
         eventlet.spawn_n(self._find_peers)
@@ -185,6 +185,7 @@
         self.caller_server.start()
         log(ENTRY_STARTED, zone=vm.zone, caller_address=vm.caller_address)
         self._stopped.wait()
+        ignore_stop_signals()
 
     def stop(self) -> None:
         """Stop gracefully: hand over jobs and duties, finish requests, then exit."""
--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -16,6 +16,7 @@
 from ..peering import PeerServer
 from ..runtime import TimerService
 from ..runtime.clock import wall_time
+from ..runtime.signals import ignore_stop_signals, on_stop_signal
 from ..settings.ini import address, identifier, nonempty_text, number, option
 from ..settings.model import ADDRESS_FORMAT, NAME_FORMAT
 from ..telemetry import configure_logging, log
@@ -114,8 +115,7 @@
         """Serve until SIGTERM or SIGINT."""
         vm = self.settings.vm
         configure_logging(vm.id, LogSink(sys.stdout.fileno()))
-        signal.signal(signal.SIGTERM, self._on_stop_signal)
-        signal.signal(signal.SIGINT, self._on_stop_signal)
+        on_stop_signal(self._on_stop_signal)
         # The settings of a storage VM are fixed while the daemon runs.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         server = PeerServer(vm.peer_address, PEER_TOKEN)
@@ -130,6 +130,7 @@
             jobs=len(self.journal.file_store),
         )
         self._stopped.wait()
+        ignore_stop_signals()
         log(STORAGE_STOPPED)
 
     def _run_journal(self) -> None:
--- a/mulberryport/platform/tests/test_processes.py
+++ b/mulberryport/platform/tests/test_processes.py
@@ -1,8 +1,11 @@
 """Tests of entry daemons as processes, with stand-ins of the platform."""
 
+import signal
+
 import eventlet
 
 from ...coordination.tests.builders import until
+from ...runtime.clock import boottime
 from .builders import KEY, OTHER_KEY, make_configuration, running
 
 
@@ -149,6 +152,18 @@
         assert pending.wait()[0] == 200
 
 
+def test_repeated_stop_signals_do_not_make_the_stop_a_failure(tmp_path):
+    # Guards against an exit by the signal when it is repeated while the interpreter
+    # shuts down.
+    with running(tmp_path, "vm1") as platform:
+        process = platform.processes.pop("vm1")
+        deadline = boottime() + 12.0
+        while process.poll() is None and boottime() < deadline:
+            process.send_signal(signal.SIGTERM)
+            eventlet.sleep(0.002)
+        assert process.returncode == 0
+
+
 def test_daemon_without_configuration_responds_with_503(tmp_path):
     # Guards against 404 and 401 from a daemon that has no routes or keys yet.
     with running(tmp_path) as platform:
