Bound the heads and trailers of control calls, the store and guarded orders as well

Cause: only connections to targets bounded interim responses and trailers; the reports and orders of engines, usage reports and the store went through other connections, whose time-outs start anew with each byte.

Ruled out: one pool for all, since the store's calls and a target's plain requests have other limits.

Change: all plain HTTP of a daemon uses connections with bounded responses, and a call has a time limit as a whole until its head. An unused constant of the generation interface is gone.

--- a/mulberryport/gateway/generation.py
+++ b/mulberryport/gateway/generation.py
@@ -32,7 +32,6 @@
 )
 
 MAX_TOKENS = 65536
-MAX_BODY_BYTES = 4 * 1024 * 1024
 AttemptError = NotStartedError | StreamError | SilentConnectionError
 
 
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -32,7 +32,12 @@
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from ..peering import Peers, PeerServer, peer_pb2
 from ..runtime.clock import boottime
-from ..runtime.http import NOT_SENT_ERRORS, read_and_release
+from ..runtime.http import (
+    NOT_SENT_ERRORS,
+    make_connection_pool,
+    read_and_release,
+    time_limit,
+)
 from ..runtime.sockets import TCP_SOCKET_OPTIONS
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -95,11 +100,8 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the connection pool."""
-        self._pool = urllib3.PoolManager(
-            num_pools=1,
-            maxsize=16,
-            retries=False,
-            socket_options=TCP_SOCKET_OPTIONS,
+        self._pool = make_connection_pool(
+            num_pools=1, maxsize=16, socket_options=TCP_SOCKET_OPTIONS
         )
 
     @property
@@ -281,15 +283,16 @@
         self, method: str, path: str, content: bytes, timeout: float
     ) -> Outcome[tuple[int, bytes]]:
         try:
-            response = self._pool.request(
-                method,
-                f"http://{self.address}{path}",
-                body=content or None,
-                headers={"Content-Type": "application/json"} if content else None,
-                timeout=urllib3.Timeout(connect=CALL_TIMEOUT_S, read=timeout),
-                retries=False,
-                preload_content=False,
-            )
+            with time_limit(CALL_TIMEOUT_S + timeout, f"{method} {path}"):
+                response = self._pool.request(
+                    method,
+                    f"http://{self.address}{path}",
+                    body=content or None,
+                    headers={"Content-Type": "application/json"} if content else None,
+                    timeout=urllib3.Timeout(connect=CALL_TIMEOUT_S, read=timeout),
+                    retries=False,
+                    preload_content=False,
+                )
             data = read_and_release(response, CALL_TIMEOUT_S)
         except NOT_SENT_ERRORS as error:
             return NotDone(f"{method} {path}: {error}")
--- a/mulberryport/platform/tests/test_endless_bytes.py
+++ b/mulberryport/platform/tests/test_endless_bytes.py
@@ -15,6 +15,7 @@
 from ...outcomes import Unknown
 from ...routing import TargetView
 from ...runtime.clock import boottime
+from ...runtime.guarded import call_json_guarded
 from ...runtime.http import call_json
 from ...runtime.wsgi import listen
 from ...targets import TargetDirectory
@@ -135,15 +136,28 @@
 
 
 @pytest.mark.parametrize(
-    ("again", "pause_s"), [(chunk(BLOCK), 0.0), (chunk(b"x"), BYTE_PAUSE_S)]
+    ("first", "again", "pause_s"),
+    [
+        (CHUNKED, chunk(BLOCK), 0.0),
+        (CHUNKED, chunk(b"x"), BYTE_PAUSE_S),
+        (*ENDLESS["interim responses"], 0.0),
+        (*ENDLESS["trailers"], 0.0),
+        (*SLOWLY["header line"], BYTE_PAUSE_S),
+    ],
+    ids=["body", "body, slowly", "interim responses", "trailers", "header, slowly"],
 )
-def test_control_calls_end(again, pause_s):
-    with sending(CHUNKED, again, pause_s) as (address, _):
+def test_control_calls_end(first, again, pause_s):
+    with sending(first, again, pause_s) as (address, _):
         started_at = boottime()
+        url = f"http://{address}/"
         with eventlet.Timeout(10.0):
-            report = call_json("GET", f"http://{address}/", timeout=PATIENCE_S)
+            report = call_json("GET", url, timeout=PATIENCE_S)
+            order = call_json_guarded(
+                "POST", url, {}, guard=lambda: None, timeout=PATIENCE_S
+            )
             read = PlatformStore(address).read("a")
         assert isinstance(report, Unknown)
+        assert isinstance(order, Unknown)
         assert isinstance(read, Unknown)
         assert boottime() - started_at < 6.0
 
--- a/mulberryport/runtime/guarded.py
+++ b/mulberryport/runtime/guarded.py
@@ -23,7 +23,7 @@
 import orjson
 
 from ..outcomes import Done, NotDone, Outcome, Unknown
-from .http import JsonReply, read_reply
+from .http import BoundedResponse, JsonReply, read_reply
 
 __all__ = ["call_json_guarded"]
 
@@ -104,6 +104,7 @@
     )
     encoded_body = body if isinstance(body, bytes) else orjson.dumps(body)
     connection = connection_class(parts.hostname or "", parts.port, timeout=timeout)
+    connection.response_class = BoundedResponse
     call_timeout = eventlet.Timeout(timeout)
     connected = False
     try:
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -1,22 +1,29 @@
 """JSON calls over HTTP to external systems, with typed outcomes."""
 
+import http.client
 from collections.abc import Mapping
 from typing import Any
 
+import eventlet
 import orjson
 import urllib3
 from attrs import field, frozen
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from .clock import boottime
 
 __all__ = [
+    "BoundedConnection",
+    "BoundedResponse",
     "JsonReply",
     "call_json",
     "connection_pool",
+    "make_connection_pool",
     "read_and_release",
     "read_reply",
+    "time_limit",
 ]
 
 # Errors that occur only before the first byte of a request is sent.
@@ -26,7 +33,73 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 READ_SIZE_BYTES = 64 * 1024
 
-_connection_pool = urllib3.PoolManager(num_pools=64, maxsize=32, retries=False)
+# Interim responses before the final one; servers send one at most.
+MAX_INTERIM_RESPONSES = 4
+MAX_TRAILER_LINES = 32
+MAX_TRAILER_LINE_BYTES = 8 * 1024
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """Response that fails if its interim responses or trailers do not end.
+
+    ``http.client`` reads both without a limit.
+    """
+
+    _interim_responses = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        self._interim_responses += 1
+        if self._interim_responses > 1 + MAX_INTERIM_RESPONSES:
+            raise http.client.HTTPException("too many interim responses")
+        return super()._read_status()
+
+    def _read_and_discard_trailer(self) -> None:
+        for _ in range(MAX_TRAILER_LINES):
+            line = self.fp.readline(MAX_TRAILER_LINE_BYTES + 1)
+            if len(line) > MAX_TRAILER_LINE_BYTES:
+                raise http.client.LineTooLong("trailer line")
+            if line in (b"\r\n", b"\n", b""):
+                return
+        raise http.client.HTTPException("too many trailer lines")
+
+
+class BoundedConnection(HTTPConnection):
+    """Connection whose responses are bounded."""
+
+    response_class = BoundedResponse
+
+
+class BoundedConnectionPool(urllib3.HTTPConnectionPool):
+    """Pool of connections whose responses are bounded."""
+
+    ConnectionCls = BoundedConnection
+
+
+def make_connection_pool(**options: Any) -> urllib3.PoolManager:
+    """Return a pool manager whose responses to plain HTTP are bounded.
+
+    Parameters
+    ----------
+    **options
+        Options of ``urllib3.PoolManager``.
+    """
+    manager = urllib3.PoolManager(retries=False, **options)
+    manager.pool_classes_by_scheme = {
+        **manager.pool_classes_by_scheme,
+        "http": BoundedConnectionPool,
+    }
+    return manager
+
+
+def time_limit(seconds: float, call: str) -> eventlet.Timeout:
+    """Return a context that raises ``OSError`` if a call takes too long as a whole.
+
+    The time-out of a socket starts anew with each byte.
+    """
+    return eventlet.Timeout(seconds, OSError(f"{call}: not complete in {seconds} s"))
+
+
+_connection_pool = make_connection_pool(num_pools=64, maxsize=32)
 
 
 @frozen
@@ -106,7 +179,8 @@
     body : object, optional
         Object to encode as JSON; no body is sent if it is None.
     timeout : float
-        Limit in seconds for connecting, and separately for each read.
+        Limit in seconds for connecting, for each read, and for the body; the head may
+        take twice as long from the start.
 
     Returns
     -------
@@ -118,15 +192,16 @@
     encoded_body = None if body is None else orjson.dumps(body)
     all_headers = {"Content-Type": "application/json", **(headers or {})}
     try:
-        reply = (pool or _connection_pool).request(
-            method,
-            url,
-            body=encoded_body,
-            headers=all_headers,
-            timeout=urllib3.Timeout(connect=timeout, read=timeout),
-            retries=False,
-            preload_content=False,
-        )
+        with time_limit(2 * timeout, f"{method} {url}"):
+            reply = (pool or _connection_pool).request(
+                method,
+                url,
+                body=encoded_body,
+                headers=all_headers,
+                timeout=urllib3.Timeout(connect=timeout, read=timeout),
+                retries=False,
+                preload_content=False,
+            )
         content = read_and_release(reply, timeout)
     except NOT_SENT_ERRORS as error:
         return NotDone(f"{method} {url}: {error}")
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -16,6 +16,7 @@
 from urllib3.exceptions import HTTPError
 
 from ..runtime.clock import boottime
+from ..runtime.http import BoundedConnection
 from ..runtime.sockets import TCP_SOCKET_OPTIONS
 from ..runtime.wsgi import split_address
 
@@ -27,36 +28,11 @@
 IDLE_MARGIN_S = 0.7
 # A daemon rarely has more requests than this in flight at one target.
 MAX_IDLE_PER_TARGET = 24
-# Interim responses before the final one; targets send one at most.
-MAX_INTERIM_RESPONSES = 4
-MAX_TRAILER_LINES = 32
-MAX_TRAILER_LINE_BYTES = 8 * 1024
 # The body of a refusal is short.
 MAX_REFUSAL_BYTES = 16 * 1024
 MAX_REFUSAL_READ_S = 0.3
 
 
-class BoundedResponse(http.client.HTTPResponse):
-    """Response that fails if its interim responses or trailers do not end."""
-
-    _interim_responses = 0
-
-    def _read_status(self) -> tuple[str, int, str]:
-        self._interim_responses += 1
-        if self._interim_responses > 1 + MAX_INTERIM_RESPONSES:
-            raise http.client.HTTPException("too many interim responses")
-        return super()._read_status()
-
-    def _read_and_discard_trailer(self) -> None:
-        for _ in range(MAX_TRAILER_LINES):
-            line = self.fp.readline(MAX_TRAILER_LINE_BYTES + 1)
-            if len(line) > MAX_TRAILER_LINE_BYTES:
-                raise http.client.LineTooLong("trailer line")
-            if line in (b"\r\n", b"\n", b""):
-                return
-        raise http.client.HTTPException("too many trailer lines")
-
-
 def drain_refusal(response: urllib3.BaseHTTPResponse) -> bool:
     """Read the body of a refusal; return whether all of it was read.
 
@@ -130,13 +106,12 @@
                 return candidate.connection, True
             candidate.connection.close()
         host, port = split_address(address)
-        connection = HTTPConnection(
+        connection = BoundedConnection(
             host,
             port,
             timeout=self.connect_timeout,
             socket_options=TCP_SOCKET_OPTIONS,
         )
-        connection.response_class = BoundedResponse
         try:
             connection.connect()
         except BaseException:
