--- a/mulberryport/coordination/__init__.py
+++ b/mulberryport/coordination/__init__.py
@@ -7,15 +7,7 @@
 """
 
 from .duty import SessionDuty
-from .feeds import (
-    SharedWatch,
-    WatchServer,
-    choose_providers,
-    choose_wait_s,
-    hold_session,
-    is_silent,
-    max_provider_distance,
-)
+from .feeds import SharedWatch, WatchServer, hold_session
 from .mirror import Mirror
 from .model import (
     Change,
@@ -29,6 +21,12 @@
     Put,
     Transaction,
 )
+from .providers import (
+    choose_providers,
+    choose_wait_s,
+    is_silent,
+    max_provider_distance,
+)
 from .session import Session
 
 __all__ = [
--- a/mulberryport/coordination/tests/test_feeds.py
+++ b/mulberryport/coordination/tests/test_feeds.py
@@ -9,9 +9,10 @@
 from ...outcomes import Done, NotDone, Unknown
 from ...runtime.clock import boottime
 from .. import feeds
-from ..feeds import SharedWatch, WatchServer, choose_providers
+from ..feeds import SharedWatch, WatchServer
 from ..mirror import Mirror
 from ..model import Change, Item
+from ..providers import choose_providers, max_provider_distance
 from .builders import MemoryStore, until
 
 
@@ -225,7 +226,7 @@
                 )
         if not choose_providers(members):
             watching.add(own)
-        distances[own] = feeds.max_provider_distance(members)
+        distances[own] = max_provider_distance(members)
     assert len(watching) == 2
     assert list(distances.values()).count(0) == 10
 
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -3,26 +3,13 @@
 import signal
 import sys
 from collections.abc import Iterable
-from functools import partial
 from typing import Any
 
 import eventlet
 import eventlet.event
 from attrs import define, field
 
-from ..coordination import (
-    Change,
-    Mirror,
-    Session,
-    SessionDuty,
-    SharedWatch,
-    WatchServer,
-    choose_providers,
-    choose_wait_s,
-    hold_session,
-    is_silent,
-    max_provider_distance,
-)
+from ..coordination import Change, Session, SessionDuty
 from ..daemon.heartbeats import Heartbeats
 from ..gateway import CallerServer, Gateway, RequestAbortedError
 from ..jobs import EngineClient, JobService
@@ -53,11 +40,10 @@
 from . import names
 from .batches import BatchInterface
 from .configuration import CONFIGURATION_KEY, decode_configuration
-from .control import ANNOUNCEMENTS_PREFIX
 from .duties import ControlDuties
 from .engines import EngineCalls
 from .ingress import make_target_protocol, platform_dialect
-from .registrations import REGISTRATIONS_PREFIX, Registrations
+from .mirrors import StoreMirrors
 from .relays import StoreRelays
 from .settings import PEER_TOKEN, EntrySettings, load_entry_settings
 from .store import PlatformStore
@@ -102,11 +88,6 @@
 DRAIN_DELAY_S = 3.0
 # Part of the grace period that is reserved for aborting unfinished requests.
 ABORT_MARGIN_S = 1.5
-# Jobs start and end a few times per second in the whole fleet, and every daemon mirrors
-# their keys.
-LIVE_KEYS_BATCH_DELAY_S = 0.4
-# Combines the updates of two engines that finish loading weights at the same time.
-REGISTRATIONS_BATCH_DELAY_S = 0.15
 # Daemons try to acquire a free duty in rendezvous order, with this delay from one rank
 # to the next.
 DUTY_STAGGER_S = 0.3
@@ -134,10 +115,7 @@
     members: Members = field(init=False)
     store: PlatformStore = field(init=False)
     session: Session = field(init=False)
-    configuration_mirror: Mirror = field(init=False)
-    announcements: Mirror = field(init=False)
-    live_keys: Mirror = field(init=False)
-    registrations: Registrations = field(init=False)
+    mirrors: StoreMirrors = field(init=False)
     peers: Peers = field(init=False)
     peer_server: PeerServer = field(init=False)
     dispatcher: Dispatcher = field(init=False)
@@ -149,7 +127,6 @@
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
     _duties: ControlDuties = field(init=False)
-    _shared_watches: list[SharedWatch] = field(factory=list)
     _log_sink: LogSink = field(factory=lambda: LogSink(sys.stdout.fileno()))
     _stopping: bool = False
     _last_ready: bool = False
@@ -169,8 +146,7 @@
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         self.peer_server.start()
         eventlet.spawn_n(self._find_peers)
-        for mirror in (*self._reliable_mirrors(), self.live_keys):
-            mirror.start()
+        self.mirrors.start()
         self.session.start()
         self._start_timers()
         serve(listen(vm.readiness_address), self._serve_readiness)
@@ -219,7 +195,7 @@
             reasons.append("the daemon is stopping")
         if not self.snapshot_holder.snapshot.revision:
             reasons.append("no configuration was received yet")
-        if not self.registrations.mirror.loaded:
+        if not self.mirrors.registrations.mirror.loaded:
             reasons.append("no targets were received yet")
         return reasons
 
@@ -254,22 +230,15 @@
         heartbeats.contributors += [
             traffic.add,
             self._add_wall_time,
-            self._add_mirror_revisions,
+            lambda heartbeat, peer: self.mirrors.add_revisions(heartbeat),
             store_relays.add_relays,
         ]
         heartbeats.listeners += [
             traffic.apply,
             self._apply_wall_time,
-            self._apply_mirror_revisions,
+            lambda heartbeat: self.mirrors.apply_revisions(heartbeat),
         ]
 
-    def _reliable_mirrors(self) -> tuple[Mirror, ...]:
-        """Return the mirrors whose changes must arrive even if a watch fails.
-
-        Heartbeats compare their revisions between daemons.
-        """
-        return self.configuration_mirror, self.announcements, self.registrations.mirror
-
     def _add_wall_time(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
         heartbeat.wall = wall_time()
         if peer.zone == self.settings.vm.zone and self.members.is_relay():
@@ -281,50 +250,18 @@
         wall = heartbeat.median_wall if use_median else heartbeat.wall
         self.clock.add_sample(heartbeat.sender.vm, wall)
 
-    def _add_mirror_revisions(
-        self, heartbeat: peer_pb2.Heartbeat, peer: Member
-    ) -> None:
-        for mirror in self._reliable_mirrors():
-            heartbeat.mirrored[mirror.prefix] = mirror.newest_revision
-
-    def _apply_mirror_revisions(self, heartbeat: peer_pb2.Heartbeat) -> None:
-        for mirror in self._reliable_mirrors():
-            mirror.expect_revision(heartbeat.mirrored.get(mirror.prefix, 0))
-
     def _connect_store_mirrors(self) -> None:
         self.session = Session(self.store)
-        # A daemon is ready once it has the configuration and the registrations.
-        configuration_watch = self._make_watch(lists_at_once=True)
-        registrations_watch = self._make_watch(lists_at_once=True)
-        announcements_watch = self._make_watch(lists_at_once=False)
-        live_keys_watch = self._make_watch(lists_at_once=False)
-        # In a small fleet it is watched directly: it changes rarely.
-        configuration_watch.providers = self._configuration_providers
-        self.configuration_mirror = Mirror(configuration_watch, CONFIGURATION_KEY)
-        hold_session(self.session, self._shared_watches)
-        self.announcements = Mirror(announcements_watch, ANNOUNCEMENTS_PREFIX)
-        self.live_keys = Mirror(
-            live_keys_watch, LIVE_PREFIX, batch_delay_s=LIVE_KEYS_BATCH_DELAY_S
-        )
-        self.registrations = Registrations(
-            Mirror(
-                registrations_watch,
-                REGISTRATIONS_PREFIX,
-                batch_delay_s=REGISTRATIONS_BATCH_DELAY_S,
-            ),
+        self.mirrors = StoreMirrors(
+            self.store,
+            self.members,
+            self.peers,
+            self.session,
             self.directory,
             self.dispatcher.dispatch_waiting,
         )
-        self.registrations.start()
-        WatchServer(
-            [
-                (self.configuration_mirror, configuration_watch),
-                (self.announcements, announcements_watch),
-                (self.live_keys, live_keys_watch),
-                (self.registrations.mirror, registrations_watch),
-            ]
-        ).register(self.peer_server)
-        self.configuration_mirror.subscribe(self._on_configuration)
+        self.mirrors.register(self.peer_server)
+        self.mirrors.configuration.subscribe(self._on_configuration)
         self.snapshot_holder.subscribe(self.directory.apply_snapshot)
         self.snapshot_holder.subscribe(self.dispatcher.apply_snapshot)
         member = self.members.self_member
@@ -333,29 +270,12 @@
             member.vm,
             member.incarnation,
             self.store,
-            self.live_keys,
+            self.mirrors.live_keys,
             self.session,
             reacquire_delay_s=self.settings.platform.lease_ms / 1000,
             acquire_delay_s=self._duty_acquire_delay_s,
         )
 
-    def _make_watch(self, lists_at_once: bool) -> SharedWatch:
-        members = self.members
-        watch = SharedWatch(
-            self.store,
-            self.peers,
-            partial(choose_providers, members),
-            partial(choose_wait_s, members),
-            partial(is_silent, members),
-            partial(max_provider_distance, members),
-            lists_at_once,
-        )
-        self._shared_watches.append(watch)
-        return watch
-
-    def _configuration_providers(self) -> list[str]:
-        return choose_providers(self.members) if self.members.is_large() else []
-
     def _connect_services(self) -> None:
         vm, usage = self.settings.vm, self.settings.usage
         self.counters = UsageCounters(
@@ -373,7 +293,7 @@
         engine_calls = EngineCalls(self.directory, self.connections)
         self.jobs = JobService(
             self.store,
-            self.live_keys,
+            self.mirrors.live_keys,
             self.session,
             self.members,
             self.peers,
@@ -383,7 +303,9 @@
             self.clock.now,
             self.settings.platform.retention,
             JournalClient(
-                self.live_keys, self.peers, self.settings.platform.disk_losses + 1
+                self.mirrors.live_keys,
+                self.peers,
+                self.settings.platform.disk_losses + 1,
             ).persist,
         )
         self.jobs.register(self.peer_server)
@@ -406,7 +328,7 @@
             self.settings.platform.cloud,
             self.duty,
             self.store,
-            self.announcements,
+            self.mirrors.announcements,
             self.directory,
             self.jobs,
             self.counters,
@@ -423,9 +345,9 @@
         subscribe(
             "registrations",
             REGISTRATIONS_PERIOD_S,
-            self.registrations.remove_missing_targets,
+            self.mirrors.registrations.remove_missing_targets,
         )
-        subscribe("providers", PROVIDERS_PERIOD_S, self._check_providers)
+        subscribe("providers", PROVIDERS_PERIOD_S, self.mirrors.check_providers)
         subscribe("connections", CONNECTIONS_PERIOD_S, self.connections.close_expired)
         subscribe("duty", CONTROL_PERIOD_S, self.duty.run_once)
         subscribe("jobs", JOBS_PERIOD_S, self.jobs.run_once)
@@ -444,10 +366,6 @@
             self.peers.update_heartbeat_tasks()
             eventlet.sleep(JOIN_STEP_S)
 
-    def _check_providers(self) -> None:
-        for watch in self._shared_watches:
-            watch.check_provider()
-
     def _duty_acquire_delay_s(self) -> float:
         """Return the seconds for which a free duty is left to preferred members."""
         if self._stopping:
