Bound the gap between two runs of a timer by what the timer service states

Cause: the test asked for gaps above 5 ms, which the timer service does not promise: after a run that is late on a busy machine the next one may be due after a tenth of a period.

Ruled out: none of the runs so far failed; found by reading.

Change: the smallest gap is the stated one, and the median gap must be above half a period, so that a timer that fires twice for each instant still fails.

--- a/mulberryport/runtime/tests/test_timers.py
+++ b/mulberryport/runtime/tests/test_timers.py
@@ -3,7 +3,7 @@
 import eventlet
 
 from ...runtime.clock import boottime
-from ..timers import TimerService
+from ..timers import MIN_DELAY_SHARE, TimerService
 
 
 def test_periods_that_are_multiples_are_due_at_the_same_instants():
@@ -25,12 +25,15 @@
     # Guards against an instant that counts twice when a timer fires early.
     service = TimerService()
     runs = []
-    service.subscribe("example", 0.02, lambda: runs.append(boottime()))
+    period_s = 0.02
+    service.subscribe("example", period_s, lambda: runs.append(boottime()))
     eventlet.sleep(0.5)
     service.stop()
     gaps = [later - earlier for earlier, later in zip(runs, runs[1:], strict=False)]
     assert len(runs) <= 26
-    assert min(gaps) > 0.005
+    # A run that is late on a busy machine may be followed by the next one soon.
+    assert min(gaps) >= MIN_DELAY_SHARE * period_s
+    assert sorted(gaps)[len(gaps) // 2] > 0.5 * period_s
 
 
 def test_long_callback_skips_runs():
