--- a/mulberryport/targets/traffic.py
+++ b/mulberryport/targets/traffic.py
@@ -83,10 +83,9 @@
         zone = self.members.self_member.zone
         if peer.zone != zone or not self.members.is_relay():
             return
-        oldest = boottime() - REPORT_LIFETIME_S
+        self._remove_outdated()
         for vm, received in self._received.items():
-            is_recent = received.received_at > oldest and received.zone == zone
-            if is_recent and vm != peer.vm:
+            if vm != peer.vm and received.zone == zone:
                 heartbeat.relayed_traffic.add(vm=vm, traffic=received.messages)
 
     def apply(self, heartbeat: peer_pb2.Heartbeat) -> None:
@@ -96,9 +95,17 @@
             if relayed.vm != self.members.self_member.vm:
                 _apply_reports(relayed.vm, relayed.traffic, self.dispatcher)
         sender = heartbeat.sender
+        self._received.pop(sender.vm, None)
         if heartbeat.traffic:
+            self._remove_outdated()
             self._received[sender.vm] = ReceivedTraffic(
                 boottime(), sender.zone, heartbeat.traffic
             )
-        else:
-            self._received.pop(sender.vm, None)
+
+    def _remove_outdated(self) -> None:
+        oldest = boottime() - REPORT_LIFETIME_S
+        self._received = {
+            vm: received
+            for vm, received in self._received.items()
+            if received.received_at > oldest
+        }
