End a stopped process without the interpreter's shutdown

Change: a daemon whose stop has finished exits at once with status 0, which also answers repeated signals.

The test of repeated signals passes.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -16,7 +16,7 @@
 from ..rollouts import RolloutService
 from ..rollouts.app import TrainerInterface
 from ..runtime import TimerService
-from ..runtime.signals import ignore_stop_signals, on_stop_signal
+from ..runtime.signals import exit_process, on_stop_signal
 from ..runtime.wsgi import listen, serve
 from ..settings import DaemonSettings
 from ..store import StoreClient
@@ -240,7 +240,7 @@
         subscribe("requests", CHECK_PERIOD_S, gateway.active.check)
         log(DAEMON_STARTED, zone=vm.zone, caller_address=vm.caller_address)
         self._stopped.wait()
-        ignore_stop_signals()
+        exit_process()
 
     def stop(self) -> None:
         """Release duties, drain the running requests, then stop all components."""
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -26,7 +26,7 @@
 from ..peering import Peers, PeerServer, peer_pb2
 from ..runtime import TimerService
 from ..runtime.clock import wall_time
-from ..runtime.signals import ignore_stop_signals, on_stop_signal
+from ..runtime.signals import exit_process, on_stop_signal
 from ..runtime.wsgi import StartResponse, listen, respond, serve
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
@@ -161,7 +161,7 @@
         self.caller_server.start()
         log(ENTRY_STARTED, zone=vm.zone, caller_address=vm.caller_address)
         self._stopped.wait()
-        ignore_stop_signals()
+        exit_process()
 
     def stop(self) -> None:
         """Stop gracefully: hand over jobs and duties, finish requests, then exit."""
--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -16,7 +16,7 @@
 from ..peering import PeerServer
 from ..runtime import TimerService
 from ..runtime.clock import wall_time
-from ..runtime.signals import ignore_stop_signals, on_stop_signal
+from ..runtime.signals import exit_process, on_stop_signal
 from ..settings.ini import address, identifier, nonempty_text, number, option
 from ..settings.model import ADDRESS_FORMAT, NAME_FORMAT
 from ..telemetry import configure_logging, log
@@ -130,8 +130,8 @@
             jobs=len(self.journal.file_store),
         )
         self._stopped.wait()
-        ignore_stop_signals()
         log(STORAGE_STOPPED)
+        exit_process()
 
     def _run_journal(self) -> None:
         retirement = self.retirements.get(RETIREMENT_PREFIX + self.settings.vm.id)
--- a/mulberryport/runtime/signals.py
+++ b/mulberryport/runtime/signals.py
@@ -1,9 +1,10 @@
 """Signals that stop a process."""
 
+import os
 import signal
 from collections.abc import Callable
 
-__all__ = ["ignore_stop_signals", "on_stop_signal"]
+__all__ = ["exit_process", "on_stop_signal"]
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -14,11 +15,11 @@
         signal.signal(stop_signal, handler)
 
 
-def ignore_stop_signals() -> None:
-    """Ignore further stop signals; call it when the graceful stop has finished.
+def exit_process() -> None:
+    """End the process with success when its graceful stop has finished.
 
-    The interpreter removes handlers while it shuts down. A signal that is repeated at
-    that time would end the process with a status of failure.
+    The interpreter removes signal handlers while it shuts down, so that a signal that
+    is repeated at that time would end the process with a status of failure. Nothing is
+    left to do then: logs are not buffered.
     """
-    for stop_signal in STOP_SIGNALS:
-        signal.signal(stop_signal, signal.SIG_IGN)
+    os._exit(0)
