End a wait for live keys of jobs within 2.5 s

Cause: in a large fleet a call to a provider waits up to 10 s. Heartbeats compare revisions of configuration, targets and versions, but not of the live keys, so that a watch whose connection falls silent showed the end of a job up to 12 s late; items may be sent for 3 s.

Ruled out: comparing the revisions of live keys too, which change several times a second, so that batching alone would make followers look as if they were behind.

Change: waits for live keys end after 1.5 s, and the margin of long calls is 1 s.

--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -44,7 +44,7 @@
 # Added to the wait to get the timeout of the call; a provider replies in milliseconds.
 REPLY_MARGIN_S = 0.3
 # Added if overdue heartbeats end a call anyway.
-LARGE_FLEET_MARGIN_S = 2.0
+LARGE_FLEET_MARGIN_S = 1.0
 # Distance of a watch that has had no answer yet.
 NOT_CONNECTED = 2**16
 # How long a daemon that has just started waits for the heartbeats of a provider. It
--- a/mulberryport/platform/mirrors.py
+++ b/mulberryport/platform/mirrors.py
@@ -37,6 +37,10 @@
 LIVE_KEYS_BATCH_DELAY_S = 0.4
 # Combines the updates of two engines that finish loading weights at the same time.
 REGISTRATIONS_BATCH_DELAY_S = 0.15
+# Longest wait for a change of the live keys. Heartbeats do not compare their revisions,
+# so that only the end of a call shows that its connection fell silent; items of an
+# ended job must not be sent for more than 3 s.
+LIVE_KEYS_WAIT_S = 1.5
 
 
 @define(eq=False)
@@ -69,6 +73,11 @@
     registrations: Registrations = field(init=False)
     _watches: dict[str, SharedWatch] = field(factory=dict)
 
+    @property
+    def watches(self) -> dict[str, SharedWatch]:
+        """Sources of the mirrors by prefix. Callers must not modify the mapping."""
+        return self._watches
+
     def __attrs_post_init__(self) -> None:
         """Create the mirrors without starting them."""
         # A daemon is ready once it has the configuration and the registrations.
@@ -77,6 +86,7 @@
         self._watches[CONFIGURATION_KEY].providers = self._configuration_providers
         self.announcements = self._make_mirror(ANNOUNCEMENTS_PREFIX)
         self.live_keys = self._make_mirror(LIVE_PREFIX, LIVE_KEYS_BATCH_DELAY_S)
+        self._watches[LIVE_PREFIX].max_wait_s = lambda vm: LIVE_KEYS_WAIT_S
         self.registrations = Registrations(
             self._make_mirror(
                 REGISTRATIONS_PREFIX, REGISTRATIONS_BATCH_DELAY_S, lists_at_once=True
