Log what distinguishes the causes of an item at two positions

Cause of the change: the logs could not tell a replaced page of results from two owners at one daemon or from an inconsistent read. results_listed (923) now has position, ownership and revision, job_taken_over (931) the ownership and lease; a commit without an answer (results_unanswered, 926) and every end of an owned job (job_closed, 927, with its reason and whether a commit was under way) leave a line.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -33,6 +33,16 @@
     "A job was claimed by another owner or was ended.",
 )
 
+RESULTS_UNANSWERED = define_event(
+    926,
+    "results_unanswered",
+    "warning",
+    "A commit of results got no answer; it may take effect later.",
+)
+JOB_CLOSED = define_event(
+    927, "job_closed", "info", "This daemon stopped generating and committing a job."
+)
+
 # Batches results for this long before each commit, because the store handles only a few
 # hundred writes per second from the whole fleet.
 BATCH_DELAY_S = 0.25
@@ -127,11 +137,26 @@
                 return
             self.progress.wait(remaining_s)
 
-    def close(self) -> None:
-        """Stop generating; results that are not committed yet are discarded."""
+    def close(self, reason: str) -> None:
+        """Stop generating; results that are not committed yet are discarded.
+
+        Parameters
+        ----------
+        reason : str
+            Why the job is closed, for the log.
+        """
         if self._closed:
             return
         self._closed = True
+        log(
+            JOB_CLOSED,
+            job=self.job.id,
+            reason=reason,
+            ownership=self.ownership,
+            listed=len(self._committed),
+            pending=len(self._pending),
+            is_committing=self._commit_in_progress,
+        )
         for thread in self._threads:
             if thread is not eventlet.getcurrent():
                 thread.kill()
@@ -143,7 +168,7 @@
         if self._closed:
             return
         pending = list(self._pending)
-        self.close()
+        self.close("planned stop")
         if self.is_provisional:
             return
         if pending and not self._commit_in_progress:
@@ -229,16 +254,25 @@
         finally:
             self._commit_in_progress = False
         if not isinstance(outcome, Done):
+            log(
+                RESULTS_UNANSWERED,
+                job=self.job.id,
+                ownership=self.ownership,
+                position=position,
+                results=len(batch),
+                reason=outcome.reason,
+            )
             return False
         if isinstance(outcome.value, Conflict):
             return self._reacquire()
-        self._record_committed(batch)
+        self._record_committed(batch, outcome.value.revision)
         if last:
             revision = outcome.value.revision
             self.head = evolve(self.head, state=FINISHED, revision=revision)
         return True
 
-    def _record_committed(self, batch: list[JobResult]) -> None:
+    def _record_committed(self, batch: list[JobResult], revision: int) -> None:
+        position = len(self._committed)
         self._committed.extend(encode_result(result) for result in batch)
         for result in batch:
             self._transcripts.pop(result.id, None)
@@ -248,6 +282,9 @@
             job=self.job.id,
             listed=len(self._committed),
             total=len(self.job.items),
+            position=position,
+            ownership=self.ownership,
+            revision=revision,
         )
         self.progress.notify_all()
 
@@ -263,5 +300,5 @@
         if not isinstance(reacquired, Done) or reacquired.value:
             return False
         log(OWNERSHIP_LOST, job=self.job.id, ownership=self.ownership)
-        self.close()
+        self.close("ownership lost")
         return True
--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -115,12 +115,12 @@
         """Return the last other VM observed as a job's owner, or an empty string."""
         return self._previous_owners.get(job_id, "")
 
-    def remove_owned(self, job_id: str) -> None:
+    def remove_owned(self, job_id: str, reason: str) -> None:
         """Close and remove a locally owned job, caching its results if complete."""
         owned = self.owned.pop(job_id, None)
         if owned is None:
             return
-        owned.close()
+        owned.close(reason)
         if owned.is_complete:
             self.on_completed(job_id, owned.committed)
 
@@ -148,7 +148,7 @@
         if change.item is None:
             self.heads.pop(job_id, None)
             self._previous_owners.pop(job_id, None)
-            self.remove_owned(job_id)
+            self.remove_owned(job_id, "deleted")
             return
         try:
             head = decode_head(change.item)
@@ -157,4 +157,4 @@
             return
         self.heads[job_id] = head
         if not head.open:
-            self.remove_owned(job_id)
+            self.remove_owned(job_id, head.state)
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -221,7 +221,7 @@
         """Stop an ended job locally and notify its owner without waiting."""
         log(JOB_ENDED, job=job_id)
         vm = self.registry.owner_vm(job_id)
-        self.registry.remove_owned(job_id)
+        self.registry.remove_owned(job_id, "ended")
         if vm and vm != self.registry.vm:
             request = peer_pb2.StopJobRequest(job=job_id)
             eventlet.spawn_n(
@@ -229,12 +229,12 @@
             )
 
     def _serve_stop(self, request: peer_pb2.StopJobRequest) -> peer_pb2.Ack:
-        self.registry.remove_owned(request.job)
+        self.registry.remove_owned(request.job, f"stopped by {request.sender.vm}")
         return peer_pb2.Ack()
 
     def _expire(self, job_id: str) -> None:
         """Drop an expired job; the first candidate deletes it from the store."""
-        self.registry.remove_owned(job_id)
+        self.registry.remove_owned(job_id, "expired")
         if (
             self._ownership_manager.is_first_candidate(job_id)
             and job_id not in self.registry.jobs_in_transition
--- a/mulberryport/jobs/takeover.py
+++ b/mulberryport/jobs/takeover.py
@@ -194,7 +194,7 @@
         try:
             reacquired = self.reacquire(owned)
             if isinstance(reacquired, Done) and not reacquired.value:
-                self.registry.remove_owned(owned.job.id)
+                self.registry.remove_owned(owned.job.id, "not reacquired")
         finally:
             self.registry.jobs_in_transition.discard(owned.job.id)
 
@@ -207,7 +207,7 @@
                 continue
             reacquired = self.reacquire(owned)
             if isinstance(reacquired, Done) and not reacquired.value:
-                owned.close()
+                owned.close("not reacquired")
 
     def _is_orphan(self, job_id: str, head: JobHead) -> bool:
         """Whether an open job has no live owner as far as this daemon knows."""
@@ -269,10 +269,16 @@
         # The job may have ended, or been deleted, since its head was read.
         if job_id not in self.registry.heads or not self.registry.heads[job_id].open:
             return
-        log(JOB_TAKEN_OVER, job=job_id, listed=len(results.value))
+        log(
+            JOB_TAKEN_OVER,
+            job=job_id,
+            listed=len(results.value),
+            ownership=ownership,
+            lease=lease,
+        )
         replaced = self.registry.owned.pop(job_id, None)
         if replaced is not None:
-            replaced.close()
+            replaced.close("replaced")
         self.resume_job(
             job.value, head, ownership, lease, results.value, transcripts.value
         )
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -216,5 +216,5 @@
         self.session._stopped = True
         self.mirror.stop()
         for owned in list(self.jobs.registry.owned.values()):
-            owned.close()
+            owned.close("the daemon died")
         self.store.expire(self.session.lease)
