Write each page of a job's results once

Callers saw an item of a job at two positions, and positions that changed their result.

Cause: an append of results required the revision of the owner key, and not that its position was free. A commit without an answer can take effect seconds later, as long as its condition holds. Under one ownership it then replaced the page that had been committed at its position meanwhile, with fewer or other results; the next owner read the shorter list, and appended items that stood behind it already. Two different pages for one position under one ownership are sent when a planned stop kills a committer in the middle of a commit and commits all pending results itself, and when a job is closed with a commit unanswered and resumed in the same session, as by two reacquisitions side by side.

Class of fault: a guarded write whose condition holds for longer than the state that it was computed from.

Change: an append also requires that the key of its position does not exist. An owner only appends behind the pages that it has read or written, so pages form a chain without gaps and overlaps, whatever order commits take effect in. If the position holds the very same page, an earlier call took effect, and the append has succeeded; this also holds for the last page, where the owner took its own commit for the loss of the job before. The check whether a commit is under way is gone from hand_over: it was always false there.

Ruled out: readers that see an inconsistent listing; a page behind the gap can only be read if an earlier page was replaced.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -171,7 +171,8 @@
         self.close("planned stop")
         if self.is_provisional:
             return
-        if pending and not self._commit_in_progress:
+        if pending:
+            # Has no effect if a commit that the stop interrupted still takes effect.
             self._commit_batch(pending)
         unfinished = {
             item: transcript
--- a/mulberryport/jobs/repository.py
+++ b/mulberryport/jobs/repository.py
@@ -1,9 +1,12 @@
 """Persistence of jobs in the key-value store.
 
 The head and the owner key of a job are stored below one prefix, which every daemon
-mirrors; its specification and results are read on demand. Every append of results is
-conditional on the revision of the owner key, so that a daemon that has lost a job
-without noticing cannot change committed results.
+mirrors; its specification and results are read on demand.
+
+Results are stored in pages, each under the position of its first result. A page is
+written once: an append requires that its position is free, and that this daemon still
+owns the job. An owner appends only behind the pages that it has read or written, so
+that pages have neither gaps nor overlaps, whichever of its commits take effect late.
 """
 
 from typing import Any
@@ -257,7 +260,7 @@
         finished: JobHead | None,
         transcripts: dict[str, Transcript] | None = None,
     ) -> Outcome[Committed | Conflict]:
-        """Append results at a position; the operation is idempotent.
+        """Append a page of results at a position; the operation is idempotent.
 
         Parameters
         ----------
@@ -267,22 +270,32 @@
             The head of the job, to be marked finished, if these are its last results.
         transcripts : dict of str to Transcript, optional
             Partial transcripts to store for a later owner.
+
+        Returns
+        -------
+        Done of Committed, Done of Conflict, NotDone or Unknown
+            The revision of the commit, also if an earlier call with the same results
+            took effect; a conflict if the position has other results, or the job
+            another owner or none.
         """
         owner_key, head_key = OWNER_PREFIX + job_id, HEAD_PREFIX + job_id
         key = f"{RESULTS_PREFIX}{job_id}/{position:08}"
-        puts = [
-            Put(key, encode_results(results)),
-            *_transcript_puts(job_id, transcripts),
-        ]
-        expected = {owner_key: ownership}
+        page = encode_results(results)
+        puts = [Put(key, page), *_transcript_puts(job_id, transcripts)]
+        expected = {owner_key: ownership, key: 0}
         removes: tuple[str, ...] = ()
         if finished is not None:
             puts.append(Put(head_key, _encode_head(evolve(finished, state=FINISHED))))
             expected[head_key] = finished.revision
             removes = (owner_key,)
-        return self.store.commit(
+        outcome = self.store.commit(
             Transaction(expected=expected, puts=tuple(puts), removes=removes)
         )
+        if isinstance(outcome, Done) and isinstance(outcome.value, Conflict):
+            for item in outcome.value.items:
+                if item.key == key and item.value == page:
+                    return Done(Committed(item.revision))
+        return outcome
 
     def release(
         self, job_id: str, ownership: int, transcripts: dict[str, Transcript]
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -5,10 +5,10 @@
 import eventlet
 from attrs import define, evolve, field
 
-from ...coordination import Mirror, Session
+from ...coordination import Mirror, Session, Transaction
 from ...coordination.tests.builders import MemoryStore, until
 from ...membership import Member, Members
-from ...outcomes import NotDone
+from ...outcomes import NotDone, Unknown
 from ...tables import (
     MODEL_ENGINE,
     PLAIN_SERVICE,
@@ -27,7 +27,16 @@
 from ..repository import LIVE_PREFIX
 from ..service import JobService
 
-__all__ = ["Engine", "HookedStore", "JobDaemon", "MemoryStore", "make_job", "until"]
+__all__ = [
+    "Engine",
+    "HookedStore",
+    "JobDaemon",
+    "LateStore",
+    "MemoryStore",
+    "make_job",
+    "puts_results",
+    "until",
+]
 
 
 def make_job(job_id="job1", items=4, scored=True, **values):
@@ -64,6 +73,10 @@
     ----------
     length : int
         Number of events of each text.
+    pause : float
+        Seconds before each event.
+    pauses : dict
+        Seconds before each event of some items, by item id.
     faults, score_faults : list of Exception
         Exceptions raised by the next calls.
     """
@@ -71,6 +84,7 @@
     length: int = 3
     version: int = 5
     pause: float = 0.0
+    pauses: dict = field(factory=dict)
     faults: list = field(factory=list)
     score_faults: list = field(factory=list)
     calls: list = field(factory=list)
@@ -86,7 +100,7 @@
         if self.faults:
             raise self.faults.pop(0)
         while len(transcript.events) < self.length:
-            eventlet.sleep(self.pause)
+            eventlet.sleep(self.pauses.get(item.id, self.pause))
             transcript.add(f"{item.id}.{len(transcript.events) + 1}", self.version)
             on_event()
 
@@ -129,6 +143,55 @@
         return outcome
 
 
+@define(eq=False)
+class LateStore:
+    """Connection to a store on which chosen commits take effect late.
+
+    Parameters
+    ----------
+    store : MemoryStore
+        The store.
+    is_late : callable
+        Returns whether a transaction gets no answer and is held back.
+    late : list of Transaction
+        Transactions that are held back.
+    hook : callable
+        Called with the key or prefix after each read, before its answer is returned.
+    """
+
+    store: MemoryStore
+    is_late: Callable[[Transaction], bool] = lambda transaction: False
+    late: list = field(factory=list)
+    hook: Callable[[str], object] = lambda key: None
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    def list(self, prefix):
+        """List a prefix and call the hook."""
+        outcome = self.store.list(prefix)
+        self.hook(prefix)
+        return outcome
+
+    def commit(self, transaction):
+        """Apply a transaction, or hold it back without an answer."""
+        if self.is_late(transaction):
+            self.late.append(transaction)
+            return Unknown("no answer")
+        return self.store.commit(transaction)
+
+    def execute_late(self):
+        """Execute the transactions that were held back; return their outcomes."""
+        self.is_late = lambda transaction: False
+        late, self.late = self.late, []
+        return [self.store.commit(transaction) for transaction in late]
+
+
+def puts_results(transaction):
+    """Return whether a transaction writes results."""
+    return any("/results/" in put.key for put in transaction.puts)
+
+
 class NoPeers:
     """Peers that are all unreachable."""
 
--- /dev/null
+++ b/mulberryport/jobs/tests/test_repository.py
@@ -0,0 +1,156 @@
+"""Tests of the order and permanence of committed results."""
+
+import eventlet
+
+from ...coordination import Committed, Conflict
+from ...outcomes import Done
+from ...runtime.clock import boottime
+from ..model import COMPLETED, JobResult
+from ..repository import JobRepository
+from .builders import (
+    Engine,
+    JobDaemon,
+    LateStore,
+    MemoryStore,
+    make_job,
+    puts_results,
+    until,
+)
+
+
+def make_results(*numbers):
+    """Return results of items with these numbers."""
+    return [JobResult(f"job1-{n}", COMPLETED, f"text {n}", (5,), "") for n in numbers]
+
+
+def stored_ids(store, job_id="job1"):
+    """Return the item ids of the results in the store, by position."""
+    outcome = JobRepository(store).read_results(job_id)
+    assert isinstance(outcome, Done)
+    return [result.id for result in outcome.value]
+
+
+def create_job(store, items=8):
+    """Create a job in the store; return its repository and ownership."""
+    repository = JobRepository(store)
+    lease = store.grant_lease(3.0).value
+    outcome = repository.create(make_job(items=items), "vm1 1", lease)
+    return repository, outcome.value[1]
+
+
+def test_late_commit_does_not_replace_results_at_its_position():
+    # Guards against results that change after they were read: a commit that takes
+    # effect late must not overwrite the page that was committed there meanwhile.
+    store = MemoryStore()
+    repository, ownership = create_job(store)
+    for position, numbers in ((0, (0, 1, 2, 3)), (4, (4,))):
+        outcome = repository.append(
+            "job1", ownership, position, make_results(*numbers), None
+        )
+        assert isinstance(outcome.value, Committed)
+    late = repository.append("job1", ownership, 0, make_results(0, 1, 2), None)
+    assert isinstance(late.value, Conflict)
+    # The next run of the job appends behind the results that it has read.
+    position = len(stored_ids(store))
+    repository.append("job1", ownership, position, make_results(5), None)
+    assert stored_ids(store) == [f"job1-{n}" for n in range(6)]
+
+
+def test_repeated_commit_of_the_same_results_succeeds():
+    # Guards against an owner that gives up a job because a commit that had no answer
+    # took effect.
+    store = MemoryStore()
+    repository, ownership = create_job(store)
+    first = repository.append("job1", ownership, 0, make_results(0, 1), None)
+    again = repository.append("job1", ownership, 0, make_results(0, 1), None)
+    assert again == first and isinstance(again.value, Committed)
+
+
+def test_repeated_last_commit_returns_the_revision_of_the_finished_head():
+    # Guards against an owner that does not know that its job is finished because the
+    # answer to the last commit was lost.
+    store = MemoryStore()
+    repository, ownership = create_job(store, items=2)
+    head = repository.read_head("job1").value
+    first = repository.append("job1", ownership, 0, make_results(0, 1), head)
+    again = repository.append("job1", ownership, 0, make_results(0, 1), head)
+    assert again == first and isinstance(again.value, Committed)
+    assert repository.read_head("job1").value.revision == first.value.revision
+
+
+def staggered_pauses(numbers, step_s):
+    """Return pauses with which items are complete one after the other."""
+    return {f"job1-{n}": step_s * order for order, n in enumerate(numbers, start=1)}
+
+
+def test_planned_stop_during_a_commit_does_not_change_results():
+    # Guards against a stopping owner whose commit takes effect after the results that
+    # it committed at the same position during its stop.
+    store = MemoryStore()
+    connection = LateStore(store, is_late=puts_results)
+    engine = Engine(pauses=staggered_pauses(range(8), 0.1))
+    daemon = JobDaemon(connection, "vm1", engine)
+    daemon.jobs.submit(make_job(items=8), boottime() + 2.0)
+    owned = daemon.jobs.registry.owned["job1"]
+    assert until(lambda: connection.late)
+    late = connection.late[:1]
+    assert until(lambda: len(owned._pending) == 6)
+    # The results are committed, and the release of the ownership has no effect.
+    connection.is_late = lambda transaction: bool(transaction.removes)
+    daemon.jobs.hand_over()
+    before = stored_ids(store)
+    assert before
+    connection.late = late
+    connection.execute_late()
+    assert stored_ids(store)[: len(before)] == before
+    daemon.die()
+
+
+def test_reacquisitions_side_by_side_do_not_change_results():
+    # Guards against two runs of a reacquisition, one of a new session and one of a
+    # conflict of a commit: the slower one closed the job while a commit of the faster
+    # one had no answer, and the job was resumed under the same ownership.
+    store = MemoryStore()
+    connection = LateStore(store)
+    engine = Engine(pauses=staggered_pauses(range(12), 0.15))
+    daemon = JobDaemon(connection, "vm1", engine)
+    daemon.jobs.submit(make_job(items=12), boottime() + 2.0)
+    owned = daemon.jobs.registry.owned["job1"]
+    assert until(lambda: owned.committed)
+    delayed, returned = [], []
+
+    def delay_read_of_new_session(prefix):
+        if "/results/" not in prefix or eventlet.getcurrent() in owned._threads:
+            return
+        if delayed:
+            return
+        delayed.append(prefix)
+        listed = len(owned.committed)
+        until(lambda: len(owned.committed) > listed or owned.is_closed, 3.0)
+        connection.is_late = puts_results
+        until(lambda: connection.late, 2.0)
+        engine.pauses = staggered_pauses(reversed(range(12)), 0.1)
+        returned.append(prefix)
+
+    connection.hook = delay_read_of_new_session
+    store.expire(daemon.session.lease)
+    assert until(lambda: returned, 10.0)
+    assert connection.late
+    seen = stored_ids(store)
+
+    def read_on():
+        ids = stored_ids(store)
+        assert ids[: len(seen)] == seen
+        assert len(set(ids)) == len(ids)
+        seen[:] = ids
+        return len(seen)
+
+    late, connection.late = connection.late, []
+    connection.is_late = lambda transaction: False
+    listed = len(seen)
+    assert until(lambda: read_on() > listed, 6.0)
+    for transaction in late:
+        store.commit(transaction)
+        read_on()
+    assert until(lambda: read_on() == 12, 8.0)
+    daemon.die()
