Let the reacquisitions of a job follow each other

Cause: after a session ended, a job was reacquired by two green threads, one of the new session and one of the conflict of a commit. The slower one compared the results that it had read before with those that the faster one's owner had committed meanwhile, found another number and closed the job; all items that ran were generated again.

Change: a lock for each owned job; the second run returns at once if the first one has changed the ownership.

The test of two reacquisitions in test_repository.py needed both runs to overlap, which they no longer do. It is replaced by one that closes a job directly while a commit has no answer, and that checks the same: results that were read stay, and no item stands twice.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -8,6 +8,7 @@
 
 import eventlet
 from attrs import define, evolve, field
+from eventlet.semaphore import Semaphore
 
 from ..coordination import Conflict
 from ..outcomes import Done
@@ -79,6 +80,8 @@
     lease: int
     context: JobContext
     progress: Notifier = field(factory=Notifier)
+    # Held while the ownership is changed, so that changes follow each other.
+    ownership_lock: Semaphore = field(factory=Semaphore)
     _committed: list[bytes] = field(factory=list)
     _pending: list[JobResult] = field(factory=list)
     _transcripts: dict[str, Transcript] = field(factory=dict)
--- a/mulberryport/jobs/takeover.py
+++ b/mulberryport/jobs/takeover.py
@@ -122,6 +122,15 @@
             Whether the store has this daemon as the owner and the same committed
             results.
         """
+        ownership = owned.ownership
+        with owned.ownership_lock:
+            if owned.ownership != ownership:
+                # Another green thread has reacquired the job meanwhile.
+                return Done(True)
+            return self._reacquire_locked(owned)
+
+    def _reacquire_locked(self, owned: OwnedJob) -> Outcome[bool]:
+        """Reacquire a job whose ``ownership_lock`` is held."""
         registry, job_id = self.registry, owned.job.id
         lease = registry.session.lease
         if registry.owned.get(job_id) is not owned or self._stopping:
--- a/mulberryport/jobs/tests/test_repository.py
+++ b/mulberryport/jobs/tests/test_repository.py
@@ -1,7 +1,5 @@
 """Tests of the order and permanence of committed results."""
 
-import eventlet
-
 from ...coordination import Committed, Conflict
 from ...outcomes import Done
 from ...runtime.clock import boottime
@@ -106,10 +104,9 @@
     daemon.die()
 
 
-def test_reacquisitions_side_by_side_do_not_change_results():
-    # Guards against two runs of a reacquisition, one of a new session and one of a
-    # conflict of a commit: the slower one closed the job while a commit of the faster
-    # one had no answer, and the job was resumed under the same ownership.
+def test_job_resumed_during_a_commit_does_not_change_results():
+    # Guards against a job that is closed while a commit has no answer and is resumed
+    # under the same ownership, as after a request to stop that arrives late.
     store = MemoryStore()
     connection = LateStore(store)
     engine = Engine(pauses=staggered_pauses(range(12), 0.15))
@@ -117,26 +114,13 @@
     daemon.jobs.submit(make_job(items=12), boottime() + 2.0)
     owned = daemon.jobs.registry.owned["job1"]
     assert until(lambda: owned.committed)
-    delayed, returned = [], []
-
-    def delay_read_of_new_session(prefix):
-        if "/results/" not in prefix or eventlet.getcurrent() in owned._threads:
-            return
-        if delayed:
-            return
-        delayed.append(prefix)
-        listed = len(owned.committed)
-        until(lambda: len(owned.committed) > listed or owned.is_closed, 3.0)
-        connection.is_late = puts_results
-        until(lambda: connection.late, 2.0)
-        engine.pauses = staggered_pauses(reversed(range(12)), 0.1)
-        returned.append(prefix)
-
-    connection.hook = delay_read_of_new_session
-    store.expire(daemon.session.lease)
-    assert until(lambda: returned, 10.0)
-    assert connection.late
+    connection.is_late = puts_results
+    assert until(lambda: connection.late, 3.0)
     seen = stored_ids(store)
+    engine.pauses = staggered_pauses(reversed(range(12)), 0.1)
+    daemon.jobs.registry.remove_owned("job1", "stopped")
+    late, connection.late = connection.late, []
+    connection.is_late = lambda transaction: False
 
     def read_on():
         ids = stored_ids(store)
@@ -145,10 +129,10 @@
         seen[:] = ids
         return len(seen)
 
-    late, connection.late = connection.late, []
-    connection.is_late = lambda transaction: False
     listed = len(seen)
     assert until(lambda: read_on() > listed, 6.0)
+    resumed = daemon.jobs.registry.owned["job1"]
+    assert resumed is not owned and resumed.ownership == owned.ownership
     for transaction in late:
         store.commit(transaction)
         read_on()
