Report a store call as unknown if an earlier relay may have sent it

Cause: PlatformStore._call compared only the outcome of the direct call with the last response. A relay whose reply was lost may have executed the call as well, or may execute it later. When the next relay, or the direct call that followed the relays, was refused with 412, the commit was reported as a conflict with another daemon; when that direct call was not sent, it was reported as not done. A submission of a batch job then got status 503, which promises that no part of it runs, although the job could be in the store.

Ruled out: calls with a direct attempt that was lost and then a refused relay were already unknown (an existing test).

Change: _call_through_peers also returns whether an earlier attempt may take effect, and only status 200 overrides that for calls that must not be repeated.

Runs: the three new cases (two tests) fail without the change and pass with it; platform/tests/test_store.py and test_relays.py pass.

--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -242,16 +242,16 @@
             outcome = self._call_directly(method, path, content, timeout)
             if isinstance(outcome, Done) or not may_relay:
                 return outcome
-        relayed_outcome = self._call_through_peers(
+        outcome, uncertain = self._call_through_peers(
             method, path, content, timeout, outcome
         )
-        if isinstance(relayed_outcome, Done):
-            is_uncertain = isinstance(outcome, Unknown) and not is_repeatable
-            if is_uncertain and relayed_outcome.value[0] != 200:
-                return Unknown(f"{method} {path}: {outcome.reason}")
-        elif not tries_directly:
-            return self._call_directly(method, path, content, timeout)
-        return relayed_outcome
+        if not isinstance(outcome, Done) and not tries_directly:
+            outcome = self._call_directly(method, path, content, timeout)
+        if uncertain is None or is_repeatable:
+            return outcome
+        # An earlier attempt may have taken effect, or may do so later.
+        is_done = isinstance(outcome, Done) and outcome.value[0] == 200
+        return outcome if is_done else uncertain
 
     def _call_directly(
         self, method: str, path: str, content: bytes, timeout: float
@@ -311,14 +311,20 @@
         content: bytes,
         timeout: float,
         outcome: Outcome[tuple[int, bytes]],
-    ) -> Outcome[tuple[int, bytes]]:
+    ) -> tuple[Outcome[tuple[int, bytes]], Unknown | None]:
         """Relay a call through peers.
 
-        If no peer gets a response, return the given outcome, or an unknown outcome if
-        a peer may have sent the call.
+        Returns
+        -------
+        outcome : Outcome
+            The response that a peer got. If none got one, the given outcome, or an
+            unknown outcome if a peer may have sent the call.
+        uncertain : Unknown or None
+            Outcome of an attempt before the last one that may take effect.
         """
+        uncertain = outcome if isinstance(outcome, Unknown) else None
         if self.peers is None:
-            return outcome
+            return outcome, uncertain
         for vm in self.relays()[:MAX_RELAYS]:
             request = peer_pb2.CallStoreRequest(
                 method=method, path=path, body=content, timeout=timeout
@@ -327,13 +333,13 @@
                 vm, "CallStore", request, timeout + RELAY_MARGIN_S
             )
             if isinstance(response, Done) and response.value.status:
-                return Done((response.value.status, response.value.body))
+                return Done((response.value.status, response.value.body)), uncertain
             not_sent = isinstance(response, NotDone) or (
                 isinstance(response, Done) and response.value.not_sent
             )
-            if not not_sent and not isinstance(outcome, Unknown):
-                outcome = Unknown(f"{method} {path}: no answer by way of {vm}")
-        return outcome
+            if not not_sent and uncertain is None:
+                uncertain = Unknown(f"{method} {path}: no answer by way of {vm}")
+        return uncertain or outcome, uncertain
 
     def _serve_call(
         self, request: peer_pb2.CallStoreRequest
--- a/mulberryport/platform/tests/test_store.py
+++ b/mulberryport/platform/tests/test_store.py
@@ -135,6 +135,52 @@
     assert isinstance(client.commit(put("a")), Unknown)
 
 
+class SilentPeer:
+    """Relay whose replies are lost; the first call that it got takes effect.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        The store that executes the call.
+    other : Peer
+        Relay that is asked next and that replies.
+    """
+
+    def __init__(self, store, other):
+        self.store, self.other = store, other
+
+    def call(self, vm, method, request, timeout):
+        """Relay a call and lose the reply if it is the silent VM's."""
+        if vm != "silent":
+            return self.other.call(vm, method, request, timeout)
+        self.store._serve_call(request)
+        return Unknown("the reply of the relay was lost")
+
+
+def test_conflict_after_a_relay_without_reply_is_unknown(store):
+    # Guards against mistaking this daemon's own write for that of another daemon: the
+    # first relay executed the call, so the call by way of the second conflicts with it.
+    peers = SilentPeer(store, Peer(store))
+    client = PlatformStore("127.0.0.1:1", peers, lambda: ["silent", "vm2"])
+    assert isinstance(client.commit(put("a")), Unknown)
+    assert store.read("a").value.value == b"x"
+
+
+@pytest.mark.parametrize("is_store_back", [False, True])
+def test_direct_call_after_a_relay_without_reply_may_have_been_executed(
+    store, is_store_back
+):
+    # Guards against reporting a write that a relay executed as not done or as a
+    # conflict, because the direct call that followed was refused.
+    peers = SilentPeer(store, Peer(store))
+    client = PlatformStore("127.0.0.1:1", None, lambda: ["silent"])
+    assert isinstance(client.read("a"), NotDone)
+    client.peers = peers
+    client.address = store.address if is_store_back else "127.0.0.1:1"
+    assert isinstance(client.commit(put("a")), Unknown)
+    assert store.read("a").value.value == b"x"
+
+
 def test_malformed_responses_are_unknown(store, monkeypatch):
     monkeypatch.setattr(
         PlatformStore,
