Do not stop a job at its owner for a late call

Cause: StopJob removed whatever job with that id its receiver ran. A daemon that has claimed a job asks the previous owner to stop; if it is slow or paused before that call, its own session may have ended and the previous owner may own the job again. The call then killed the present owner's run, at worst in the middle of a commit, and discarded texts that no checkpoint held. The job was resumed at the same daemon under the same ownership.

Ruled out: the call after the end of a job; the end removes the owner key, so it still stops the run at once.

Change: a receiver whose session is open with the lease of the ownership reads the owner key, and keeps the job if the key still has the revision of its ownership (event 936). Without an open session it stops the job unread, as before.

--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -32,6 +32,12 @@
 __all__ = ["JobService"]
 
 JOB_ENDED = define_event(932, "job_ended", "info", "A batch job was ended.")
+STOP_IGNORED = define_event(
+    936,
+    "job_stop_ignored",
+    "warning",
+    "Another daemon asked to stop a job that this daemon owns.",
+)
 
 STOP_JOB_TIMEOUT_S = 0.5
 # Default time for which jobs are retained after their submission.
@@ -229,9 +235,31 @@
             )
 
     def _serve_stop(self, request: peer_pb2.StopJobRequest) -> peer_pb2.Ack:
-        self.registry.remove_owned(request.job, f"stopped by {request.sender.vm}")
+        """Stop a job that has ended or that the caller has taken over.
+
+        The call of a slow daemon can arrive after this one has taken the job over
+        again; a job that the store shows as owned in the open session is not stopped.
+        """
+        owned = self.registry.owned.get(request.job)
+        if owned is None:
+            return peer_pb2.Ack()
+        if self._is_certain_owner(owned):
+            log(STOP_IGNORED, job=request.job, caller=request.sender.vm)
+        elif self.registry.owned.get(request.job) is owned:
+            self.registry.remove_owned(request.job, f"stopped by {request.sender.vm}")
         return peer_pb2.Ack()
 
+    def _is_certain_owner(self, owned: OwnedJob) -> bool:
+        """Whether the session is open and the store shows its ownership of a job."""
+        if not self.session.alive or owned.lease != self.session.lease:
+            return False
+        owner = self._repository.read_owner(owned.job.id)
+        return (
+            isinstance(owner, Done)
+            and owner.value is not None
+            and owner.value.revision == owned.ownership
+        )
+
     def _expire(self, job_id: str) -> None:
         """Drop an expired job; the first candidate deletes it from the store."""
         self.registry.remove_owned(job_id, "expired")
--- a/mulberryport/jobs/tests/test_service.py
+++ b/mulberryport/jobs/tests/test_service.py
@@ -4,7 +4,9 @@
 import orjson
 from attrs import evolve
 
+from ...coordination import Committed
 from ...outcomes import Done, NotDone, Unknown
+from ...peering import peer_pb2
 from ...runtime.clock import boottime
 from ..generation import (
     EngineSwitchError,
@@ -342,6 +344,30 @@
     second.die()
 
 
+def test_late_call_to_stop_a_job_does_not_stop_its_present_owner():
+    # Guards against a daemon that took a job over, was paused before its call to stop
+    # the previous owner, and stops that one after it owns the job again. A job that
+    # ended, or whose ownership was lost, still stops.
+    store = MemoryStore()
+    daemon = JobDaemon(store, "vm1", Engine(length=200, pause=0.05))
+    for job_id in ("job1", "job2"):
+        daemon.jobs.submit(make_job(job_id), deadline_in())
+    registry = daemon.jobs.registry
+    owned = registry.owned["job1"]
+    daemon.jobs._serve_stop(peer_pb2.StopJobRequest(job="job1"))
+    assert registry.owned.get("job1") is owned and not owned.is_closed
+    daemon._running = False
+    daemon.mirror.stop()
+    ended = daemon.jobs._repository.end("job1", registry.heads["job1"])
+    assert isinstance(ended.value, Committed)
+    daemon.jobs._serve_stop(peer_pb2.StopJobRequest(job="job1"))
+    assert "job1" not in registry.owned and owned.is_closed
+    store.touch("mulberryport/live/owner/job2")
+    daemon.jobs._serve_stop(peer_pb2.StopJobRequest(job="job2"))
+    assert "job2" not in registry.owned
+    daemon.die()
+
+
 def test_text_of_several_versions_restarts_if_route_requires_one():
     daemon = JobDaemon(MemoryStore())
     snapshot = daemon.snapshot_holder.snapshot
