--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -9,7 +9,7 @@
 import orjson
 from attrs import define, field, frozen
 
-from ..coordination import Mirror, Put, Transaction
+from ..coordination import Committed, Mirror, Put, Transaction
 from ..jobs import JobRepository
 from ..journal import JOURNAL_PREFIX, JobFileStore, JournalNode, JournalService
 from ..outcomes import Done
@@ -143,28 +143,46 @@
 
     def _register_journal(self) -> None:
         """Register this journal for the entry daemons."""
+        vm = self.settings.vm
         if self._is_registered or self.retirements.items:
             return
-        vm = self.settings.vm
+        status_key = RETIREMENT_STATUS_PREFIX + vm.id
+        status = self.store.read(status_key)
+        if not isinstance(status, Done):
+            return
         record = JournalNode(vm.id, vm.zone, vm.peer_address).encode()
+        # A registration that takes effect late must not follow the confirmation that
+        # the disk may be removed.
         outcome = self.store.commit(
-            Transaction(puts=(Put(JOURNAL_PREFIX + vm.id, record),))
+            Transaction(
+                expected={status_key: status.value.revision if status.value else 0},
+                puts=(Put(JOURNAL_PREFIX + vm.id, record),),
+            )
+        )
+        self._is_registered = isinstance(outcome, Done) and isinstance(
+            outcome.value, Committed
         )
-        self._is_registered = isinstance(outcome, Done)
 
     def _confirm_retirement(self, request_revision: int) -> None:
         """Report that the request to empty this disk is completed."""
         if self._confirmed_revision == request_revision:
             return
         vm = self.settings.vm.id
+        record_key = JOURNAL_PREFIX + vm
+        record = self.store.read(record_key)
+        if not isinstance(record, Done):
+            return
         status = orjson.dumps({"state": "completed"})
+        # A confirmation that takes effect late must not follow the registration of a
+        # later run of this daemon, which accepts jobs again.
         outcome = self.store.commit(
             Transaction(
+                expected={record_key: record.value.revision if record.value else 0},
                 puts=(Put(RETIREMENT_STATUS_PREFIX + vm, status),),
-                removes=(JOURNAL_PREFIX + vm,),
+                removes=(record_key,),
             )
         )
-        if isinstance(outcome, Done):
+        if isinstance(outcome, Done) and isinstance(outcome.value, Committed):
             self._confirmed_revision = request_revision
             log(STORAGE_EMPTIED)
 
