Order targets again once an order without an answer cannot take effect

Cause: the sender of target orders took a count as ordered when its call was confirmed, also if an earlier order of another count had got no answer. The platform may be slow, so that the earlier order takes effect after the newer one; the platform then keeps the older count, and nothing can be read back.

Ruled out: orders of the previous holder; a call is sent only if the session outlasts its time limit. An order that takes effect later than that cannot be prevented by the sender where the platform does not check the fencing number.

Change: after an unknown outcome the count is ordered again when no order without an answer can take effect any more (10 s), until that is confirmed.

--- a/mulberryport/orders/fleet.py
+++ b/mulberryport/orders/fleet.py
@@ -9,7 +9,7 @@
 
 from ..coordination import SessionDuty
 from ..leases import LeaseLostError
-from ..outcomes import Done, Outcome
+from ..outcomes import Done, Outcome, Unknown
 from ..runtime.clock import boottime
 from ..tables import Pool
 from ..telemetry import define as define_event
@@ -28,6 +28,9 @@
 )
 
 RETRY_S = 2.0
+# An order without an answer can take effect this long after it was sent, also after
+# newer ones.
+ORDER_LIFETIME_S = 10.0
 
 
 @frozen
@@ -83,6 +86,8 @@
     _last_fencing: int = 0
     _sent: dict[tuple[str, str, bool], int] = field(factory=dict)
     _retry_at: dict[tuple[str, str, bool], float] = field(factory=dict)
+    # Boot time from which no order without an answer can take effect any more.
+    _settled_at: dict[tuple[str, str, bool], float] = field(factory=dict)
 
     def send_changed_orders(self) -> None:
         """Send the orders that differ from those sent before."""
@@ -95,18 +100,34 @@
             for order in desired_orders(pool):
                 key = (order.pool, order.zone, order.cheap)
                 due = boottime() >= self._retry_at.get(key, 0.0)
-                if due and self._sent.get(key) != order.count:
+                if due and not self._is_in_force(key, order.count):
                     self._send(key, order)
 
+    def _is_in_force(self, key: tuple[str, str, bool], count: int) -> bool:
+        """Whether a count was ordered, and no order sent before can still replace it.
+
+        After an order without an answer, the count is ordered again once that order
+        can no longer take effect.
+        """
+        if self._sent.get(key) != count:
+            return False
+        settled_at = self._settled_at.get(key)
+        return settled_at is None or boottime() < settled_at
+
     def _send(self, key: tuple[str, str, bool], order: ZoneOrder) -> None:
+        is_settled = boottime() >= self._settled_at.get(key, 0.0)
         try:
             outcome = self.send(order)
         except LeaseLostError:
             return
         if isinstance(outcome, Done) and outcome.value:
             self._sent[key] = order.count
+            if is_settled:
+                self._settled_at.pop(key, None)
             log(TARGETS_ORDERED, pool=order.pool, order_zone=order.zone, n=order.count)
             return
+        if isinstance(outcome, Unknown):
+            self._settled_at[key] = boottime() + ORDER_LIFETIME_S
         self._retry_at[key] = boottime() + RETRY_S
         reason = "refused" if isinstance(outcome, Done) else outcome.reason
         log(ORDER_REFUSED, pool=order.pool, order_zone=order.zone, reason=reason)
