Judge a missing route only by a configuration as new as the job

Cause: an item whose path matches no route was given up as one whose route was removed. A daemon that had read no configuration yet, because its read timed out while the store was disturbed, matched nothing; it had accepted a job that another daemon forwarded to it and committed all 24 items as errored within 13 ms. The scoring call had the same fault: without a route it returned no score, and the item was committed as errored.

A job now carries the revision of the configuration under which it was accepted: the operator's version number, which is part of the document in the store and thus the same for all daemons and over restarts; the store's own revisions are not used. Only a configuration that was read, and that is at least as new, ends an item for a missing route, or for one that takes no jobs. Until then the item waits. Its age limit is a term of the route, so without the route it waits for as long as the job is retained. Jobs of older builds have no revision and are decoded with 0, which means that any configuration that was read may be applied to them. Fields that a build does not know are ignored from now on; builds before this one reject jobs with the new field, so that such jobs are resumed by new daemons only.

Ruled out: waiting at an older configuration that has a route. It would stall jobs at a daemon that lags, and the route it has was in force a moment ago.

Tests: five new tests of items failed without the check (run with the exception replaced by "return None") and pass with it; the two that guard the removal of a route by a newer configuration passed before and after.

--- a/mulberryport/jobs/codec.py
+++ b/mulberryport/jobs/codec.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import orjson
+from attrs import fields
 
 from .generation import Transcript
 from .model import Job, JobItem, JobResult, ScoringCall
@@ -19,6 +20,9 @@
     "encode_transcripts",
 ]
 
+# Fields that are encoded as they are.
+JOB_FIELDS = tuple(a.name for a in fields(Job) if a.name != "items")
+
 
 def encode_job(job: Job) -> bytes:
     """Encode a job."""
@@ -31,13 +35,14 @@
             "oldest_version": job.oldest_version,
             "wanted_groups": job.wanted_groups,
             "submitted_at": job.submitted_at,
+            "configuration_revision": job.configuration_revision,
             "items": [_item_to_json(item) for item in job.items],
         }
     )
 
 
 def decode_job(content: bytes) -> Job:
-    """Decode a job.
+    """Decode a job; fields that this build does not know are ignored.
 
     Raises
     ------
@@ -47,7 +52,8 @@
     try:
         values = orjson.loads(content)
         items = tuple(_item_from_json(item) for item in values.pop("items"))
-        return Job(items=items, **values)
+        known = {name: values[name] for name in JOB_FIELDS if name in values}
+        return Job(items=items, **known)
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"not a job: {error!r}") from error
 
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -11,7 +11,7 @@
 from ..gateway.access import match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
-from ..tables import Route, Tables
+from ..tables import Route, Snapshot
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -44,8 +44,18 @@
     925, "item_moved", "info", "Generation of an item moves to another engine."
 )
 
+ITEM_WAITS_FOR_CONFIGURATION = define_event(
+    926,
+    "item_waits_for_configuration",
+    "info",
+    "No route matches an item, but the configuration was not read yet or is older than "
+    "the one under which its job was accepted.",
+)
+
 # Delay before the next attempt after one that failed or did not start.
 RETRY_DELAY_S = 0.05
+# How often an item without a route looks for a newer configuration.
+CONFIGURATION_POLL_INTERVAL_S = 0.2
 # How long an item waits for an engine before its route and versions are re-evaluated.
 ASSIGNMENT_WAIT_S = 1.0
 # Scoring calls are retried after this timeout.
@@ -64,8 +74,8 @@
         Where results are committed.
     dispatcher : Dispatcher
         Assigns items to engines and scoring calls to services.
-    tables : callable
-        Returns the configuration tables in force.
+    snapshot : callable
+        Returns the configuration in force.
     engine_client : EngineClient
         Calls engines and scoring services.
     now : callable
@@ -79,13 +89,17 @@
 
     repository: JobRepository
     dispatcher: Dispatcher
-    tables: Callable[[], Tables]
+    snapshot: Callable[[], Snapshot]
     engine_client: EngineClient
     now: Callable[[], float]
     engine_latencies: EngineLatencyTracker
     reacquire: Callable[[Any], Outcome[bool]]
 
 
+class ConfigurationBehindError(Exception):
+    """The configuration in force says nothing about the routes of a job."""
+
+
 @define(eq=False)
 class ItemTask:
     """Execution of one item until it has a result.
@@ -104,6 +118,7 @@
     item: JobItem
     transcript: Transcript
     context: JobContext = field(repr=False)
+    _has_waited: bool = False
 
     def run(self) -> JobResult | None:
         """Return the result of the item; None if the task was cancelled."""
@@ -112,6 +127,8 @@
                 result = self._attempt()
             except EngineSwitchError as error:
                 log(ITEM_MOVED, **self._log_fields(), reason=str(error))
+            except ConfigurationBehindError:
+                self._wait_for_configuration()
             except (ShedError, NotStartedError, StaleWeightsError):
                 eventlet.sleep(RETRY_DELAY_S)
             except (StreamInterruptedError, ItemFailedError) as error:
@@ -130,7 +147,7 @@
 
     def _attempt(self) -> JobResult:
         """Make one attempt to generate and score the item."""
-        route = match_route(self.context.tables(), self.item.path, self.job.host)
+        route = self._find_route(self.item.path, self.job.host, batch=True)
         if self._should_give_up(route):
             return JobResult(self.item.id, ERRORED)
         assert route is not None
@@ -152,10 +169,51 @@
             score,
         )
 
+    def _find_route(self, path: str, host: str, *, batch: bool = False) -> Route | None:
+        """Return the route of a request; None if it was removed.
+
+        Parameters
+        ----------
+        path, host : str
+            Path and host of the request.
+        batch : bool
+            Whether only a route for batch jobs will do.
+
+        Raises
+        ------
+        ConfigurationBehindError
+            No route matches, but the configuration was not read yet or is older than
+            the one under which the job was accepted, so that the route may exist.
+        """
+        snapshot = self.context.snapshot()
+        route = match_route(snapshot.tables, path, host)
+        if route is not None and (route.batch is not None or not batch):
+            return route
+        if snapshot.revision < max(1, self.job.configuration_revision):
+            raise ConfigurationBehindError
+        return None
+
+    def _wait_for_configuration(self) -> None:
+        """Wait before looking for a newer configuration.
+
+        The age limit of an item is a term of its route, so an item whose route is not
+        known waits for as long as its job is retained.
+        """
+        if not self._has_waited:
+            self._has_waited = True
+            log(
+                ITEM_WAITS_FOR_CONFIGURATION,
+                **self._log_fields(),
+                revision=self.context.snapshot().revision,
+                required=self.job.configuration_revision,
+            )
+        eventlet.sleep(CONFIGURATION_POLL_INTERVAL_S)
+
     def _should_give_up(self, route: Route | None) -> bool:
-        """Whether the item has no batch route, has expired or has no attempts left."""
-        if route is None or route.batch is None:
+        """Whether the item has no route, has expired or has no attempts left."""
+        if route is None:
             return True
+        assert route.batch is not None
         age = self.context.now() - self.job.submitted_at
         return (
             age > route.batch.give_up + CLOCK_SKEW_MARGIN_S
@@ -226,7 +284,7 @@
         failures = 0
         excluded_targets: frozenset[str] = frozenset()
         while True:
-            route = match_route(self.context.tables(), call.path, call.host)
+            route = self._find_route(call.path, call.host)
             if route is None or failures >= route.attempts:
                 return None
             work = WorkRequest(
--- a/mulberryport/jobs/model.py
+++ b/mulberryport/jobs/model.py
@@ -84,6 +84,10 @@
         Number of complete groups that the trainer waits for; 0 for all.
     submitted_at : float
         Seconds since 1970 by the fleet's clock.
+    configuration_revision : int
+        Revision of the configuration under which the job was accepted; an older one
+        says nothing about its routes. 0 if it is not known, because an older build
+        accepted the job: any configuration that was read may then be applied to it.
     """
 
     id: str
@@ -94,6 +98,7 @@
     oldest_version: int = 0
     wanted_groups: int = 0
     submitted_at: float = 0.0
+    configuration_revision: int = 0
 
     def item(self, item_id: str) -> JobItem | None:
         """Return an item by its id."""
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -14,7 +14,7 @@
 from ..membership import Members
 from ..outcomes import Done, NotDone, Outcome
 from ..peering import Peers, PeerServer, peer_pb2
-from ..tables import Tables
+from ..tables import Snapshot
 from ..targets import Dispatcher
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -50,8 +50,8 @@
         The cluster members and the client for calls to them.
     dispatcher : Dispatcher
         Assigns items to targets.
-    tables : callable
-        Returns the configuration tables in force.
+    snapshot : callable
+        Returns the configuration in force.
     engine_client : EngineClient
         Calls engines and scoring services.
     now : callable
@@ -71,7 +71,7 @@
     members: Members
     peers: Peers
     dispatcher: Dispatcher
-    tables: Callable[[], Tables]
+    snapshot: Callable[[], Snapshot]
     engine_client: EngineClient
     now: Callable[[], float]
     retention: float = RETENTION_S
@@ -111,7 +111,7 @@
         self._context = JobContext(
             repository=self._repository,
             dispatcher=self.dispatcher,
-            tables=self.tables,
+            snapshot=self.snapshot,
             engine_client=self.engine_client,
             now=self.now,
             engine_latencies=EngineLatencyTracker(),
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -159,7 +159,14 @@
     """The components of a daemon that the job service depends on."""
 
     def __init__(
-        self, store, vm="vm1", engine=None, incarnation=1, peers=None, persist=None
+        self,
+        store,
+        vm="vm1",
+        engine=None,
+        incarnation=1,
+        peers=None,
+        persist=None,
+        configured=True,
     ):
         self.store, self.engine = store, engine or Engine()
         self.now = 1000.0
@@ -168,7 +175,8 @@
         self.dispatcher = Dispatcher(self.directory, "a")
         self.snapshot_holder.subscribe(self.directory.apply_snapshot)
         self.snapshot_holder.subscribe(self.dispatcher.apply_snapshot)
-        self.snapshot_holder.adopt(Snapshot(1, "first", make_tables()), {})
+        if configured:
+            self.adopt_tables(1)
         self.directory.apply_vm_list(
             [
                 ListedVm(name, "127.0.0.1:1", "a", pool, False, False, 8, {"m": 5})
@@ -184,7 +192,7 @@
             Members(Member(vm, "a", "127.0.0.1:2", incarnation)),
             peers or NoPeers(),
             self.dispatcher,
-            lambda: self.snapshot_holder.snapshot.tables,
+            lambda: self.snapshot_holder.snapshot,
             self.engine.engine_client(),
             lambda: self.now,
             persist=persist,
@@ -203,6 +211,11 @@
             self.jobs.run_once()
             eventlet.sleep(0.02)
 
+    def adopt_tables(self, revision, **changes):
+        """Adopt the usual tables, changed, under a revision."""
+        tables = evolve(make_tables(), **changes)
+        self.snapshot_holder.adopt(Snapshot(revision, f"r{revision}", tables), {})
+
     def change_tables(self, **changes):
         """Apply changes to the tables in force."""
         snapshot = self.snapshot_holder.snapshot
--- a/mulberryport/jobs/tests/test_codec.py
+++ b/mulberryport/jobs/tests/test_codec.py
@@ -2,8 +2,11 @@
 
 import tracemalloc
 
-from ..codec import encode_result
+import orjson
+
+from ..codec import decode_job, encode_job, encode_result
 from ..model import COMPLETED, JobResult
+from .builders import make_job
 
 RESULTS = 50
 # Typical length of a generated text.
@@ -24,3 +27,22 @@
     finally:
         tracemalloc.stop()
     assert after - before < 1.1 * sum(map(len, results))
+
+
+def test_job_keeps_the_configuration_revision_under_which_it_was_accepted() -> None:
+    """Guards against a later owner that judges a job by an older configuration."""
+    job = make_job(configuration_revision=12)
+    assert decode_job(encode_job(job)) == job
+
+
+def test_job_of_an_older_build_is_decoded_without_a_revision() -> None:
+    """Guards against losing the jobs that are in the store during an upgrade."""
+    values = orjson.loads(encode_job(make_job(configuration_revision=12)))
+    del values["configuration_revision"]
+    assert decode_job(orjson.dumps(values)) == make_job(configuration_revision=0)
+
+
+def test_job_of_a_newer_build_is_decoded_without_its_new_fields() -> None:
+    """Guards against losing jobs that a newer build accepted during an upgrade."""
+    values = orjson.loads(encode_job(make_job()))
+    assert decode_job(orjson.dumps({**values, "added_later": 1})) == make_job()
--- a/mulberryport/jobs/tests/test_service.py
+++ b/mulberryport/jobs/tests/test_service.py
@@ -2,6 +2,7 @@
 
 import eventlet
 import orjson
+import pytest
 from attrs import evolve
 
 from ...outcomes import Done, NotDone, Unknown
@@ -308,6 +309,77 @@
     daemon.die()
 
 
+def test_items_wait_for_a_daemon_to_read_its_first_configuration():
+    # Guards against a daemon without a configuration that takes every route for removed
+    # and commits all items of a job as errored.
+    daemon = JobDaemon(MemoryStore(), configured=False)
+    daemon.jobs.submit(make_job(configuration_revision=7), deadline_in())
+    eventlet.sleep(0.6)
+    assert read_all(daemon) == [] and daemon.engine.calls == []
+    daemon.adopt_tables(7)
+    assert wait_for_results(daemon)
+    assert {result[1] for result in read_all(daemon)} == {"completed"}
+    daemon.die()
+
+
+def test_items_of_an_older_build_wait_for_a_configuration_too():
+    # Guards against a job without a revision whose items are given up unread.
+    daemon = JobDaemon(MemoryStore(), configured=False)
+    daemon.jobs.submit(make_job(configuration_revision=0), deadline_in())
+    eventlet.sleep(0.6)
+    assert read_all(daemon) == []
+    daemon.adopt_tables(1)
+    assert wait_for_results(daemon)
+    assert {result[1] for result in read_all(daemon)} == {"completed"}
+    daemon.die()
+
+
+@pytest.mark.parametrize("missing", ["drafts", "score"])
+def test_route_that_an_older_configuration_lacks_does_not_end_items(missing):
+    # Guards against items, or their scores, that are given up because a daemon has not
+    # seen yet that the route was added.
+    daemon = JobDaemon(MemoryStore())
+    routes = daemon.snapshot_holder.snapshot.tables.routes
+    kept = {name: route for name, route in routes.items() if name != missing}
+    daemon.adopt_tables(5, routes=kept)
+    daemon.jobs.submit(make_job(items=2, configuration_revision=6), deadline_in())
+    eventlet.sleep(0.6)
+    assert read_all(daemon) == []
+    daemon.adopt_tables(6)
+    assert wait_for_results(daemon, 2)
+    assert {result[1] for result in read_all(daemon)} == {"completed"}
+    daemon.die()
+
+
+def test_plain_route_in_an_older_configuration_does_not_end_items():
+    # Guards against items that are given up because the route that an older
+    # configuration has for their path takes no jobs.
+    daemon = JobDaemon(MemoryStore())
+    routes = dict(daemon.snapshot_holder.snapshot.tables.routes)
+    routes["drafts"] = evolve(routes["drafts"], batch=None)
+    daemon.adopt_tables(5, routes=routes)
+    daemon.jobs.submit(make_job(items=1, configuration_revision=6), deadline_in())
+    eventlet.sleep(0.6)
+    assert read_all(daemon) == []
+    daemon.adopt_tables(6)
+    assert wait_for_results(daemon, 1)
+    assert read_all(daemon)[0][1] == "completed"
+    daemon.die()
+
+
+@pytest.mark.parametrize("missing", ["drafts", "score"])
+def test_route_that_a_newer_configuration_lacks_ends_items(missing):
+    # Guards against items that wait forever for a route that was removed.
+    daemon = JobDaemon(MemoryStore())
+    routes = daemon.snapshot_holder.snapshot.tables.routes
+    kept = {name: route for name, route in routes.items() if name != missing}
+    daemon.adopt_tables(6, routes=kept)
+    daemon.jobs.submit(make_job(items=1, configuration_revision=6), deadline_in())
+    assert wait_for_results(daemon, 1)
+    assert read_all(daemon)[0][1] == "errored"
+    daemon.die()
+
+
 class StoppingPeers:
     """Peers that handle only ``StopJob`` calls."""
 
--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -29,7 +29,9 @@
 RETRY_AFTER_S = 2.0
 
 
-def parse_job(content: bytes, job_id: str, call: CallerRequest, now: float) -> Job:
+def parse_job(
+    content: bytes, job_id: str, call: CallerRequest, now: float, revision: int
+) -> Job:
     """Decode a job from its submission.
 
     Parameters
@@ -42,6 +44,8 @@
         The request, which determines the workspace, the host and the route.
     now : float
         Unix time in seconds.
+    revision : int
+        Revision of the configuration in force.
 
     Raises
     ------
@@ -62,6 +66,7 @@
             oldest_version=int(values.get("min-version") or 0),
             wanted_groups=int(values.get("target-groups") or 0),
             submitted_at=now,
+            configuration_revision=revision,
         )
     except (AttributeError, KeyError, TypeError, binascii.Error) as error:
         raise ValueError(f"not a batch job: {error!r}") from error
@@ -115,7 +120,8 @@
         if len(content) > MAX_BODY_BYTES:
             raise RefusalError(413, f"a batch job has {MAX_BODY_BYTES} bytes at most")
         try:
-            job = parse_job(content, job_id, call, self.now())
+            revision = self.snapshot_holder.snapshot.revision
+            job = parse_job(content, job_id, call, self.now(), revision)
         except ValueError as error:
             raise RefusalError(400, str(error)) from error
         # From here on the job may have been created, even if this request fails.
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -298,7 +298,7 @@
             self.members,
             self.peers,
             self.dispatcher,
-            lambda: self.snapshot_holder.snapshot.tables,
+            lambda: self.snapshot_holder.snapshot,
             EngineClient(generate=engine_calls.generate, score=engine_calls.score),
             self.clock.now,
             self.settings.platform.retention,
