Give no jobs to a daemon that cannot serve yet

Cause: a daemon counted as a candidate for work from its first heartbeat, before it had read the configuration, the targets and the keys of the jobs. A job was forwarded to such a daemon as its preferred owner 25 ms after the store answered it again.

A daemon now says in its heartbeats that it cannot serve yet, and relays pass it on in gossip. The field is "not serving", so that peers of builds that do not send it count as serving. Until it has the configuration, the targets and the job keys - it is nobody's preferred owner; - it answers a forwarded job with "not accepted" at once, unless it owns the job, and the sender submits the job itself; - it takes over no jobs and leaves a free control duty to others; - others rank their claims without it, unless most members cannot serve: after a restart of the whole fleet the news arrives late, and leaving the others out would let all daemons claim a job at once. Readiness for callers is not changed; it does not wait for the job keys. A daemon that received a job from a caller still submits it itself, because it admitted it by a configuration.

--- a/mulberryport/daemon/heartbeats.py
+++ b/mulberryport/daemon/heartbeats.py
@@ -92,6 +92,7 @@
             confirmation_age_ms=int(min(age_ms, MAX_AGE_MS)),
             store_readable=self.store_status.store_readable,
             leaving=self.members.self_member.leaving,
+            not_serving=not self.members.self_member.serving,
             members_complete=announced is None,
         )
         for contribute in self.contributors:
@@ -155,11 +156,19 @@
         peer_address=member.peer_address,
         incarnation=member.incarnation,
         leaving=member.leaving,
+        not_serving=not member.serving,
     )
 
 
 def _member_from_message(info: peer_pb2.MemberInfo) -> Member:
-    return Member(info.vm, info.zone, info.peer_address, info.incarnation, info.leaving)
+    return Member(
+        info.vm,
+        info.zone,
+        info.peer_address,
+        info.incarnation,
+        info.leaving,
+        serving=not info.not_serving,
+    )
 
 
 def _sender_member(heartbeat: peer_pb2.Heartbeat) -> Member:
@@ -171,4 +180,5 @@
         sender.incarnation,
         heartbeat.leaving,
         boottime(),
+        serving=not heartbeat.not_serving,
     )
--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -71,6 +71,11 @@
         """Value that this daemon writes to owner keys: VM id and incarnation."""
         return f"{self.vm} {self.members.self_member.incarnation}"
 
+    @property
+    def can_serve(self) -> bool:
+        """Whether this daemon has read what it needs to execute jobs."""
+        return self.members.self_member.serving
+
     def find_head(self, job_id: str) -> Outcome[JobHead | None]:
         """Return the head of a job, reading the store if it is not known locally.
 
@@ -125,9 +130,20 @@
             self.on_completed(job_id, owned.committed)
 
     def ranked_members(self, key: str) -> list[Member]:
-        """Return the members that are not leaving, in rendezvous order for a key."""
-        candidates = [member for member in self.members.live() if not member.leaving]
-        return rendezvous_order(key, candidates)
+        """Return the members in the order in which they claim a job.
+
+        Members that cannot serve yet are left out, unless they are the majority. After
+        a restart of the whole fleet, each daemon learns late that the others can
+        serve; if it left them out, all would claim a job at once.
+        """
+        staying, serving = self.members.staying(), self.members.serving()
+        most_serve = 2 * len(serving) > len(staying)
+        return rendezvous_order(key, serving if most_serve else staying)
+
+    def preferred_owner(self, key: str) -> str:
+        """Return the VM that should own jobs with a key; empty if none can serve."""
+        ranked = rendezvous_order(key, self.members.serving())
+        return ranked[0].vm if ranked else ""
 
     def _is_store_recovered(self) -> bool:
         """Whether the store has been back long enough to have all journaled jobs."""
--- a/mulberryport/jobs/submission.py
+++ b/mulberryport/jobs/submission.py
@@ -29,6 +29,12 @@
     "info",
     "A job was accepted into the journal while the store is unreachable.",
 )
+JOB_DECLINED = define_event(
+    936,
+    "job_declined",
+    "info",
+    "A forwarded job was left to its sender, because this daemon cannot serve yet.",
+)
 
 SUBMIT_RETRY_DELAY_S = 0.2
 # How long an attempt waits for the session; the store grants one within milliseconds.
@@ -99,8 +105,14 @@
     def serve_submit(
         self, request: peer_pb2.SubmitJobRequest
     ) -> peer_pb2.SubmitJobReply:
-        """Handle a job forwarded by another daemon."""
+        """Handle a job forwarded by another daemon.
+
+        A daemon that cannot serve yet declines at once, so that the sender keeps it.
+        """
         job = decode_job(request.job)
+        if not self.registry.can_serve and not self._is_owned(job):
+            log(JOB_DECLINED, job=job.id, sender=request.sender.vm)
+            return peer_pb2.SubmitJobReply(result=peer_pb2.SubmitJobReply.NOT_ACCEPTED)
         outcome = self._submit_locally(job, boottime() + request.patience, None)
         result = peer_pb2.SubmitJobReply.UNKNOWN
         if isinstance(outcome, NotDone):
@@ -119,10 +131,9 @@
         All jobs of a workspace's route share a preferred owner, which can reuse its
         engine connections and has measured the latency of these engines.
         """
-        preferred = self.registry.ranked_members(f"{job.workspace}/{job.route}")[:1]
-        if not preferred or preferred[0].vm == self.registry.vm:
-            return NotDone("this daemon is the preferred owner")
-        vm = preferred[0].vm
+        vm = self.registry.preferred_owner(f"{job.workspace}/{job.route}")
+        if vm in ("", self.registry.vm):
+            return NotDone("this daemon is the preferred owner, or none can serve")
         request = peer_pb2.SubmitJobRequest(
             job=encode_job(job), patience=FORWARD_STORE_WAIT_S
         )
--- a/mulberryport/jobs/takeover.py
+++ b/mulberryport/jobs/takeover.py
@@ -84,11 +84,16 @@
         self._stopping = True
 
     def run_once(self) -> None:
-        """Write provisional jobs to the store and take over orphaned jobs."""
+        """Write provisional jobs to the store and take over orphaned jobs.
+
+        Takeovers wait until this daemon can serve.
+        """
         registry = self.registry
         if self._stopping or not registry.mirror.connected:
             return
         self._persist_provisional_jobs()
+        if not registry.can_serve:
+            return
         now = boottime()
         for job_id, head in list(registry.heads.items()):
             if not self._is_orphan(job_id, head):
--- a/mulberryport/membership/members.py
+++ b/mulberryport/membership/members.py
@@ -163,6 +163,12 @@
         self.self_member = evolve(self.self_member, leaving=True)
         self._cached_until = float("-inf")
 
+    def set_serving(self, serving: bool) -> None:
+        """Record whether this daemon has read what it needs to serve."""
+        if serving != self.self_member.serving:
+            self.self_member = evolve(self.self_member, serving=serving)
+            self._cached_until = float("-inf")
+
     def get(self, vm: str) -> Member | None:
         """Return a member by the id of its VM."""
         if vm == self.self_member.vm:
@@ -186,6 +192,14 @@
         self._cached_until = now + LIVE_CACHE_S
         return self._cached_live
 
+    def staying(self) -> tuple[Member, ...]:
+        """Return the live members that are not stopping, this daemon first."""
+        return tuple(member for member in self.live() if not member.leaving)
+
+    def serving(self) -> tuple[Member, ...]:
+        """Return the live members that are not stopping and can serve."""
+        return tuple(member for member in self.staying() if member.serving)
+
     def in_zone(self, zone: str) -> tuple[Member, ...]:
         """Return the live members of an availability zone."""
         return tuple(member for member in self.live() if member.zone == zone)
--- a/mulberryport/membership/model.py
+++ b/mulberryport/membership/model.py
@@ -28,6 +28,9 @@
         Whether the daemon is stopping.
     heard_at : float
         Boot time at which this daemon last received a heartbeat from it.
+    serving : bool
+        Whether the daemon has read what it needs to serve; no work is sent to it
+        before.
     """
 
     vm: str
@@ -36,3 +39,4 @@
     incarnation: int = 0
     leaving: bool = False
     heard_at: float = float("-inf")
+    serving: bool = True
--- a/mulberryport/membership/tests/test_members.py
+++ b/mulberryport/membership/tests/test_members.py
@@ -100,3 +100,14 @@
     members.record_heartbeat(replaced)
     members.expire()
     assert replaced.vm not in {member.vm for member in members.known()}
+
+
+def test_member_that_cannot_serve_yet_is_live_but_not_serving():
+    # Guards against work for a daemon that has read no configuration yet.
+    members = fleet_members(3)
+    members.record_heartbeat(evolve(member_of(1, 3), serving=False))
+    members.set_serving(False)
+    assert len(members.live()) == len(members.staying()) == 3
+    assert [member.vm for member in members.serving()] == ["vm002"]
+    members.set_serving(True)
+    assert [member.vm for member in members.serving()] == ["vm000", "vm002"]
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -72,8 +72,16 @@
     1444, "readiness_changed", "info", "The readiness of the daemon changed."
 )
 
+SERVING = define_event(
+    1445,
+    "serving",
+    "info",
+    "The daemon has read what it needs, and peers may give it jobs.",
+)
+
 CONTROL_PERIOD_S = 0.2
 JOBS_PERIOD_S = 0.2
+SERVING_POLL_INTERVAL_S = 0.1
 QUEUES_PERIOD_S = 0.1
 REQUESTS_PERIOD_S = 0.1
 REGISTRATIONS_PERIOD_S = 0.5
@@ -147,6 +155,7 @@
         self.peer_server.start()
         eventlet.spawn_n(self._find_peers)
         self.mirrors.start()
+        eventlet.spawn_n(self._wait_until_serving)
         self.session.start()
         self._start_timers()
         serve(listen(vm.readiness_address), self._serve_readiness)
@@ -193,6 +202,22 @@
         reasons = []
         if self._stopping:
             reasons.append("the daemon is stopping")
+        return reasons + self._unread()
+
+    def _wait_until_serving(self) -> None:
+        """Report in heartbeats that this daemon can serve, once it can.
+
+        It then has the keys of the jobs too. Requests of callers do not need them, so
+        they do not delay its readiness.
+        """
+        while self._unread() or not self.mirrors.live_keys.loaded:
+            eventlet.sleep(SERVING_POLL_INTERVAL_S)
+        self.members.set_serving(True)
+        log(SERVING, revision=self.snapshot_holder.snapshot.revision)
+
+    def _unread(self) -> list[str]:
+        """Return what this daemon has not read yet of what requests need."""
+        reasons = []
         if not self.snapshot_holder.snapshot.revision:
             reasons.append("no configuration was received yet")
         if not self.mirrors.registrations.mirror.loaded:
@@ -202,7 +227,7 @@
     def _connect_peers(self) -> None:
         vm = self.settings.vm
         self.members = Members(
-            Member(vm.id, vm.zone, vm.peer_address, new_incarnation())
+            Member(vm.id, vm.zone, vm.peer_address, new_incarnation(), serving=False)
         )
         for seed in self.settings.peers.seeds:
             if seed.peer_address != vm.peer_address:
@@ -370,7 +395,9 @@
         """Return the seconds for which a free duty is left to preferred members."""
         if self._stopping:
             return float("inf")
-        candidates = [m for m in self.members.live() if not m.leaving]
+        if not self.members.self_member.serving:
+            return float("inf")
+        candidates = self.members.staying()
         order = [member.vm for member in rendezvous_order(CONTROL_DUTY, candidates)]
         vm = self.settings.vm.id
         return DUTY_STAGGER_S * (order.index(vm) if vm in order else len(order))
