Log why an item was given up

Cause: the line "item_given_up" had no reason, so that 24 lines within 13 ms did not tell an item of a removed route from one that had expired or failed, and "explain" named the event only.

The line now has a reason: attempts (of the item or of its scoring call, with the number), rejected (with the engine's refusal), expired (with the age), or route removed (with the revision that lacks it). Operations and the explanation of an item show it.

Test: five cases of one test, one for each reason; all five failed before the change.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -96,6 +96,10 @@
     reacquire: Callable[[Any], Outcome[bool]]
 
 
+class ItemGivenUpError(Exception):
+    """An item has no text and will not be attempted again; states the reason."""
+
+
 class ConfigurationBehindError(Exception):
     """The configuration in force says nothing about the routes of a job."""
 
@@ -134,6 +138,9 @@
             except (StreamInterruptedError, ItemFailedError) as error:
                 log(ITEM_ATTEMPT_FAILED, **self._log_fields(), error=str(error))
                 eventlet.sleep(RETRY_DELAY_S)
+            except ItemGivenUpError as error:
+                log(ITEM_GIVEN_UP, **self._log_fields(), reason=str(error))
+                return JobResult(self.item.id, ERRORED)
             except greenlet.GreenletExit:
                 return None
             except Exception as error:
@@ -141,26 +148,26 @@
                 log(ITEM_BROKEN, **self._log_fields(), error=repr(error))
                 eventlet.sleep(ASSIGNMENT_WAIT_S)
             else:
-                if result.state == ERRORED:
-                    log(ITEM_GIVEN_UP, **self._log_fields())
                 return result
 
     def _attempt(self) -> JobResult:
-        """Make one attempt to generate and score the item."""
+        """Make one attempt to generate and score the item.
+
+        Raises
+        ------
+        ItemGivenUpError
+            The item is to be committed as errored.
+        """
         route = self._find_route(self.item.path, self.job.host, batch=True)
-        if self._should_give_up(route):
-            return JobResult(self.item.id, ERRORED)
-        assert route is not None
+        self._check_limits(route)
         try:
             self._generate(route)
             score = self._score() if self.item.scoring is not None else ""
-        except ItemRejectedError:
-            return JobResult(self.item.id, ERRORED)
+        except ItemRejectedError as error:
+            raise ItemGivenUpError(f"rejected: {error}") from error
         except ItemFailedError:
             self.transcript.failures += 1
             raise
-        if score is None:
-            return JobResult(self.item.id, ERRORED)
         return JobResult(
             self.item.id,
             COMPLETED,
@@ -169,8 +176,8 @@
             score,
         )
 
-    def _find_route(self, path: str, host: str, *, batch: bool = False) -> Route | None:
-        """Return the route of a request; None if it was removed.
+    def _find_route(self, path: str, host: str, *, batch: bool = False) -> Route:
+        """Return the route of a request.
 
         Parameters
         ----------
@@ -181,6 +188,8 @@
 
         Raises
         ------
+        ItemGivenUpError
+            The route was removed.
         ConfigurationBehindError
             No route matches, but the configuration was not read yet or is older than
             the one under which the job was accepted, so that the route may exist.
@@ -191,7 +200,10 @@
             return route
         if snapshot.revision < max(1, self.job.configuration_revision):
             raise ConfigurationBehindError
-        return None
+        kind = "no route for jobs" if batch else "no route"
+        raise ItemGivenUpError(
+            f"route removed: revision {snapshot.revision} has {kind} at {path}"
+        )
 
     def _wait_for_configuration(self) -> None:
         """Wait before looking for a newer configuration.
@@ -209,16 +221,14 @@
             )
         eventlet.sleep(CONFIGURATION_POLL_INTERVAL_S)
 
-    def _should_give_up(self, route: Route | None) -> bool:
-        """Whether the item has no route, has expired or has no attempts left."""
-        if route is None:
-            return True
+    def _check_limits(self, route: Route) -> None:
+        """Raise ``ItemGivenUpError`` if the item has no time or attempts left."""
         assert route.batch is not None
         age = self.context.now() - self.job.submitted_at
-        return (
-            age > route.batch.give_up + CLOCK_SKEW_MARGIN_S
-            or self.transcript.failures >= route.attempts
-        )
+        if age > route.batch.give_up + CLOCK_SKEW_MARGIN_S:
+            raise ItemGivenUpError(f"expired: submitted {age:.1f} s ago")
+        if self.transcript.failures >= route.attempts:
+            raise ItemGivenUpError(f"attempts: {self.transcript.failures} have failed")
 
     def _generate(self, route: Route) -> None:
         work = WorkRequest(
@@ -277,16 +287,22 @@
 
         return on_event
 
-    def _score(self) -> str | None:
-        """Return the score of a complete text; None if all attempts failed."""
+    def _score(self) -> str:
+        """Return the score of a complete text.
+
+        Raises
+        ------
+        ItemGivenUpError
+            All attempts failed, or the route was removed.
+        """
         call = self.item.scoring
         assert call is not None
         failures = 0
         excluded_targets: frozenset[str] = frozenset()
         while True:
             route = self._find_route(call.path, call.host)
-            if route is None or failures >= route.attempts:
-                return None
+            if failures >= route.attempts:
+                raise ItemGivenUpError(f"attempts: {failures} scoring calls failed")
             work = WorkRequest(
                 pool=route.select_pool(random.random()),
                 workspace=self.job.workspace,
--- a/mulberryport/jobs/tests/test_service.py
+++ b/mulberryport/jobs/tests/test_service.py
@@ -7,6 +7,8 @@
 
 from ...outcomes import Done, NotDone, Unknown
 from ...runtime.clock import boottime
+from ...telemetry.explain import explain
+from .. import items
 from ..generation import (
     EngineSwitchError,
     ItemFailedError,
@@ -300,6 +302,48 @@
     daemon.die()
 
 
+@pytest.mark.parametrize(
+    ("engine", "changes", "age", "expected"),
+    [
+        (Engine(faults=[ItemFailedError("500")] * 3), {}, 0, "attempts: 3 have failed"),
+        (
+            Engine(faults=[ItemRejectedError("status 422")]),
+            {},
+            0,
+            "rejected: status 422",
+        ),
+        (
+            Engine(score_faults=[ItemFailedError("500")] * 2),
+            {},
+            0,
+            "attempts: 2 scoring calls failed",
+        ),
+        (Engine(), {}, 100, "expired: submitted 100.0 s ago"),
+        (
+            Engine(),
+            {"routes": {}},
+            0,
+            "route removed: revision 9 has no route for jobs at /drafts/1",
+        ),
+    ],
+)
+def test_log_says_why_an_item_was_given_up(monkeypatch, engine, changes, age, expected):
+    # Guards against items listed as errored for a reason that nobody can find out.
+    entries = []
+    monkeypatch.setattr(
+        items, "log", lambda event, **fields: entries.append((event.name, fields))
+    )
+    daemon = JobDaemon(MemoryStore(), engine=engine)
+    daemon.adopt_tables(9, **changes)
+    daemon.now += age
+    daemon.jobs.submit(make_job(items=1), deadline_in())
+    assert until(lambda: any(name == "item_given_up" for name, _ in entries))
+    (fields,) = [fields for name, fields in entries if name == "item_given_up"]
+    entry = {"event": "item_given_up", "vm": "vm1", **fields}
+    assert explain([entry]) == f"item_given_up at vm1: reason={expected}"
+    daemon.die()
+
+
 def test_items_of_a_removed_route_error():
     daemon = JobDaemon(MemoryStore(), engine=Engine(pause=0.2))
     daemon.change_tables(routes={})
