Close no steps before a configuration was read

Cause: the reconciliation of open steps took a route that is not in the tables for withdrawn. A daemon that had read no configuration yet closed the steps that other daemons had forwarded to it.

Steps are reconciled with the tables from the first revision on.

Test: it failed before the change.

--- a/mulberryport/rollouts/service.py
+++ b/mulberryport/rollouts/service.py
@@ -176,7 +176,9 @@
         Abandoned steps and those of withdrawn routes are closed, steps with a new
         owner are handed over, and expired replicas are removed.
         """
-        reconcile_steps(self.owned_steps, self.holder.snapshot.tables)
+        # Without a configuration, every route would look withdrawn.
+        if self.holder.snapshot.revision:
+            reconcile_steps(self.owned_steps, self.holder.snapshot.tables)
         self.replicas.expire()
         self_vm = self.members.self_member.vm
         for owned_step in self.owned_steps.all():
--- a/mulberryport/rollouts/tests/test_service.py
+++ b/mulberryport/rollouts/tests/test_service.py
@@ -125,6 +125,18 @@
     assert len(daemons.engines.requests) == 6
 
 
+def test_steps_stay_open_until_a_configuration_was_read(daemons):
+    # Guards against a daemon without a configuration that takes every route for
+    # withdrawn and closes the steps that other daemons forwarded to it.
+    daemons.connect()
+    spec = make_spec_owned_by(daemons.second)
+    owner = daemons.second
+    owner.open(spec)
+    owner.holder.snapshot = Snapshot()
+    owner.reconcile()
+    assert owner.open_steps()
+
+
 def test_a_replica_serves_the_samples_of_a_failed_owner(daemons):
     # Guards against loss of finished samples when their owner fails.
     daemons.connect()
