Report no other workspace's job when the job cannot be read back

Cause: if the creation of a job met an existing one, and the job was gone when it was read for its workspace, "no job" was taken for "a job of another workspace" and the caller got 409, which it does not repeat.

The outcome is now unknown, so that the submission is repeated until its deadline.

Test: it failed before the change.

--- a/mulberryport/jobs/submission.py
+++ b/mulberryport/jobs/submission.py
@@ -218,8 +218,9 @@
         found = self.registry.repository.read_head(job.id)
         if not isinstance(found, Done):
             return Unknown(found.reason)
-        head = found.value
-        return Done(head is not None and head.workspace == job.workspace)
+        if found.value is None:
+            return Unknown(f"job {job.id} was deleted meanwhile")
+        return Done(found.value.workspace == job.workspace)
 
     def _accept_into_journal(self, job: Job) -> Outcome[bool]:
         """Accept a job into the journal while the store is unreachable.
--- a/mulberryport/jobs/tests/test_serving.py
+++ b/mulberryport/jobs/tests/test_serving.py
@@ -3,6 +3,7 @@
 import eventlet
 from attrs import evolve
 
+from ...coordination import Conflict
 from ...membership import Member, rendezvous_order
 from ...outcomes import Done, NotDone
 from ...peering import peer_pb2
@@ -133,3 +134,32 @@
         members.record_heartbeat(heard)
     assert len(daemon.jobs.registry.ranked_members("job1")) == 5
     daemon.die()
+
+
+def test_job_that_cannot_be_read_back_is_not_reported_as_of_another_workspace():
+    # Guards against a caller that is told for good that its job is not its own,
+    # because the job was deleted between the refused creation and the check.
+    daemon = JobDaemon(MemoryStore())
+    registry = daemon.jobs.registry
+    repository = registry.repository
+    reads = [Done(None)]
+
+    class DeletedMeanwhile:
+        """Repository whose first read does not find the job."""
+
+        def __getattr__(self, name):
+            return getattr(repository, name)
+
+        def create(self, job, owner_id, lease):
+            """Refuse to create the job as long as the first read is to come."""
+            if reads:
+                return Done(Conflict())
+            return repository.create(job, owner_id, lease)
+
+        def read_head(self, job_id):
+            """Return the scripted outcome, then those of the store."""
+            return reads.pop() if reads else repository.read_head(job_id)
+
+    registry.repository = DeletedMeanwhile()
+    assert daemon.jobs.submit(make_job(), boottime() + 2) == Done(True)
+    daemon.die()
