Require a key for batch jobs while a configuration has tenants without keys

Cause: the calls that read and end jobs took an empty table of keys for a platform without tenants. If every key was withdrawn, a job was reported as not existing (404) instead of the key as not valid (401).

Keys are needed if the configuration has tenants, as for all other calls.

Test: it failed before the change, with 404.

--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -160,7 +160,7 @@
     def _authenticate(self, environ: dict[str, Any]) -> str:
         tables = self.snapshot_holder.snapshot.tables
         key = environ.get("HTTP_X_API_KEY") or ""
-        if not tables.keys:
+        if not tables.workspaces:
             return ""
         record = find_key(tables, key) if key else None
         if record is None:
