--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -142,8 +142,10 @@
             self._confirm_retirement(retirement.revision)
 
     def _register_journal(self) -> None:
-        """Register this journal for the entry daemons."""
-        if self._is_registered or self.retirements.items:
+        """Register this journal for the entry daemons, unless it is to be emptied."""
+        if self._is_registered or not self.retirements.loaded:
+            return
+        if self.retirements.items:
             return
         vm = self.settings.vm
         record = JournalNode(vm.id, vm.zone, vm.peer_address).encode()
