Refuse nothing for good by a configuration that is known to be old

Cause: a daemon refused a request with 401, 403 or 404 by the configuration that it had, also when heartbeats had told it that other daemons have a newer one. Callers do not repeat a request after these statuses, although the newer configuration may have the route, the key or the permission.

A mirror knows whether another daemon has seen a change that it lacks. Until the configuration has caught up, such requests are refused with 503 and may be repeated at another daemon. Requests that the older configuration allows are served as before. Unknown keys of calls about batch jobs are treated in the same way.

Not covered: a daemon whose peers have not seen the newer version either.

--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -101,6 +101,7 @@
     _items: dict[str, Item] = field(factory=dict)
     _revision: int = -1
     _newest_revision: int = 0
+    _expected_revision: int = 0
     # Whether changes may have been missed, so that the prefix must be listed.
     _needs_relist: bool = True
     _watch_greenlet: Any = None
@@ -135,6 +136,11 @@
         """Revision of the newest change that has been seen."""
         return self._newest_revision
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether another daemon has seen a change that this mirror lacks."""
+        return self._lacks(self._expected_revision)
+
     @property
     def connected_for_s(self) -> float:
         """Seconds since the store answered again after a failure."""
@@ -153,7 +159,8 @@
 
         If it does not arrive within ``STALL_TIMEOUT_S``, the watch is aborted.
         """
-        if self._is_behind(revision):
+        self._expected_revision = max(self._expected_revision, revision)
+        if self._lacks(revision):
             eventlet.spawn_after(STALL_TIMEOUT_S, self._check_stalled, revision)
 
     def start(self) -> None:
@@ -233,13 +240,13 @@
             eventlet.sleep(self.batch_delay_s)
         return True
 
-    def _is_behind(self, revision: int) -> bool:
+    def _lacks(self, revision: int) -> bool:
         """Whether neither a change nor a listing has covered a revision."""
         return revision > max(self._newest_revision, self._revision)
 
     def _check_stalled(self, revision: int) -> None:
         """Abort the watch if it has not delivered a revision."""
-        if not self._is_behind(revision) or self._watch_greenlet is None:
+        if not self._lacks(revision) or self._watch_greenlet is None:
             return
         log(
             MIRROR_STALLED,
--- a/mulberryport/coordination/tests/test_mirror.py
+++ b/mulberryport/coordination/tests/test_mirror.py
@@ -97,6 +97,17 @@
         assert mirror.newest_revision == item.revision
 
 
+def test_mirror_is_behind_until_it_has_what_another_daemon_has_seen():
+    # Guards against judging by keys that are known to be out of date.
+    store = MemoryStore()
+    with running_mirror(store) as (mirror, _):
+        assert not mirror.is_behind
+        mirror.expect_revision(store.revision + 1)
+        assert mirror.is_behind
+        store.write("a/1", b"x")
+        assert until(lambda: not mirror.is_behind)
+
+
 def test_listing_covers_removals_that_other_daemons_saw():
     # Guards against listing the prefix in an endless loop after lost history.
     store = MemoryStore()
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -45,6 +45,8 @@
 REQUEST_SERVED = define_event(602, "request_served", "info", "A request was served.")
 
 TRAINER_PREFIX = "/v1/"
+# Statuses after which callers do not repeat a request.
+FINAL_STATUSES = frozenset({401, 403, 404})
 # Key of the WSGI environment that holds the request's ``ActiveRequest``.
 ACTIVE_KEY = "mulberryport.active"
 
@@ -70,6 +72,8 @@
         Returns whether this daemon is up to date on withdrawn keys.
     trainers : callable
         WSGI application of the trainer API.
+    is_behind : callable
+        Returns whether another daemon has a newer configuration than this one.
     may_retry : callable
         Consumes one retry from a pool's retry budget; returns False if the budget is
         exhausted.
@@ -85,6 +89,7 @@
     counters: UsageCounters
     keys_usable: Callable[[], bool]
     trainers: Callable[..., Iterable[bytes]]
+    is_behind: Callable[[], bool] = lambda: False
     may_retry: Callable[[str], bool] = allow_retry
     idempotency: IdempotencyService | None = None
     dialect: Dialect = field(
@@ -187,12 +192,8 @@
         intercepted = self.dialect.intercept(environ, start_response, active)
         if intercepted is not None:
             return intercepted
-        path, host = environ["PATH_INFO"], environ.get("HTTP_HOST", "")
-        route = match_route(tables, path, host)
-        if route is None:
-            raise RefusalError(404, "no route has this path")
-        key = self.dialect.find_key(environ)
-        access = authorize(tables, route, key, self.keys_usable())
+        access, key = self._authorize(environ, tables)
+        route = access.route
         active.set_access(access)
         active.set_deadline(self.dialect.timeout_s(environ, route))
         is_secret = secret_finder(key, tables)
@@ -203,6 +204,30 @@
             return self._generate(call)
         return self._forward(call)
 
+    def _authorize(
+        self, environ: dict[str, Any], tables: Tables
+    ) -> tuple[Access, str | None]:
+        """Return what a request is authorized for, and its key.
+
+        Raises
+        ------
+        RefusalError
+            The request is not authorized. The refusal is not final if a newer
+            configuration may authorize it.
+        """
+        try:
+            path, host = environ["PATH_INFO"], environ.get("HTTP_HOST", "")
+            route = match_route(tables, path, host)
+            if route is None:
+                raise RefusalError(404, "no route has this path")
+            key = self.dialect.find_key(environ)
+            return authorize(tables, route, key, self.keys_usable()), key
+        except RefusalError as error:
+            if error.status in FINAL_STATUSES and self.is_behind():
+                reason = f"a newer configuration is not read yet; by this one, {error}"
+                raise RefusalError(503, reason) from error
+            raise
+
     def serve_trainer(
         self, environ: dict[str, Any], start_response: StartResponse, active: Any
     ) -> Iterable[bytes] | None:
--- a/mulberryport/gateway/tests/builders.py
+++ b/mulberryport/gateway/tests/builders.py
@@ -66,6 +66,7 @@
     snapshot_holder: SnapshotHolder
     directory: TargetDirectory
     keys_usable: list[bool]
+    is_behind: list[bool]
 
     def change(self, **changes: Any) -> None:
         """Adopt a new revision of the tables with changed fields."""
@@ -94,7 +95,8 @@
         key_digest(KEY): KeyRecord(key_digest(KEY), "roads"),
         key_digest(OTHER_KEY): KeyRecord(key_digest(OTHER_KEY), "hauliers"),
     }
-    holder, directory, keys_usable = SnapshotHolder(), TargetDirectory(), [True]
+    holder, directory = SnapshotHolder(), TargetDirectory()
+    keys_usable, is_behind = [True], [False]
     holder.subscribe(directory.apply_snapshot)
     tables = evolve(parse_tables(text, "tables"), keys=keys)
     holder.adopt(Snapshot(1, "first", tables), {})
@@ -104,6 +106,7 @@
         UsageCounters("vm1", 1, 60),
         lambda: keys_usable[0],
         lambda environ, start_response: [],
+        is_behind=lambda: is_behind[0],
         **({"idempotency": idempotency} if idempotency else {}),
     )
     listener = listen("127.0.0.1:0")
@@ -113,7 +116,13 @@
     timers.subscribe("requests", CHECK_PERIOD_S, gateway.active.check)
     try:
         yield Harness(
-            listener.getsockname(), gateway, server, holder, directory, keys_usable
+            listener.getsockname(),
+            gateway,
+            server,
+            holder,
+            directory,
+            keys_usable,
+            is_behind,
         )
     finally:
         timers.stop()
--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -109,6 +109,7 @@
     snapshot_holder: SnapshotHolder
     jobs: JobService
     now: Callable[[], float]
+    is_behind: Callable[[], bool] = lambda: False
 
     def submit(self, call: CallerRequest) -> Iterable[bytes]:
         """Accept the job in an admitted request."""
@@ -163,6 +164,8 @@
         if not tables.workspaces:
             return ""
         record = find_key(tables, key) if key else None
+        if record is None and self.is_behind():
+            raise RefusalError(503, "a newer configuration is not read yet")
         if record is None:
             raise RefusalError(401, "the key is not valid")
         return record.workspace
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -334,13 +334,19 @@
             ).persist,
         )
         self.jobs.register(self.peer_server)
-        batches = BatchInterface(self.snapshot_holder, self.jobs, self.clock.now)
+        batches = BatchInterface(
+            self.snapshot_holder,
+            self.jobs,
+            self.clock.now,
+            lambda: self.mirrors.configuration.is_behind,
+        )
         self.gateway = Gateway(
             self.snapshot_holder,
             self.dispatcher,
             self.counters,
             lambda: True,
             lambda environ, start_response: [],
+            is_behind=lambda: self.mirrors.configuration.is_behind,
             may_retry=self.dispatcher.may_retry,
             dialect=platform_dialect(
                 make_target_protocol(self.directory, self.connections),
--- a/mulberryport/platform/tests/test_unread.py
+++ b/mulberryport/platform/tests/test_unread.py
@@ -39,6 +39,22 @@
     daemon.die()
 
 
+def test_unknown_key_is_not_refused_for_good_while_a_newer_configuration_is_missing():
+    # Guards against a trainer that gives up because a daemon has not read its new key.
+    holder = SnapshotHolder()
+    tables = Tables(workspaces={"roads": Workspace(name="roads")})
+    holder.adopt(Snapshot(1, "first", tables), {})
+    batches = BatchInterface(holder, None, lambda: 1000.0, is_behind=lambda: True)
+    environ = {
+        "REQUEST_METHOD": "GET",
+        "PATH_INFO": "/mulberryport/lots/job1",
+        "HTTP_X_API_KEY": "added",
+    }
+    with pytest.raises(RefusalError) as refusal:
+        batches.intercept(environ, lambda status, headers: None, None)
+    assert refusal.value.status == 503
+
+
 def make_storage_daemon(folder, store):
     """Return a storage daemon whose programs use a store in memory."""
     vm = StorageVm(
