Freeze no usage window before the members are known

Cause: a restarted daemon takes the control duty of its previous run over without delay and freezes the closed windows at once. It collects counters from the members that it has heard of; a daemon that it does not know yet reads as one without requests, and a frozen window is final.

The ledger waits for two heartbeat periods after the start.

Not changed: a member that is known and does not answer within 1.5 s is left out of a window, because its counters are also kept by two replicas.

Test: it failed with the check switched off.

--- a/mulberryport/platform/duties.py
+++ b/mulberryport/platform/duties.py
@@ -7,11 +7,12 @@
 
 from ..coordination import KeyValueStore, Mirror, SessionDuty
 from ..jobs import JobService
-from ..membership import Members
+from ..membership import HEARTBEAT_PERIOD_S, Members
 from ..orders.fleet import FleetOrderSender
 from ..outcomes import Done
 from ..peering import Peers, peer_pb2
 from ..routing import TargetView
+from ..runtime.clock import boottime
 from ..targets import TargetDirectory
 from ..usage import UsageCounters
 from ..usage.counters import CounterKey, UsageAmounts
@@ -23,6 +24,8 @@
 __all__ = ["ControlDuties"]
 
 COLLECT_TIMEOUT_S = 1.5
+# Within two heartbeat periods a daemon that has just started hears of all others.
+MEMBERS_KNOWN_AFTER_S = 2.0 * HEARTBEAT_PERIOD_S
 
 
 @frozen(eq=False)
@@ -58,6 +61,7 @@
         announcements : Mirror
             Mirror of the announced weight versions.
         """
+        created_at = boottime()
         calls = ControlCalls(vm, duty, cloud_address)
         return cls(
             WeightLoadScheduler(
@@ -74,6 +78,7 @@
                 counters,
                 partial(_collect_usage, members, peers),
                 calls.report_usage,
+                lambda: boottime() - created_at > MEMBERS_KNOWN_AFTER_S,
             ),
         )
 
--- a/mulberryport/usage/ledger.py
+++ b/mulberryport/usage/ledger.py
@@ -64,6 +64,8 @@
     send : callable
         Sends the report of a window; called with the window and the number of
         requests by workspace.
+    knows_members : callable
+        Returns whether this daemon has had the time to hear of all daemons.
     """
 
     store: KeyValueStore
@@ -71,13 +73,16 @@
     counters: UsageCounters
     collect: Callable[[int, int], Counters]
     send: Callable[[int, dict[str, int]], Outcome[bool]]
+    knows_members: Callable[[], bool] = lambda: True
     _last_fencing: int = 0
     _next_window: int | None = None
     _unsent_counts: dict[int, dict[str, int]] = field(factory=dict)
 
     def report_closed_windows(self) -> None:
         """Freeze the closed windows and send their reports."""
-        if not self.duty.active:
+        # The counters of a daemon that is not known yet would read as no requests, and
+        # a frozen window is final.
+        if not self.duty.active or not self.knows_members():
             self._next_window = None
             return
         if self._last_fencing != self.duty.fencing:
--- a/mulberryport/usage/tests/test_ledger.py
+++ b/mulberryport/usage/tests/test_ledger.py
@@ -52,6 +52,22 @@
     assert reporter.sent == [(20, {"roads": 2})]
 
 
+def test_no_window_is_frozen_before_the_members_are_known():
+    # Guards against a restarted holder that freezes a window without the requests of
+    # the daemons that it has not heard of yet.
+    store, known = MemoryStore(), [False]
+    reporter = Reporter(store)
+    reporter.ledger.knows_members = lambda: known[0]
+    reporter.count("roads", 101.0)
+    reporter.time = 108.5
+    reporter.ledger.report_closed_windows()
+    assert reporter.sent == []
+    assert not any(key.startswith(LEDGER_PREFIX) for key in store.items)
+    known[0] = True
+    reporter.ledger.report_closed_windows()
+    assert reporter.sent == [(20, {"roads": 1})]
+
+
 def test_counters_of_all_daemons_are_merged_and_copies_count_once():
     key = CounterKey("vm2", 1, "roads", "p", 20)
     others = [(key, UsageAmounts(requests=3)), (key, UsageAmounts(requests=2))]
