Place no target orders before a configuration was read

Cause: the order service takes a declared pool that is not in the tables for removed and declares no targets for it. A daemon that had the list of targets but no configuration contended for the duties of their zones; as the holder it would have ordered all pools down to nothing.

The service does nothing until a configuration was applied to the directory.

Not covered: a holder whose configuration is older than that of the holder before it, for a pool that was added in between; the declaration carries no revision.

--- a/mulberryport/orders/service.py
+++ b/mulberryport/orders/service.py
@@ -96,7 +96,12 @@
     _zone_states: dict[str, ZoneOrderState] = field(factory=dict)
 
     def reconcile(self) -> None:
-        """Contend for the duties of all zones and reconcile the zones that are held."""
+        """Contend for the duties of all zones and reconcile the zones that are held.
+
+        Nothing is done before a configuration was read: all pools would look removed.
+        """
+        if not self.directory.is_configured:
+            return
         zones = {zone for pool in self.directory.pools() for zone in pool.zones}
         # Any daemon may scale the remaining targets of a removed pool to zero, so zones
         # of listed targets count too.
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -60,14 +60,20 @@
     """The targets of all pools and their last known state."""
 
     _pools: dict[str, Pool] = field(factory=dict)
+    _is_configured: bool = False
     _listed_vms: tuple[ListedVm, ...] = ()
     _vm_list_read_at: float = float("-inf")
     _states: dict[str, TargetState] = field(factory=dict)
     _leaving_ids: frozenset[str] = frozenset()
 
+    @property
+    def is_configured(self) -> bool:
+        """Whether a configuration was applied, so that a missing pool was removed."""
+        return self._is_configured
+
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Apply the pools of a new configuration revision."""
-        self._pools = dict(snapshot.tables.pools)
+        self._pools, self._is_configured = dict(snapshot.tables.pools), True
         self._remove_stale_states()
 
     def apply_vm_list(self, vms: Iterable[ListedVm]) -> None:
