--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -11,7 +11,7 @@
 from ..gateway.access import match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
-from ..tables import Route, Tables
+from ..tables import Route, Snapshot
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -44,8 +44,18 @@
     925, "item_moved", "info", "Generation of an item moves to another engine."
 )
 
+ITEM_WAITS_FOR_CONFIGURATION = define_event(
+    928,
+    "item_waits_for_configuration",
+    "info",
+    "No route matches an item, but the configuration was not read yet or is older than "
+    "the one under which its job was accepted.",
+)
+
 # Delay before the next attempt after one that failed or did not start.
 RETRY_DELAY_S = 0.05
+# How often an item without a route looks for a newer configuration.
+CONFIGURATION_POLL_INTERVAL_S = 0.2
 # How long an item waits for an engine before its route and versions are re-evaluated.
 ASSIGNMENT_WAIT_S = 1.0
 # Scoring calls are retried after this timeout.
@@ -64,8 +74,8 @@
         Where results are committed.
     dispatcher : Dispatcher
         Assigns items to engines and scoring calls to services.
-    tables : callable
-        Returns the configuration tables in force.
+    snapshot : callable
+        Returns the configuration in force.
     engine_client : EngineClient
         Calls engines and scoring services.
     now : callable
@@ -79,13 +89,21 @@
 
     repository: JobRepository
     dispatcher: Dispatcher
-    tables: Callable[[], Tables]
+    snapshot: Callable[[], Snapshot]
     engine_client: EngineClient
     now: Callable[[], float]
     engine_latencies: EngineLatencyTracker
     reacquire: Callable[[Any], Outcome[bool]]
 
 
+class ItemGivenUpError(Exception):
+    """An item has no text and will not be attempted again; states the reason."""
+
+
+class ConfigurationBehindError(Exception):
+    """The configuration in force says nothing about the routes of a job."""
+
+
 @define(eq=False)
 class ItemTask:
     """Execution of one item until it has a result.
@@ -104,6 +122,7 @@
     item: JobItem
     transcript: Transcript
     context: JobContext = field(repr=False)
+    _has_waited: bool = False
 
     def run(self) -> JobResult | None:
         """Return the result of the item; None if the task was cancelled."""
@@ -112,11 +131,16 @@
                 result = self._attempt()
             except EngineSwitchError as error:
                 log(ITEM_MOVED, **self._log_fields(), reason=str(error))
+            except ConfigurationBehindError:
+                self._wait_for_configuration()
             except (ShedError, NotStartedError, StaleWeightsError):
                 eventlet.sleep(RETRY_DELAY_S)
             except (StreamInterruptedError, ItemFailedError) as error:
                 log(ITEM_ATTEMPT_FAILED, **self._log_fields(), error=str(error))
                 eventlet.sleep(RETRY_DELAY_S)
+            except ItemGivenUpError as error:
+                log(ITEM_GIVEN_UP, **self._log_fields(), reason=str(error))
+                return JobResult(self.item.id, ERRORED)
             except greenlet.GreenletExit:
                 return None
             except Exception as error:
@@ -124,26 +148,26 @@
                 log(ITEM_BROKEN, **self._log_fields(), error=repr(error))
                 eventlet.sleep(ASSIGNMENT_WAIT_S)
             else:
-                if result.state == ERRORED:
-                    log(ITEM_GIVEN_UP, **self._log_fields())
                 return result
 
     def _attempt(self) -> JobResult:
-        """Make one attempt to generate and score the item."""
-        route = match_route(self.context.tables(), self.item.path, self.job.host)
-        if self._should_give_up(route):
-            return JobResult(self.item.id, ERRORED)
-        assert route is not None
+        """Make one attempt to generate and score the item.
+
+        Raises
+        ------
+        ItemGivenUpError
+            The item is to be committed as errored.
+        """
+        route = self._find_route(self.item.path, self.job.host, batch=True)
+        self._check_limits(route)
         try:
             self._generate(route)
             score = self._score() if self.item.scoring is not None else ""
-        except ItemRejectedError:
-            return JobResult(self.item.id, ERRORED)
+        except ItemRejectedError as error:
+            raise ItemGivenUpError(f"rejected: {error}") from error
         except ItemFailedError:
             self.transcript.failures += 1
             raise
-        if score is None:
-            return JobResult(self.item.id, ERRORED)
         return JobResult(
             self.item.id,
             COMPLETED,
@@ -152,16 +176,60 @@
             score,
         )
 
-    def _should_give_up(self, route: Route | None) -> bool:
-        """Whether the item has no batch route, has expired or has no attempts left."""
-        if route is None or route.batch is None:
-            return True
-        age = self.context.now() - self.job.submitted_at
-        return (
-            age > route.batch.give_up + CLOCK_SKEW_MARGIN_S
-            or self.transcript.failures >= route.attempts
+    def _find_route(self, path: str, host: str, *, batch: bool = False) -> Route:
+        """Return the route of a request.
+
+        Parameters
+        ----------
+        path, host : str
+            Path and host of the request.
+        batch : bool
+            Whether only a route for batch jobs will do.
+
+        Raises
+        ------
+        ItemGivenUpError
+            The route was removed.
+        ConfigurationBehindError
+            No route matches, but the configuration was not read yet or is older than
+            the one under which the job was accepted, so that the route may exist.
+        """
+        snapshot = self.context.snapshot()
+        route = match_route(snapshot.tables, path, host)
+        if route is not None and (route.batch is not None or not batch):
+            return route
+        if snapshot.revision < max(1, self.job.configuration_revision):
+            raise ConfigurationBehindError
+        kind = "no route for jobs" if batch else "no route"
+        raise ItemGivenUpError(
+            f"route removed: revision {snapshot.revision} has {kind} at {path}"
         )
 
+    def _wait_for_configuration(self) -> None:
+        """Wait before looking for a newer configuration.
+
+        The age limit of an item is a term of its route, so an item whose route is not
+        known waits for as long as its job is retained.
+        """
+        if not self._has_waited:
+            self._has_waited = True
+            log(
+                ITEM_WAITS_FOR_CONFIGURATION,
+                **self._log_fields(),
+                revision=self.context.snapshot().revision,
+                required=self.job.configuration_revision,
+            )
+        eventlet.sleep(CONFIGURATION_POLL_INTERVAL_S)
+
+    def _check_limits(self, route: Route) -> None:
+        """Raise ``ItemGivenUpError`` if the item has no time or attempts left."""
+        assert route.batch is not None
+        age = self.context.now() - self.job.submitted_at
+        if age > route.batch.give_up + CLOCK_SKEW_MARGIN_S:
+            raise ItemGivenUpError(f"expired: submitted {age:.1f} s ago")
+        if self.transcript.failures >= route.attempts:
+            raise ItemGivenUpError(f"attempts: {self.transcript.failures} have failed")
+
     def _generate(self, route: Route) -> None:
         work = WorkRequest(
             pool=route.select_pool(random.random()),
@@ -219,16 +287,22 @@
 
         return on_event
 
-    def _score(self) -> str | None:
-        """Return the score of a complete text; None if all attempts failed."""
+    def _score(self) -> str:
+        """Return the score of a complete text.
+
+        Raises
+        ------
+        ItemGivenUpError
+            All attempts failed, or the route was removed.
+        """
         call = self.item.scoring
         assert call is not None
         failures = 0
         excluded_targets: frozenset[str] = frozenset()
         while True:
-            route = match_route(self.context.tables(), call.path, call.host)
-            if route is None or failures >= route.attempts:
-                return None
+            route = self._find_route(call.path, call.host)
+            if failures >= route.attempts:
+                raise ItemGivenUpError(f"attempts: {failures} scoring calls failed")
             work = WorkRequest(
                 pool=route.select_pool(random.random()),
                 workspace=self.job.workspace,
--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -142,10 +142,12 @@
             self._confirm_retirement(retirement.revision)
 
     def _register_journal(self) -> None:
-        """Register this journal for the entry daemons."""
-        vm = self.settings.vm
-        if self._is_registered or self.retirements.items:
+        """Register this journal for the entry daemons, unless it is to be emptied."""
+        if self._is_registered or not self.retirements.loaded:
+            return
+        if self.retirements.items:
             return
+        vm = self.settings.vm
         status_key = RETIREMENT_STATUS_PREFIX + vm.id
         status = self.store.read(status_key)
         if not isinstance(status, Done):
