List nothing in a job after its end

Cause: only the last page of results required that the head of the job had not changed. An owner that had read the head before the end of the job could claim it after the end, and appended pages until its mirror showed the end. Daemons that had read the results of the ended job in between keep that shorter list, so a reader saw results at one daemon that another one never lists.

Change: each page requires the revision of the head.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -250,10 +250,11 @@
             outcome = self.context.repository.append(
                 self.job.id,
                 self.ownership,
+                self.head,
                 position,
                 batch,
-                self.head if last else None,
-                transcripts,
+                is_last=last,
+                transcripts=transcripts,
             )
         finally:
             self._commit_in_progress = False
--- a/mulberryport/jobs/repository.py
+++ b/mulberryport/jobs/repository.py
@@ -255,9 +255,11 @@
         self,
         job_id: str,
         ownership: int,
+        head: JobHead,
         position: int,
         results: list[JobResult],
-        finished: JobHead | None,
+        *,
+        is_last: bool = False,
         transcripts: dict[str, Transcript] | None = None,
     ) -> Outcome[Committed | Conflict]:
         """Append a page of results at a position; the operation is idempotent.
@@ -266,8 +268,11 @@
         ----------
         ownership : int
             Revision at which this daemon became the owner.
-        finished : JobHead or None
-            The head of the job, to be marked finished, if these are its last results.
+        head : JobHead
+            The head of the job, which must not have changed: nothing is listed after
+            the end of a job, whose results other daemons may have read as final.
+        is_last : bool
+            Whether these are the last results, which finish the job.
         transcripts : dict of str to Transcript, optional
             Partial transcripts to store for a later owner.
 
@@ -282,11 +287,10 @@
         key = f"{RESULTS_PREFIX}{job_id}/{position:08}"
         page = encode_results(results)
         puts = [Put(key, page), *_transcript_puts(job_id, transcripts)]
-        expected = {owner_key: ownership, key: 0}
+        expected = {owner_key: ownership, head_key: head.revision, key: 0}
         removes: tuple[str, ...] = ()
-        if finished is not None:
-            puts.append(Put(head_key, _encode_head(evolve(finished, state=FINISHED))))
-            expected[head_key] = finished.revision
+        if is_last:
+            puts.append(Put(head_key, _encode_head(evolve(head, state=FINISHED))))
             removes = (owner_key,)
         outcome = self.store.commit(
             Transaction(expected=expected, puts=tuple(puts), removes=removes)
--- a/mulberryport/jobs/tests/test_repository.py
+++ b/mulberryport/jobs/tests/test_repository.py
@@ -29,38 +29,39 @@
 
 
 def create_job(store, items=8):
-    """Create a job in the store; return its repository and ownership."""
+    """Create a job in the store; return a function that appends results to it."""
     repository = JobRepository(store)
     lease = store.grant_lease(3.0).value
-    outcome = repository.create(make_job(items=items), "vm1 1", lease)
-    return repository, outcome.value[1]
+    head, ownership = repository.create(make_job(items=items), "vm1 1", lease).value
+
+    def append(position, *numbers, is_last=False):
+        results = make_results(*numbers)
+        return repository.append(
+            "job1", ownership, head, position, results, is_last=is_last
+        )
+
+    return append
 
 
 def test_late_commit_does_not_replace_results_at_its_position():
     # Guards against results that change after they were read: a commit that takes
     # effect late must not overwrite the page that was committed there meanwhile.
     store = MemoryStore()
-    repository, ownership = create_job(store)
-    for position, numbers in ((0, (0, 1, 2, 3)), (4, (4,))):
-        outcome = repository.append(
-            "job1", ownership, position, make_results(*numbers), None
-        )
-        assert isinstance(outcome.value, Committed)
-    late = repository.append("job1", ownership, 0, make_results(0, 1, 2), None)
+    append = create_job(store)
+    assert isinstance(append(0, 0, 1, 2, 3).value, Committed)
+    assert isinstance(append(4, 4).value, Committed)
+    late = append(0, 0, 1, 2)
     assert isinstance(late.value, Conflict)
     # The next run of the job appends behind the results that it has read.
-    position = len(stored_ids(store))
-    repository.append("job1", ownership, position, make_results(5), None)
+    append(len(stored_ids(store)), 5)
     assert stored_ids(store) == [f"job1-{n}" for n in range(6)]
 
 
 def test_repeated_commit_of_the_same_results_succeeds():
     # Guards against an owner that gives up a job because a commit that had no answer
     # took effect.
-    store = MemoryStore()
-    repository, ownership = create_job(store)
-    first = repository.append("job1", ownership, 0, make_results(0, 1), None)
-    again = repository.append("job1", ownership, 0, make_results(0, 1), None)
+    append = create_job(MemoryStore())
+    first, again = append(0, 0, 1), append(0, 0, 1)
     assert again == first and isinstance(again.value, Committed)
 
 
@@ -68,12 +69,11 @@
     # Guards against an owner that does not know that its job is finished because the
     # answer to the last commit was lost.
     store = MemoryStore()
-    repository, ownership = create_job(store, items=2)
-    head = repository.read_head("job1").value
-    first = repository.append("job1", ownership, 0, make_results(0, 1), head)
-    again = repository.append("job1", ownership, 0, make_results(0, 1), head)
+    append = create_job(store, items=2)
+    first = append(0, 0, 1, is_last=True)
+    again = append(0, 0, 1, is_last=True)
     assert again == first and isinstance(again.value, Committed)
-    assert repository.read_head("job1").value.revision == first.value.revision
+    assert JobRepository(store).read_head("job1").value.revision == first.value.revision
 
 
 def staggered_pauses(numbers, step_s):
