Judge a reacquisition by the session in which it was made

Cause: the second of two reacquisitions returned early if the ownership had changed while it waited. If the first one's session had ended meanwhile, its ownership was gone from the store with that session: the job ran on without an owner key, so that another daemon could take it over and two engines ran its items, until the next commit.

Change: it returns early only if the job was reacquired in the open session.

--- a/mulberryport/jobs/takeover.py
+++ b/mulberryport/jobs/takeover.py
@@ -127,10 +127,10 @@
             Whether the store has this daemon as the owner and the same committed
             results.
         """
-        ownership = owned.ownership
+        session, ownership = self.registry.session, owned.ownership
         with owned.ownership_lock:
-            if owned.ownership != ownership:
-                # Another green thread has reacquired the job meanwhile.
+            if owned.ownership != ownership and owned.lease == session.lease:
+                # Another green thread has reacquired the job in this session.
                 return Done(True)
             return self._reacquire_locked(owned)
 
@@ -207,7 +207,8 @@
     def _persist_provisional_job(self, owned: OwnedJob) -> None:
         try:
             reacquired = self.reacquire(owned)
-            if isinstance(reacquired, Done) and not reacquired.value:
+            is_lost = isinstance(reacquired, Done) and not reacquired.value
+            if is_lost and self.registry.owned.get(owned.job.id) is owned:
                 self.registry.remove_owned(owned.job.id, "not reacquired")
         finally:
             self.registry.jobs_in_transition.discard(owned.job.id)
--- a/mulberryport/jobs/tests/test_ordering.py
+++ b/mulberryport/jobs/tests/test_ordering.py
@@ -4,6 +4,7 @@
 
 from ...outcomes import Done
 from ...runtime.clock import boottime
+from ..repository import OWNER_PREFIX
 from .builders import Engine, HookedStore, JobDaemon, MemoryStore, make_job, until
 
 
@@ -39,3 +40,35 @@
     assert len(listed.value) == len(read.value.results)
     owner.die()
     reader.die()
+
+
+def test_reacquisition_in_a_session_that_ended_does_not_replace_that_of_the_next():
+    # Guards against a job without an owner key that its owner still runs, which another
+    # daemon takes over: a reacquisition ended after its session did, and the one of the
+    # new session took that for its own.
+    store = MemoryStore()
+    connection = HookedStore(store)
+    daemon = JobDaemon(connection, engine=Engine(pause=60.0))
+    daemon.jobs.submit(make_job(), boottime() + 2.0)
+    owned = daemon.jobs.registry.owned["job1"]
+    leases = []
+
+    def end_session(prefix):
+        if "/results/" not in prefix:
+            return
+        connection.hook = lambda key: None
+        lease = daemon.session.lease
+        leases.append(lease)
+        store.expire(lease)
+        assert until(lambda: daemon.session.lease not in (0, lease))
+        leases.append(daemon.session.lease)
+        # The new session's reacquisition waits for this one.
+        eventlet.sleep(0.2)
+
+    connection.hook = end_session
+    store.expire(daemon.session.lease)
+    assert until(lambda: len(leases) == 2)
+    assert until(lambda: owned.lease == leases[1], 2.0)
+    owner = store.items.get(OWNER_PREFIX + "job1")
+    assert owner is not None and owner.revision == owned.ownership
+    daemon.die()
