Count the green threads that change the ownership of a job

Cause: the jobs whose ownership was being changed were a set, so the first of two submissions of one job at one daemon to end also cleared the protection of the other, and the daemon could take the job over while it was still creating it.

Change: a count for each job. jobs/tests/test_ordering.py fails when the second user is not counted.

--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -1,5 +1,6 @@
 """In-memory registry of the fleet's jobs, their owners and the locally owned jobs."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from attrs import define, field
@@ -53,8 +54,8 @@
     on_completed: Callable[[str, list[bytes]], None] = lambda job_id, results: None
     heads: dict[str, JobHead] = field(factory=dict)
     owned: dict[str, OwnedJob] = field(factory=dict)
-    # Ids of jobs whose ownership this daemon is currently changing.
-    jobs_in_transition: set[str] = field(factory=set)
+    # How many green threads are changing the ownership of a job, by job id.
+    _transitions: Counter[str] = field(factory=Counter)
     _previous_owners: dict[str, str] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -76,6 +77,20 @@
         """Whether this daemon has read what it needs to execute jobs."""
         return self.members.self_member.serving
 
+    def begin_transition(self, job_id: str) -> None:
+        """Record that a green thread starts to change the ownership of a job."""
+        self._transitions[job_id] += 1
+
+    def end_transition(self, job_id: str) -> None:
+        """Record that a green thread has ended its change of the ownership of a job."""
+        self._transitions[job_id] -= 1
+        if not self._transitions[job_id]:
+            del self._transitions[job_id]
+
+    def is_in_transition(self, job_id: str) -> bool:
+        """Return whether a green thread is changing the ownership of a job."""
+        return job_id in self._transitions
+
     def find_head(self, job_id: str) -> Outcome[JobHead | None]:
         """Return the head of a job, reading the store if it is not known locally.
 
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -263,15 +263,14 @@
     def _expire(self, job_id: str) -> None:
         """Drop an expired job; the first candidate deletes it from the store."""
         self.registry.remove_owned(job_id, "expired")
-        if (
-            self._ownership_manager.is_first_candidate(job_id)
-            and job_id not in self.registry.jobs_in_transition
-        ):
-            self.registry.jobs_in_transition.add(job_id)
+        if self._ownership_manager.is_first_candidate(
+            job_id
+        ) and not self.registry.is_in_transition(job_id):
+            self.registry.begin_transition(job_id)
             eventlet.spawn_n(self._delete, job_id)
 
     def _delete(self, job_id: str) -> None:
         try:
             self._repository.delete(job_id)
         finally:
-            self.registry.jobs_in_transition.discard(job_id)
+            self.registry.end_transition(job_id)
--- a/mulberryport/jobs/submission.py
+++ b/mulberryport/jobs/submission.py
@@ -193,13 +193,13 @@
             return NotDone("there is no session in the store")
         lease = 0 if self._stopping else session.lease
         # The mirror may show the job before the reply to the commit arrives.
-        self.registry.jobs_in_transition.add(job.id)
+        self.registry.begin_transition(job.id)
         try:
             created = self.registry.repository.create(
                 job, self.registry.owner_id, lease
             )
         finally:
-            self.registry.jobs_in_transition.discard(job.id)
+            self.registry.end_transition(job.id)
         if not isinstance(created, Done):
             return created
         if isinstance(created.value, Conflict):
--- a/mulberryport/jobs/takeover.py
+++ b/mulberryport/jobs/takeover.py
@@ -102,7 +102,7 @@
             orphaned_since = self._orphaned_since.setdefault(job_id, now)
             is_due = now - orphaned_since >= self.takeover_delay_s(job_id)
             if is_due and registry.session.request():
-                registry.jobs_in_transition.add(job_id)
+                registry.begin_transition(job_id)
                 eventlet.spawn_n(self._take_over, job_id)
 
     def takeover_delay_s(self, job_id: str) -> float:
@@ -199,9 +199,9 @@
             if (
                 owned.is_provisional
                 and not owned.is_closed
-                and job_id not in self.registry.jobs_in_transition
+                and not self.registry.is_in_transition(job_id)
             ):
-                self.registry.jobs_in_transition.add(job_id)
+                self.registry.begin_transition(job_id)
                 eventlet.spawn_n(self._persist_provisional_job, owned)
 
     def _persist_provisional_job(self, owned: OwnedJob) -> None:
@@ -211,7 +211,7 @@
             if is_lost and self.registry.owned.get(owned.job.id) is owned:
                 self.registry.remove_owned(owned.job.id, "not reacquired")
         finally:
-            self.registry.jobs_in_transition.discard(owned.job.id)
+            self.registry.end_transition(owned.job.id)
 
     def _reacquire_all(self) -> None:
         """Reclaim the jobs that were owned under a previous session."""
@@ -226,7 +226,7 @@
 
     def _is_orphan(self, job_id: str, head: JobHead) -> bool:
         """Whether an open job has no live owner as far as this daemon knows."""
-        if not head.open or job_id in self.registry.jobs_in_transition:
+        if not head.open or self.registry.is_in_transition(job_id):
             return False
         owned = self.registry.owned.get(job_id)
         if owned is not None and not owned.is_closed:
@@ -249,7 +249,7 @@
             if isinstance(ownership, Done) and ownership.value is not None:
                 self._load_and_resume(job_id, ownership.value, lease)
         finally:
-            self.registry.jobs_in_transition.discard(job_id)
+            self.registry.end_transition(job_id)
             self._orphaned_since.pop(job_id, None)
 
     def _stop_previous_owner(self, job_id: str) -> None:
--- a/mulberryport/jobs/tests/test_ordering.py
+++ b/mulberryport/jobs/tests/test_ordering.py
@@ -5,7 +5,15 @@
 from ...outcomes import Done
 from ...runtime.clock import boottime
 from ..repository import OWNER_PREFIX
-from .builders import Engine, HookedStore, JobDaemon, MemoryStore, make_job, until
+from .builders import (
+    Engine,
+    HookedStore,
+    JobDaemon,
+    LateStore,
+    MemoryStore,
+    make_job,
+    until,
+)
 
 
 def test_nothing_is_listed_after_the_end_of_a_job():
@@ -72,3 +80,24 @@
     owner = store.items.get(OWNER_PREFIX + "job1")
     assert owner is not None and owner.revision == owned.ownership
     daemon.die()
+
+
+def test_repeated_submission_does_not_end_the_protection_of_the_first():
+    # Guards against a job that is taken over at the daemon that is still creating it:
+    # the first of two submissions to end cleared the protection of both.
+    connection = LateStore(MemoryStore())
+    daemon = JobDaemon(connection, engine=Engine(pause=60.0))
+    job, registry = make_job(), daemon.jobs.registry
+    protected = []
+
+    def submit_again(transaction):
+        connection.is_late = lambda transaction: False
+        assert daemon.jobs.submit(job, boottime() + 1.0) == Done(True)
+        protected.append(registry.is_in_transition("job1"))
+        return False
+
+    connection.is_late = submit_again
+    assert daemon.jobs.submit(job, boottime() + 2.0) == Done(True)
+    assert protected == [True]
+    assert not registry.is_in_transition("job1")
+    daemon.die()
