Test the start of a daemon in an outage of the store

A daemon process is started while the store refuses calls; jobs are submitted to another daemon as soon as the store answers again. No item may be given up.

--- a/mulberryport/platform/tests/builders.py
+++ b/mulberryport/platform/tests/builders.py
@@ -116,8 +116,8 @@
         """Write the operator's configuration to the store."""
         self.store.put("op/config", configuration)
 
-    def start(self, vm, number=0):
-        """Start a daemon and wait until it is ready."""
+    def start(self, vm, number=0, wait=True):
+        """Start a daemon and, unless told otherwise, wait until it is ready."""
         caller, ready = self._free_address(), self._free_address()
         seeds = "".join(f"\n    seed{n} a {p}" for n, p in enumerate(self._peers))
         file = self.folder / f"{vm}.ini"
@@ -139,7 +139,7 @@
             env={**os.environ, "EVENTLET_NO_GREENDNS": "yes"},
         )
         self.callers[vm] = caller
-        assert until(lambda: self._is_ready(ready), 20.0), self.log(vm)
+        assert not wait or until(lambda: self._is_ready(ready), 20.0), self.log(vm)
 
     def kill(self, vm):
         """Kill a daemon."""
--- a/mulberryport/platform/tests/test_processes.py
+++ b/mulberryport/platform/tests/test_processes.py
@@ -112,6 +112,29 @@
         assert texts == [60] * 6
 
 
+def test_start_in_a_store_outage_loses_no_items_of_jobs_submitted_after_it(tmp_path):
+    # Guards against jobs given up by a daemon that has not read its configuration when
+    # the store answers again.
+    with running(tmp_path, "vm1") as platform:
+        platform.store.refusing = True
+        platform.start("vm2", 1, wait=False)
+        assert until(lambda: '"event":"entry_started"' in platform.log("vm2"), 15.0)
+        eventlet.sleep(0.5)
+        assert '"event":"serving"' not in platform.log("vm2")
+        platform.store.refusing = False
+        jobs = [f"job{n}" for n in range(3)]
+        for job in jobs:
+            assert until(lambda job=job: platform.submit("vm1", job) == 202, 10.0)
+        for job in jobs:
+            assert until(
+                lambda job=job: len(platform.results("vm1", job) or ()) == 4, 15.0
+            )
+            results = platform.results("vm1", job)
+            assert {result["state"] for result in results} == {"completed"}
+        assert until(lambda: '"event":"serving"' in platform.log("vm2"), 10.0)
+        assert '"event":"item_given_up"' not in platform.log("vm2")
+
+
 def test_requests_go_on_in_an_outage_and_withdrawn_keys_end_after_it(tmp_path):
     with running(tmp_path, "vm1") as platform:
         platform.store.refusing = True
