Record which requests crash their targets

Cause: a request that ends every target that begins to run it is sent to one target after the other, because no daemon remembers the crashes beyond one request id.

Ruled out: merging by times. A time of clearing that travels as an age moves forward by the transfer time with each exchange, and would clear later crashes. Dropping reports within two seconds while merging makes the result depend on the order of the merges. A block of limited duration would send the request again during the life of the fleet.

Change: the package quarantine has the identity of a request and a table of the crashes. Reports have random ids; tables are merged by their union, the earliest time of a report wins, and a clearing marks the reports that the clearing daemon knew. A request is blocked after three crashes, or after two of targets that ran nothing else as far as all known reports say, until it runs to its end or an operator lifts the block. Nothing uses the table yet.

--- /dev/null
+++ b/mulberryport/quarantine/__init__.py
@@ -0,0 +1,13 @@
+"""Requests that crash their targets: who they are, and which are not sent any more."""
+
+from .identity import IDENTITY_BYTES, request_identity
+from .records import Crash, CrashRecord, CrashTable, Entry
+
+__all__ = [
+    "IDENTITY_BYTES",
+    "Crash",
+    "CrashRecord",
+    "CrashTable",
+    "Entry",
+    "request_identity",
+]
--- a/mulberryport/telemetry/events.py
+++ b/mulberryport/telemetry/events.py
@@ -3,8 +3,8 @@
 Each package defines its events in the modules that log them, with numbers from its
 own range; ``docs/EVENTS.md`` lists all events. Ranges: runtime 100, settings
 and daemon 200, store and tables 300, leases 400, membership and peering 500,
-gateway 600, routing 700, targets 800, rollouts 900, weights 1000, usage 1100,
-client and command line 1200, stand-ins 1300.
+gateway and quarantine 600, routing 700, targets 800, rollouts 900, weights 1000,
+usage 1100, client and command line 1200, stand-ins 1300.
 """
 
 from attrs import frozen
