Exchange crash records between daemons at once

Cause: crashes that one daemon has seen were not known to the others. Most members of a large fleet exchange heartbeats with relays only, so that a report in heartbeats alone takes up to three periods of a second, or four seconds between zones.

Ruled out: heartbeats that are sent early, because those of relays are large and they would be sent to all members at once. A unary call to each peer, because relays would open a second connection to each of their members.

Change: the heartbeat streams also carry notices: messages with the sender and crash records only, sent by either side between two heartbeats, not answered, at most five a second on a stream, and only to peers whose heartbeats say that they accept them. Records are sent to a peer when they have changed since the peer was last told, at most 32 in a message, all of them at the start of a stream, and two more in each heartbeat in case that a message was lost. The client side of a stream receives in a task of its own. Both daemons have one table of crashes, which the gateway gets as well.

--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -13,6 +13,7 @@
 from ..membership import HEARTBEAT_PERIOD_S, Member, Members, new_incarnation
 from ..orders import CapacityPlanner, DemandTracker, OrderService
 from ..peering import Peers, PeerServer
+from ..quarantine import CrashExchange, CrashTable
 from ..rollouts import RolloutService
 from ..rollouts.app import TrainerInterface
 from ..runtime import TimerService
@@ -73,6 +74,7 @@
     snapshot_holder: SnapshotHolder = field(factory=SnapshotHolder)
     directory: TargetDirectory = field(factory=TargetDirectory)
     timers: TimerService = field(factory=TimerService)
+    crashes: CrashTable = field(factory=CrashTable)
     members: Members = field(init=False)
     store: StoreClient = field(init=False)
     distribution: Distribution = field(init=False)
@@ -122,7 +124,12 @@
             heartbeats.apply_heartbeat,
         )
         heartbeats.peers = self.distribution.peers = self.peers
-        self.peer_server = PeerServer(vm.peer_address, credentials.peer_token)
+        crash_exchange = CrashExchange(self.crashes, self.members, self.peers.sender)
+        crash_exchange.attach(heartbeats.contributors, heartbeats.listeners)
+        self.peers.notices = crash_exchange.notices
+        self.peer_server = PeerServer(
+            vm.peer_address, credentials.peer_token, crash_exchange.notices
+        )
         self.duty_manager = DutyManager(self.store, self.members)
         self.counters = UsageCounters(
             vm.id, self.members.self_member.incarnation, usage.window, usage.shards
@@ -233,6 +240,7 @@
             ),
             may_retry=self.dispatcher.may_retry,
             idempotency=self.idempotency,
+            crashes=self.crashes,
         )
         self.gateway = gateway
         self.caller_server = CallerServer(listen(vm.caller_address), gateway)
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -9,6 +9,7 @@
 from attrs import Factory, define, field
 
 from ..idempotency import IdempotencyService
+from ..quarantine import CrashTable
 from ..runtime.clock import boottime
 from ..runtime.invariants import require
 from ..runtime.wsgi import StartResponse
@@ -78,6 +79,8 @@
     dialect : Dialect
         Format of requests and responses of callers and targets; by default that of
         the native API.
+    crashes : CrashTable
+        Requests that crashed targets.
     """
 
     snapshot_holder: SnapshotHolder
@@ -87,6 +90,7 @@
     trainers: Callable[..., Iterable[bytes]]
     may_retry: Callable[[str], bool] = allow_retry
     idempotency: IdempotencyService | None = None
+    crashes: CrashTable = field(factory=CrashTable)
     dialect: Dialect = field(
         default=Factory(
             lambda self: native_dialect(self.serve_trainer), takes_self=True
--- a/mulberryport/peering/peers.py
+++ b/mulberryport/peering/peers.py
@@ -1,21 +1,23 @@
 """Client side of the peer protocol: a channel and a heartbeat task for each peer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import eventlet
 from attrs import define, field
-from grpclib.client import Channel
+from grpclib.client import Channel, Stream
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from ..membership import Member, Members
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from ..runtime import boottime, run_coroutine
+from ..runtime.wakeup import Wakeup
 from ..runtime.wsgi import split_address
 from ..telemetry import define as define_event
 from ..telemetry import log, process_clock
+from .notices import Notices
 from .proto import peer_pb2
 from .proto.peer_grpc import PeerStub
 from .server import TOKEN_HEADER
@@ -62,12 +64,15 @@
         start of a stream.
     on_heartbeat : callable
         Called with each heartbeat that a peer sends back.
+    notices : Notices or None
+        Sends and receives news between heartbeats; None to do without.
     """
 
     members: Members
     token: str = field(repr=False)
     make_heartbeat: Callable[[Member, Any], tuple[peer_pb2.Heartbeat, Any]]
     on_heartbeat: Callable[[peer_pb2.Heartbeat], None]
+    notices: Notices | None = None
     _channels: dict[str, PeerChannel] = field(factory=dict)
     _tasks: dict[str, Any] = field(factory=dict)
     _stopping: bool = False
@@ -200,29 +205,69 @@
             eventlet.sleep(RECONNECT_DELAY_S)
 
     async def _exchange(self, member: Member) -> None:
-        """Send heartbeats and receive the answers on a new channel until it fails."""
+        """Exchange heartbeats and notices on a new channel until it fails."""
         host, port = split_address(member.peer_address)
         channel = Channel(host, port)
         try:
             stub = PeerStub(channel)
             async with stub.Exchange.open(metadata=self._metadata()) as stream:
-                announced = None
-                while True:
-                    heartbeat, announced = self.make_heartbeat(member, announced)
-                    await asyncio.wait_for(
-                        stream.send_message(heartbeat), SILENCE_TIMEOUT_S
-                    )
-                    answer = await asyncio.wait_for(
-                        stream.recv_message(), SILENCE_TIMEOUT_S
-                    )
-                    if answer is None:
-                        return
-                    process_clock.observe(answer.sender.clock)
-                    self.on_heartbeat(answer)
-                    await asyncio.sleep(self.members.heartbeat_period(member))
+                answered, sending = Wakeup(), asyncio.Lock()
+                await asyncio.wait_for(stream.send_request(), SILENCE_TIMEOUT_S)
+
+                async def send(message: peer_pb2.Heartbeat) -> None:
+                    async with sending:
+                        await asyncio.wait_for(
+                            stream.send_message(message), SILENCE_TIMEOUT_S
+                        )
+
+                await _run_until_first_ends(
+                    self._send_heartbeats(member, send, answered),
+                    self._receive_heartbeats(member, stream, send, answered),
+                )
         finally:
             channel.close()
 
+    async def _send_heartbeats(
+        self,
+        member: Member,
+        send: Callable[[peer_pb2.Heartbeat], Awaitable[object]],
+        answered: Wakeup,
+    ) -> None:
+        """Send heartbeats until one is not answered in time."""
+        announced = None
+        while True:
+            answered.clear()
+            heartbeat, announced = self.make_heartbeat(member, announced)
+            heartbeat.accepts_notices = self.notices is not None
+            await send(heartbeat)
+            if not await answered.wait(SILENCE_TIMEOUT_S):
+                raise TimeoutError("a heartbeat was not answered")
+            await asyncio.sleep(self.members.heartbeat_period(member))
+
+    async def _receive_heartbeats(
+        self,
+        member: Member,
+        stream: Stream,
+        send: Callable[[peer_pb2.Heartbeat], Awaitable[object]],
+        answered: Wakeup,
+    ) -> None:
+        """Apply the answers and notices of a peer until it ends the stream."""
+        notice_stream = None
+        try:
+            while (message := await stream.recv_message()) is not None:
+                process_clock.observe(message.sender.clock)
+                if message.notice:
+                    if self.notices is not None:
+                        self.notices.apply(message)
+                    continue
+                self.on_heartbeat(message)
+                answered.set()
+                if message.accepts_notices and notice_stream is None and self.notices:
+                    notice_stream = self.notices.open_stream(member, send)
+        finally:
+            if self.notices is not None:
+                self.notices.close_stream(notice_stream)
+
     def _get_channel(self, member: Member) -> PeerChannel:
         peer_channel = self._channels.get(member.vm)
         if peer_channel is None or peer_channel.address != member.peer_address:
@@ -241,3 +286,17 @@
 
     def _metadata(self) -> dict[str, str]:
         return {TOKEN_HEADER: f"Bearer {self.token}"}
+
+
+async def _run_until_first_ends(*coroutines: Coroutine[Any, Any, None]) -> None:
+    """Run coroutines until one of them ends, and raise its exception."""
+    tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
+    try:
+        ended, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        # Also collects the exceptions, so that none is reported as never retrieved.
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in ended:
+        task.result()
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -5,6 +5,7 @@
 block.
 """
 
+import asyncio
 import hmac
 from collections.abc import Callable
 from typing import Any
@@ -16,10 +17,12 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
+from ..membership import Member
 from ..runtime import run_coroutine, run_in_green_thread
 from ..runtime.wsgi import split_address
 from ..telemetry import define as define_event
 from ..telemetry import log, process_clock
+from .notices import Notices
 from .proto import peer_pb2
 from .proto.peer_grpc import PeerBase
 
@@ -54,10 +57,13 @@
         IP address and port to listen on.
     token : str
         Peer token that every call must carry.
+    notices : Notices or None
+        Sends and receives news between heartbeats; None to do without.
     """
 
     address: str
     token: str = field(repr=False)
+    notices: Notices | None = None
     _handlers: dict[str, Handler] = field(factory=dict)
     _server: Server | None = None
 
@@ -67,7 +73,7 @@
 
     def start(self) -> None:
         """Start to listen on the peer port."""
-        server = Server([_PeerService(self._handlers)])
+        server = Server([_PeerService(self._handlers, self.notices)])
         listen_event(server, RecvRequest, self._check_token)
         host, port = split_address(self.address)
         run_coroutine(server.start(host, port), START_TIMEOUT_S)
@@ -113,19 +119,38 @@
 class _PeerService(PeerBase):
     """Implements the generated service with the registered handlers."""
 
-    def __init__(self, handlers: dict[str, Handler]) -> None:
+    def __init__(self, handlers: dict[str, Handler], notices: Notices | None) -> None:
         self.handlers = handlers
+        self.notices = notices
 
     async def Exchange(self, stream: Stream) -> None:  # noqa: N802
         """Reply to each heartbeat of a peer with one of this daemon."""
         handler: HeartbeatHandler | None = self.handlers.get("Exchange")
         if handler is None:
             raise GRPCError(Status.UNIMPLEMENTED, "Exchange is not served here")
-        announced = None
-        async for heartbeat in stream:
-            process_clock.observe(heartbeat.sender.clock)
-            reply, announced = handler(heartbeat, announced)
-            await stream.send_message(reply)
+        announced, notices, notice_stream = None, self.notices, None
+        sending = asyncio.Lock()
+
+        async def send(message: peer_pb2.Heartbeat) -> None:
+            async with sending:
+                await stream.send_message(message)
+
+        try:
+            async for heartbeat in stream:
+                process_clock.observe(heartbeat.sender.clock)
+                if heartbeat.notice:
+                    if notices is not None:
+                        notices.apply(heartbeat)
+                    continue
+                reply, announced = handler(heartbeat, announced)
+                reply.accepts_notices = notices is not None
+                await send(reply)
+                if heartbeat.accepts_notices and notice_stream is None and notices:
+                    peer = _sender_member(heartbeat.sender)
+                    notice_stream = notices.open_stream(peer, send)
+        finally:
+            if notices is not None:
+                notices.close_stream(notice_stream)
 
     FetchConfig = _unary_method("FetchConfig")
     OpenStep = _unary_method("OpenStep")
@@ -144,3 +169,7 @@
     SubmitJob = _unary_method("SubmitJob")
     ReadJob = _unary_method("ReadJob")
     StopJob = _unary_method("StopJob")
+
+
+def _sender_member(sender: peer_pb2.Sender) -> Member:
+    return Member(sender.vm, sender.zone, sender.peer_address, sender.incarnation)
--- a/mulberryport/peering/tests/builders.py
+++ b/mulberryport/peering/tests/builders.py
@@ -10,7 +10,7 @@
 from ...standins.fleet import find_free_address
 from .. import Peers, PeerServer, peer_pb2
 
-__all__ = ["TOKEN", "Node", "linked_nodes"]
+__all__ = ["TOKEN", "Node", "linked_nodes", "start_nodes", "wait_for"]
 
 TOKEN = "token-of-the-peer-tests"
 
@@ -52,23 +52,39 @@
         return self.make_heartbeat(None, announced)
 
 
+def wait_for(condition, timeout):
+    """Wait until a condition is true; fail after ``timeout`` seconds."""
+    deadline = boottime() + timeout
+    while not condition():
+        assert boottime() < deadline, "condition did not become true in time"
+        eventlet.sleep(0.02)
+
+
 @contextmanager
 def linked_nodes(
-    addresses: dict[str, str] | None = None,
+    addresses: dict[str, str] | None = None, *, start: bool = True
 ) -> Iterator[tuple[Node, Node]]:
     """Run two nodes; ``addresses`` overrides the address under which one is known."""
     first, second = Node("vm1", "zone1"), Node("vm2", "zone2")
     try:
-        for node in (first, second):
-            node.server.start()
-        address = (addresses or {}).get("vm2", second.server.address)
-        if callable(address):
-            address = address(second.server.address)
-        first.members.add_seed("vm2", "zone2", address)
-        first.peers.update_heartbeat_tasks()
+        if start:
+            start_nodes(first, second, addresses)
         yield first, second
     finally:
         for node in (first, second):
             node.peers.stop()
             node.server.stop()
         eventlet.sleep(0)
+
+
+def start_nodes(
+    first: Node, second: Node, addresses: dict[str, str] | None = None
+) -> None:
+    """Start two nodes and the heartbeats between them."""
+    for node in (first, second):
+        node.server.start()
+    address = (addresses or {}).get("vm2", second.server.address)
+    if callable(address):
+        address = address(second.server.address)
+    first.members.add_seed("vm2", "zone2", address)
+    first.peers.update_heartbeat_tasks()
--- a/mulberryport/peering/tests/test_peers.py
+++ b/mulberryport/peering/tests/test_peers.py
@@ -1,22 +1,15 @@
 """Tests of calls and heartbeats between two peers in one process."""
 
 import eventlet
+import pytest
 
 from ...outcomes import Done, NotDone, Unknown
 from ...runtime import boottime
 from ...standins.fleet import find_free_address
 from ...standins.relay import Relay
-from .. import Peers, peer_pb2
+from .. import Notices, Peers, peer_pb2
 from ..peers import SILENCE_TIMEOUT_S
-from .builders import linked_nodes
-
-
-def wait_for(condition, timeout):
-    """Wait until a condition is true; fail after ``timeout`` seconds."""
-    deadline = boottime() + timeout
-    while not condition():
-        assert boottime() < deadline, "condition did not become true in time"
-        eventlet.sleep(0.02)
+from .builders import linked_nodes, start_nodes, wait_for
 
 
 def test_one_stream_carries_heartbeats_in_both_directions():
@@ -80,3 +73,65 @@
         first.peers.call("vm2", "CloseStep", request, 1.0)
         assert isinstance(first.peers.call("vm2", "CloseStep", request, 2.0), Done)
     relays[0].close()
+
+
+class News:
+    """Notices that a node sends and receives."""
+
+    def __init__(self, node):
+        self.node, self.pending, self.received = node, 0, []
+        self.notices = Notices(self.make, self.received.append)
+
+    def make(self, peer):
+        """Return a notice if there is news."""
+        if not self.pending:
+            return None
+        self.pending -= 1
+        return peer_pb2.Heartbeat(sender=self.node.peers.sender(), notice=True)
+
+
+def test_notices_are_sent_in_both_directions_between_heartbeats():
+    # Guards against news that waits for a heartbeat, and against a notice that is taken
+    # for the answer to one.
+    with linked_nodes(start=False) as (first, second):
+        news = [News(first), News(second)]
+        for own, node in zip(news, (first, second), strict=True):
+            node.peers.notices = node.server.notices = own.notices
+        start_nodes(first, second)
+        wait_for(lambda: "vm2" in first.heard_at and "vm1" in second.heard_at, 5)
+        eventlet.sleep(0.05)
+        heard = len(first.heard_at["vm2"]) + len(second.heard_at["vm1"])
+        for sender, receiver in (news, reversed(news)):
+            sender.pending = 1
+            sender.notices.send()
+            wait_for(lambda receiver=receiver: receiver.received, 0.5)
+        assert len(first.heard_at["vm2"]) + len(second.heard_at["vm1"]) == heard
+        wait_for(lambda: len(first.heard_at["vm2"]) >= 3, 5)
+        assert [len(own.received) for own in news] == [1, 1]
+
+
+@pytest.mark.parametrize("with_notices", [0, 1])
+def test_peer_without_notices_gets_none(with_notices):
+    # Guards against an upgrade in which an old daemon takes a notice for a heartbeat.
+    with linked_nodes(start=False) as nodes:
+        node = nodes[with_notices]
+        news = News(node)
+        node.peers.notices = node.server.notices = news.notices
+        start_nodes(*nodes)
+        wait_for(lambda: "vm2" in nodes[0].heard_at, 5)
+        news.pending = 1
+        news.notices.send()
+        wait_for(lambda: len(nodes[0].heard_at["vm2"]) >= 3, 5)
+        assert news.pending == 1
+
+
+def test_closed_stream_leaves_no_notice_task():
+    # Guards against tasks that accumulate with every reconnection.
+    with linked_nodes(start=False) as nodes:
+        news = [News(node) for node in nodes]
+        for own, node in zip(news, nodes, strict=True):
+            node.peers.notices = node.server.notices = own.notices
+        start_nodes(*nodes)
+        wait_for(lambda: all(own.notices._streams for own in news), 5)
+        nodes[0].peers.stop()
+        wait_for(lambda: not any(own.notices._streams for own in news), 5)
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -24,6 +24,7 @@
     rendezvous_order,
 )
 from ..peering import Peers, PeerServer, peer_pb2
+from ..quarantine import CrashExchange, CrashTable
 from ..runtime import TimerService
 from ..runtime.clock import wall_time
 from ..runtime.signals import exit_process, on_stop_signal
@@ -122,6 +123,7 @@
     counters: UsageCounters = field(init=False)
     replicator: UsageReplicator = field(init=False)
     connections: ConnectionPool = field(factory=ConnectionPool)
+    crashes: CrashTable = field(factory=CrashTable)
     jobs: JobService = field(init=False)
     duty: SessionDuty = field(init=False)
     gateway: Gateway = field(init=False)
@@ -218,7 +220,12 @@
         )
         heartbeats.peers = self.store.peers = self.peers
         self.store.relays = store_relays.available_relays
-        self.peer_server = PeerServer(vm.peer_address, PEER_TOKEN)
+        crash_exchange = CrashExchange(self.crashes, self.members, self.peers.sender)
+        crash_exchange.attach(heartbeats.contributors, heartbeats.listeners)
+        self.peers.notices = crash_exchange.notices
+        self.peer_server = PeerServer(
+            vm.peer_address, PEER_TOKEN, crash_exchange.notices
+        )
         self.peer_server.register("Exchange", heartbeats.reply_to_heartbeat)
         self.store.register(self.peer_server)
         self.dispatcher = Dispatcher(
@@ -317,6 +324,7 @@
             lambda: True,
             lambda environ, start_response: [],
             may_retry=self.dispatcher.may_retry,
+            crashes=self.crashes,
             dialect=platform_dialect(
                 make_target_protocol(self.directory, self.connections),
                 batches.intercept,
--- /dev/null
+++ b/mulberryport/platform/tests/test_daemon.py
@@ -0,0 +1,34 @@
+"""Tests of the components of an entry daemon that is not started."""
+
+from ...membership.tests.builders import member_of
+from ...quarantine.tests.builders import IDENTITY, crash_targets, make_crash
+from ...runtime import boottime
+from ..daemon import EntryDaemon
+from ..settings import parse_entry_settings
+from .builders import SETTINGS
+
+
+def make_daemon() -> EntryDaemon:
+    text = SETTINGS.format(
+        vm="vm1",
+        caller="127.0.0.1:8001",
+        ready="127.0.0.1:8002",
+        peer="127.0.0.1:8003",
+        store="127.0.0.1:8004",
+        seeds="",
+    )
+    return EntryDaemon(parse_entry_settings(text, "entry.ini"))
+
+
+def test_crashes_are_shared_by_gateway_heartbeats_and_notices():
+    # Guards against a daemon that keeps its crashes to itself or does not use them.
+    daemon, other, third = make_daemon(), make_daemon(), make_daemon()
+    assert daemon.gateway.crashes is daemon.crashes
+    crash_targets(daemon.crashes, make_crash("t", boottime()))
+    heartbeat, _ = daemon.peers.make_heartbeat(member_of(1, 1), None)
+    heartbeat.sender.vm = "vm2"
+    other.peers.on_heartbeat(heartbeat)
+    assert other.crashes.is_suspect(IDENTITY, boottime())
+    third.peer_server.notices.apply(daemon.peers.notices.make(member_of(2, 1)))
+    assert third.crashes.is_suspect(IDENTITY, boottime())
+    assert daemon.peers.notices is daemon.peer_server.notices
--- a/mulberryport/quarantine/records.py
+++ b/mulberryport/quarantine/records.py
@@ -57,6 +57,9 @@
 # Time for which cleared reports are kept, so that a daemon that missed the clearing
 # does not bring them back.
 CLEARED_LIFETIME_S = 600.0
+# The records are sorted again after this time or after a change, not for each of many
+# heartbeats.
+EXPORT_LIFETIME_S = 0.5
 ID_BITS = 64
 
 
@@ -164,6 +167,9 @@
     # Identities with crashes that count.
     _suspects: set[bytes] = field(factory=set)
     _version: int = 0
+    _exported: list[CrashRecord] = field(factory=list)
+    _exported_version: int = 0
+    _exported_until: float = float("-inf")
 
     @property
     def is_empty(self) -> bool:
@@ -230,8 +236,18 @@
 
     def export(self, now: float) -> list[CrashRecord]:
         """Return all records for peers, blocked ones first, then the newest first."""
-        self._expire(now)
-        return sorted(self._records.values(), key=self._rank, reverse=True)
+        if self._exported_version != self._version or now >= self._exported_until:
+            self._expire(now)
+            self._exported = sorted(
+                self._records.values(), key=self._rank, reverse=True
+            )
+            self._exported_version = self._version
+            self._exported_until = now + EXPORT_LIFETIME_S
+        return list(self._exported)
+
+    def find(self, identity: bytes) -> CrashRecord | None:
+        """Return the record of a request; None if nothing is known about it."""
+        return self._records.get(identity)
 
     def merge(self, records: Iterable[CrashRecord], now: float) -> bool:
         """Merge records of a peer; return whether this table has changed.
