Let operators see and lift blocks of crashing requests

Cause: a blocked request was visible in the log only, and nothing but a restart of the whole fleet could end a block.

Ruled out: an operator port for the daemons on the platform, which have metrics only. The command calls their peer port instead.

The state has blocked_requests and suspect_requests, both daemons have a gauge of each. A client of one peer call moved from distribution to peering, since two commands use it now. The event of a lifted block names the crashes that it had.

--- a/mulberryport/cli/program.py
+++ b/mulberryport/cli/program.py
@@ -4,6 +4,7 @@
 from attrs import define
 
 from .. import __version__
+from .blocked import BlockedCommand
 from .keys import KeyCommand
 from .processes import (
     CheckCommand,
@@ -33,6 +34,7 @@
         | DiffCommand
         | KeyCommand
         | StatusCommand
+        | BlockedCommand
         | TimelineCommand
         | ExplainCommand
         | StandinCommand
--- a/mulberryport/cli/tests/test_program.py
+++ b/mulberryport/cli/tests/test_program.py
@@ -16,7 +16,17 @@
     running_store,
 )
 
-COMMANDS = ["daemon", "check", "apply", "show", "diff", "status", "timeline", "standin"]
+COMMANDS = [
+    "daemon",
+    "check",
+    "apply",
+    "show",
+    "diff",
+    "status",
+    "blocked",
+    "timeline",
+    "standin",
+]
 
 
 def run_program(*arguments):
--- a/mulberryport/daemon/metrics.py
+++ b/mulberryport/daemon/metrics.py
@@ -5,7 +5,7 @@
 
 from ..telemetry.metrics import Gauge, export_metrics
 
-__all__ = ["render_metrics"]
+__all__ = ["render_metrics", "set_crash_gauges"]
 
 # Age that a daemon reports before its first confirmation, instead of infinity.
 UNCONFIRMED_AGE_S = 1e9
@@ -36,12 +36,19 @@
     ):
         for pool, total in _total_by_pool(state["targets"], count).items():
             set_gauge(name, description, total, pool=pool)
+    set_crash_gauges(len(state["blocked_requests"]), len(state["suspect_requests"]))
     set_gauge("steps_open", "Steps owned.", len(state["steps"]))
     remaining = sum(step["remaining"] for step in state["steps"])
     set_gauge("step_slots_remaining", "Samples not yet received.", remaining)
     return export_metrics()
 
 
+def set_crash_gauges(blocked: int, suspect: int) -> None:
+    """Set the gauges of the requests that crashed targets."""
+    _set_gauge("blocked_requests", "Requests that are not sent to targets.", blocked)
+    _set_gauge("suspect_requests", "Requests after a crash, not blocked.", suspect)
+
+
 def _is_selectable(target: Mapping[str, Any]) -> bool:
     return target["healthy"] and not target["leaving"]
 
--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -13,7 +13,7 @@
 from ..membership import HEARTBEAT_PERIOD_S, Member, Members, new_incarnation
 from ..orders import CapacityPlanner, DemandTracker, OrderService
 from ..peering import Peers, PeerServer
-from ..quarantine import CrashExchange, CrashTable
+from ..quarantine import CrashAdministration, CrashExchange, CrashTable
 from ..rollouts import RolloutService
 from ..rollouts.app import TrainerInterface
 from ..runtime import TimerService
@@ -75,6 +75,7 @@
     directory: TargetDirectory = field(factory=TargetDirectory)
     timers: TimerService = field(factory=TimerService)
     crashes: CrashTable = field(factory=CrashTable)
+    crash_administration: CrashAdministration = field(init=False)
     members: Members = field(init=False)
     store: StoreClient = field(init=False)
     distribution: Distribution = field(init=False)
@@ -130,6 +131,8 @@
         self.peer_server = PeerServer(
             vm.peer_address, credentials.peer_token, crash_exchange.notices
         )
+        self.crash_administration = CrashAdministration(self.crashes)
+        self.crash_administration.register(self.peer_server)
         self.duty_manager = DutyManager(self.store, self.members)
         self.counters = UsageCounters(
             vm.id, self.members.self_member.incarnation, usage.window, usage.shards
@@ -225,6 +228,7 @@
                 self.settings.credentials.operator_token,
                 self.not_ready_reasons,
                 self.state,
+                self.crash_administration.lift,
             ),
         )
         gateway = Gateway(
@@ -316,6 +320,8 @@
                 }
                 for view in self.directory.all_views()
             ],
+            "blocked_requests": self.crash_administration.describe(blocked=True),
+            "suspect_requests": self.crash_administration.describe(blocked=False),
             "orders": self.orders.state(),
             "steps": self.rollouts.describe(),
         }
--- a/mulberryport/distribution/fetching.py
+++ b/mulberryport/distribution/fetching.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Callable
 
-from ..membership import Member, Members
 from ..outcomes import Done, NotDone, Outcome
-from ..peering import Peers, peer_pb2
+from ..peering import call_address, peer_pb2
 from ..tables import Snapshot
 from ..tables.head import decode_head
 from ..tables.queries import MalformedRevision, assemble_snapshot
@@ -37,15 +36,9 @@
     timeout : float
         Timeout of the call in seconds.
     """
-    members = Members(Member("command-line", "none", address))
-    members.add_seed("daemon", "none", address)
-    peers = Peers(members, token, _no_heartbeats, _no_heartbeats)
-    try:
-        outcome = peers.call(
-            "daemon", "FetchConfig", peer_pb2.FetchConfigRequest(), timeout
-        )
-    finally:
-        peers.stop()
+    outcome = call_address(
+        address, token, "FetchConfig", peer_pb2.FetchConfigRequest(), timeout
+    )
     if not isinstance(outcome, Done):
         return outcome
     if not outcome.value.head:
@@ -58,7 +51,3 @@
     if not isinstance(assembled, Done):
         return assembled
     return Done(assembled.value[0])
-
-
-def _no_heartbeats(_: object) -> peer_pb2.Heartbeat:
-    raise NotImplementedError("this client does not exchange heartbeats")
--- a/mulberryport/peering/peers.py
+++ b/mulberryport/peering/peers.py
@@ -22,7 +22,7 @@
 from .proto.peer_grpc import PeerStub
 from .server import TOKEN_HEADER
 
-__all__ = ["Peers"]
+__all__ = ["Peers", "call_address"]
 
 EXCHANGE_ENDED = define_event(
     520,
@@ -288,6 +288,33 @@
         return {TOKEN_HEADER: f"Bearer {self.token}"}
 
 
+def call_address(
+    address: str, token: str, method: str, request: Any, timeout: float
+) -> Outcome[Any]:
+    """Call a method of the daemon at an address, as a client that is no member.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port of the daemon's peer protocol.
+    token : str
+        Credential of the peer port.
+    method, request, timeout
+        As for ``Peers.call``.
+    """
+    own = Member("command-line", "none", address)
+    peers = Peers(Members(own), token, _no_heartbeats, _no_heartbeats)
+    try:
+        daemon = Member("daemon", "none", address)
+        return peers.call_member(daemon, method, request, timeout)
+    finally:
+        peers.stop()
+
+
+def _no_heartbeats(*_: object) -> Any:
+    raise NotImplementedError("this client does not exchange heartbeats")
+
+
 async def _run_until_first_ends(*coroutines: Coroutine[Any, Any, None]) -> None:
     """Run coroutines until one of them ends, and raise its exception."""
     tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -82,6 +82,14 @@
     async def StopJob(self, stream: 'grpclib.server.Stream[peer_pb2.StopJobRequest, peer_pb2.Ack]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ListCrashes(self, stream: 'grpclib.server.Stream[peer_pb2.ListCrashesRequest, peer_pb2.ListCrashesReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def LiftBlock(self, stream: 'grpclib.server.Stream[peer_pb2.LiftBlockRequest, peer_pb2.LiftBlockReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def HandOverIdempotency(self, stream: 'grpclib.server.Stream[peer_pb2.HandOverIdempotencyRequest, peer_pb2.Ack]') -> None:
         pass
@@ -190,6 +198,18 @@
                 peer_pb2.StopJobRequest,
                 peer_pb2.Ack,
             ),
+            '/mulberryport.peer.Peer/ListCrashes': grpclib.const.Handler(
+                self.ListCrashes,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.ListCrashesRequest,
+                peer_pb2.ListCrashesReply,
+            ),
+            '/mulberryport.peer.Peer/LiftBlock': grpclib.const.Handler(
+                self.LiftBlock,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.LiftBlockRequest,
+                peer_pb2.LiftBlockReply,
+            ),
             '/mulberryport.peer.Peer/HandOverIdempotency': grpclib.const.Handler(
                 self.HandOverIdempotency,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -304,6 +324,18 @@
             peer_pb2.StopJobRequest,
             peer_pb2.Ack,
         )
+        self.ListCrashes = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/ListCrashes',
+            peer_pb2.ListCrashesRequest,
+            peer_pb2.ListCrashesReply,
+        )
+        self.LiftBlock = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/LiftBlock',
+            peer_pb2.LiftBlockRequest,
+            peer_pb2.LiftBlockReply,
+        )
         self.HandOverIdempotency = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/HandOverIdempotency',
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -169,6 +169,8 @@
     SubmitJob = _unary_method("SubmitJob")
     ReadJob = _unary_method("ReadJob")
     StopJob = _unary_method("StopJob")
+    ListCrashes = _unary_method("ListCrashes")
+    LiftBlock = _unary_method("LiftBlock")
 
 
 def _sender_member(sender: peer_pb2.Sender) -> Member:
--- a/mulberryport/peering/tests/builders.py
+++ b/mulberryport/peering/tests/builders.py
@@ -18,12 +18,12 @@
 class Node:
     """A peer server and client that exchange heartbeats with the sender only."""
 
-    def __init__(self, vm: str, zone: str) -> None:
+    def __init__(self, vm: str, zone: str, token: str = TOKEN) -> None:
         address = find_free_address()
         self.members = Members(Member(vm, zone, address, 1))
-        self.server = PeerServer(address, TOKEN)
+        self.server = PeerServer(address, token)
         self.peers = Peers(
-            self.members, TOKEN, self.make_heartbeat, self.record_heartbeat
+            self.members, token, self.make_heartbeat, self.record_heartbeat
         )
         self.server.register("Exchange", self.reply_to_heartbeat)
         self.heard_at: dict[str, list[float]] = {}
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -11,6 +11,7 @@
 
 from ..coordination import Change, Session, SessionDuty
 from ..daemon.heartbeats import Heartbeats
+from ..daemon.metrics import set_crash_gauges
 from ..gateway import CallerServer, Gateway, RequestAbortedError
 from ..jobs import EngineClient, JobService
 from ..jobs.repository import LIVE_PREFIX
@@ -24,9 +25,9 @@
     rendezvous_order,
 )
 from ..peering import Peers, PeerServer, peer_pb2
-from ..quarantine import CrashExchange, CrashTable
+from ..quarantine import CrashAdministration, CrashExchange, CrashTable
 from ..runtime import TimerService
-from ..runtime.clock import wall_time
+from ..runtime.clock import boottime, wall_time
 from ..runtime.signals import exit_process, on_stop_signal
 from ..runtime.wsgi import StartResponse, listen, respond, serve
 from ..tables import SnapshotHolder
@@ -154,7 +155,7 @@
         serve(listen(vm.readiness_address), self._serve_readiness)
         if vm.metrics_port:
             host = vm.readiness_address.rpartition(":")[0]
-            serve(listen(f"{host}:{vm.metrics_port}"), _serve_metrics)
+            serve(listen(f"{host}:{vm.metrics_port}"), self._serve_metrics)
         self.caller_server = CallerServer(
             listen(vm.caller_address),
             self.gateway,
@@ -226,6 +227,7 @@
         self.peer_server = PeerServer(
             vm.peer_address, PEER_TOKEN, crash_exchange.notices
         )
+        CrashAdministration(self.crashes).register(self.peer_server)
         self.peer_server.register("Exchange", heartbeats.reply_to_heartbeat)
         self.store.register(self.peer_server)
         self.dispatcher = Dispatcher(
@@ -405,6 +407,16 @@
             self._last_ready = ready
         return respond(start_response, 200 if ready else 503, {"reasons": reasons})
 
+    def _serve_metrics(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        entries = self.crashes.entries(boottime())
+        blocked = sum(entry.blocked for entry in entries)
+        set_crash_gauges(blocked, len(entries) - blocked)
+        content, content_type = export_metrics()
+        start_response("200 OK", [("Content-Type", content_type)])
+        return [content]
+
     def _on_stop_signal(self, *_: object) -> None:
         eventlet.spawn_n(self.stop)
 
@@ -423,11 +435,3 @@
             return
         configure_logging(settings.vm.id, self._log_sink, settings.vm.log_level)
         log(SETTINGS_RELOADED, accepted=True)
-
-
-def _serve_metrics(
-    environ: dict[str, Any], start_response: StartResponse
-) -> Iterable[bytes]:
-    content, content_type = export_metrics()
-    start_response("200 OK", [("Content-Type", content_type)])
-    return [content]
--- a/mulberryport/platform/tests/test_daemon.py
+++ b/mulberryport/platform/tests/test_daemon.py
@@ -1,7 +1,12 @@
 """Tests of the components of an entry daemon that is not started."""
 
 from ...membership.tests.builders import member_of
-from ...quarantine.tests.builders import IDENTITY, crash_targets, make_crash
+from ...quarantine.tests.builders import (
+    IDENTITY,
+    OTHER_IDENTITY,
+    crash_targets,
+    make_crash,
+)
 from ...runtime import boottime
 from ..daemon import EntryDaemon
 from ..settings import parse_entry_settings
@@ -32,3 +37,15 @@
     third.peer_server.notices.apply(daemon.peers.notices.make(member_of(2, 1)))
     assert third.crashes.is_suspect(IDENTITY, boottime())
     assert daemon.peers.notices is daemon.peer_server.notices
+
+
+def test_metrics_count_blocked_and_suspect_requests():
+    # Guards against a daemon without an operator port that hides its blocks.
+    daemon = make_daemon()
+    now = boottime()
+    for number in range(3):
+        crash_targets(daemon.crashes, make_crash(f"t{number}", now - 10 * number))
+    crash_targets(daemon.crashes, make_crash("t", now), identity=OTHER_IDENTITY)
+    (content,) = daemon._serve_metrics({}, lambda status, headers: None)
+    assert b"mulberryport_blocked_requests 1" in content
+    assert b"mulberryport_suspect_requests 1" in content
--- a/mulberryport/quarantine/records.py
+++ b/mulberryport/quarantine/records.py
@@ -183,7 +183,7 @@
         was_blocked = self.is_blocked(identity, crash.at)
         self._join(CrashRecord(identity, route, workspace, (crash,)), crash.at)
         if not was_blocked and self.is_blocked(identity, crash.at):
-            self._log(REQUEST_BLOCKED, identity)
+            _log(REQUEST_BLOCKED, self._records[identity])
         self.on_change()
 
     def record_success(self, identity: bytes, now: float) -> None:
@@ -257,13 +257,16 @@
         """
         changed = False
         for record in records:
-            was_blocked = self.is_blocked(record.identity, now)
+            before = self._records.get(record.identity)
+            was_blocked = before is not None and self._is_blocked(before)
             if not self._join(record, now):
                 continue
             changed = True
-            if self.is_blocked(record.identity, now) != was_blocked:
-                event = BLOCK_LIFTED if was_blocked else BLOCK_LEARNED
-                self._log(event, record.identity)
+            is_blocked = self.is_blocked(record.identity, now)
+            if is_blocked and not was_blocked:
+                _log(BLOCK_LEARNED, self._records[record.identity])
+            elif before is not None and was_blocked and not is_blocked:
+                _log(BLOCK_LIFTED, before)
         if changed:
             self.on_change()
         return changed
@@ -293,7 +296,7 @@
         )
         self._store(evolve(record, crashes=_limit(crashes)))
         if was_blocked:
-            self._log(BLOCK_LIFTED, identity)
+            _log(BLOCK_LIFTED, record)
         self.on_change()
         return True
 
@@ -366,16 +369,16 @@
             if not other.cleared
         )
 
-    def _log(self, event: Event, identity: bytes) -> None:
-        record = self._records[identity]
-        log(
-            event,
-            identity=identity.hex(),
-            route=record.route,
-            workspace=record.workspace,
-            crashes=len(_distinct(record.live)),
-            targets=sorted({crash.target for crash in record.live}),
-        )
+
+def _log(event: Event, record: CrashRecord) -> None:
+    log(
+        event,
+        identity=record.identity.hex(),
+        route=record.route,
+        workspace=record.workspace,
+        crashes=len(_distinct(record.live)),
+        targets=sorted({crash.target for crash in record.live}),
+    )
 
 
 def _join_reports(one: Crash, other: Crash) -> Crash:
--- a/mulberryport/quarantine/tests/test_exchange.py
+++ b/mulberryport/quarantine/tests/test_exchange.py
@@ -13,12 +13,12 @@
 from ...membership.tests.builders import member_of
 from ...peering import peer_pb2
 from ...peering.notices import MIN_NOTICE_INTERVAL_S
-from ...peering.tests.builders import Node, wait_for
+from ...peering.tests.builders import wait_for
 from ...runtime import boottime
 from ...telemetry import recent_entries
 from ..exchange import MAX_RECORDS_PER_MESSAGE, CrashExchange
 from ..records import CrashTable
-from .builders import IDENTITY, crash_targets, make_crash
+from .builders import IDENTITY, CrashNode, crash_targets, make_crash
 
 HOP_S = 0.1
 
@@ -262,39 +262,11 @@
     assert recent_entries()[-1]["event"] == "crash_records_malformed"
 
 
-class ChainNode(Node):
-    """A node that exchanges crash records with its neighbours."""
-
-    def __init__(self, vm: str) -> None:
-        super().__init__(vm, "zone0")
-        self.table = CrashTable()
-        self.exchange = CrashExchange(self.table, self.members, self.peers.sender)
-        self.peers.notices = self.server.notices = self.exchange.notices
-
-    def make_heartbeat(self, peer, announced):
-        """Return a heartbeat with the sender and crash records."""
-        heartbeat, _ = super().make_heartbeat(peer, announced)
-        heartbeat.members_complete = announced is None
-        self.exchange.add(heartbeat, peer)
-        return heartbeat, True
-
-    def record_heartbeat(self, heartbeat):
-        """Record the sender and merge its crash records."""
-        super().record_heartbeat(heartbeat)
-        self.exchange.apply(heartbeat)
-
-    def reply_to_heartbeat(self, heartbeat, announced):
-        """Record a heartbeat and return the answer to it."""
-        self.record_heartbeat(heartbeat)
-        peer = self.members.get(heartbeat.sender.vm)
-        return self.make_heartbeat(peer, announced)
-
-
 # Guards against notices that wait for heartbeats on real streams, in the direction in
 # which the stream was opened and against it.
 @pytest.mark.parametrize("backwards", [False, True])
 def test_crashes_cross_three_hops_within_a_heartbeat_period(backwards):
-    nodes = [ChainNode(f"vm{number}") for number in range(4)]
+    nodes = [CrashNode(f"vm{number}") for number in range(4)]
     with ExitStack() as stack:
         for node in nodes:
             node.server.start()
