Find crashes of several requests by an index of targets

Cause: whether a crash was shared with another request was found by comparing it with all crashes in the table, for each record that was sorted.

Ruled out: evicting several records at once, because peers that still have them would send them back again and again.

Change: the table keeps the crashes of each target in order of time and looks only at those within two seconds. What is derived from one record is computed once. Sorted records are used for five seconds unless the table changes.

--- a/mulberryport/quarantine/records.py
+++ b/mulberryport/quarantine/records.py
@@ -9,8 +9,10 @@
 """
 
 import secrets
+from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable
-from functools import partial
+from functools import cached_property, partial
+from itertools import islice
 
 from attrs import define, evolve, field, frozen
 
@@ -59,7 +61,7 @@
 CLEARED_LIFETIME_S = 600.0
 # The records are sorted again after this time or after a change, not for each of many
 # heartbeats.
-EXPORT_LIFETIME_S = 0.5
+EXPORT_LIFETIME_S = 5.0
 ID_BITS = 64
 
 
@@ -110,12 +112,17 @@
     crashes: tuple[Crash, ...] = ()
     version: int = field(default=0, eq=False)
 
-    @property
+    @cached_property
     def live(self) -> list[Crash]:
         """The reports that count."""
         return [crash for crash in self.crashes if not crash.cleared]
 
-    @property
+    @cached_property
+    def distinct(self) -> list[Crash]:
+        """One report for each crash that counts."""
+        return _distinct(self.live)
+
+    @cached_property
     def last_crash_at(self) -> float:
         """Boot time of the last crash that counts; minus infinity if there is none."""
         return max((crash.at for crash in self.live), default=float("-inf"))
@@ -166,6 +173,8 @@
     _records: dict[bytes, CrashRecord] = field(factory=dict)
     # Identities with crashes that count.
     _suspects: set[bytes] = field(factory=set)
+    # Times, identities and ids of the crashes that count, by target, in order of time.
+    _by_target: dict[str, list[tuple[float, bytes, int]]] = field(factory=dict)
     _version: int = 0
     _exported: list[CrashRecord] = field(factory=list)
     _exported_version: int = 0
@@ -226,7 +235,7 @@
                 record.route,
                 record.workspace,
                 self._is_blocked(record),
-                len(_distinct(record.live)),
+                len(record.distinct),
                 tuple(sorted({crash.target for crash in record.live})),
                 max(0.0, now - record.last_crash_at),
             )
@@ -301,16 +310,24 @@
         return True
 
     def _store(self, record: CrashRecord) -> None:
+        self._remove(record.identity)
         self._version += 1
         self._records[record.identity] = evolve(record, version=self._version)
-        if record.live:
+        for crash in record.live:
             self._suspects.add(record.identity)
-        else:
-            self._suspects.discard(record.identity)
+            insort(
+                self._by_target.setdefault(crash.target, []),
+                (crash.at, record.identity, crash.id),
+            )
 
     def _remove(self, identity: bytes) -> None:
-        del self._records[identity]
+        record = self._records.pop(identity, None)
         self._suspects.discard(identity)
+        for crash in record.live if record is not None else ():
+            of_target = self._by_target[crash.target]
+            del of_target[bisect_left(of_target, (crash.at, identity, crash.id))]
+            if not of_target:
+                del self._by_target[crash.target]
 
     def _expire(self, now: float) -> None:
         """Remove cleared reports and suspect requests that are too old."""
@@ -350,10 +367,9 @@
         return self._is_blocked(record), record.last_crash_at, record.identity
 
     def _is_blocked(self, record: CrashRecord) -> bool:
-        crashes = _distinct(record.live)
-        if len(crashes) >= CRASHES_TO_BLOCK:
+        if len(record.distinct) >= CRASHES_TO_BLOCK:
             return True
-        alone = [crash for crash in crashes if crash.alone]
+        alone = [crash for crash in record.distinct if crash.alone]
         return len(alone) >= ALONE_CRASHES_TO_BLOCK and (
             sum(not self._is_shared(crash, record) for crash in alone)
             >= ALONE_CRASHES_TO_BLOCK
@@ -361,13 +377,14 @@
 
     def _is_shared(self, crash: Crash, record: CrashRecord) -> bool:
         """Return whether another request is known to have been part of a crash."""
-        return any(
-            other.target == crash.target and abs(other.at - crash.at) < SAME_CRASH_S
-            for other_record in self._records.values()
-            if other_record.identity != record.identity
-            for other in other_record.crashes
-            if not other.cleared
-        )
+        of_target = self._by_target.get(crash.target, [])
+        first = bisect_left(of_target, (crash.at - SAME_CRASH_S, b"", 0))
+        for at, identity, _ in islice(of_target, first, None):
+            if at - crash.at >= SAME_CRASH_S:
+                return False
+            if identity != record.identity and crash.at - at < SAME_CRASH_S:
+                return True
+        return False
 
 
 def _log(event: Event, record: CrashRecord) -> None:
@@ -376,7 +393,7 @@
         identity=record.identity.hex(),
         route=record.route,
         workspace=record.workspace,
-        crashes=len(_distinct(record.live)),
+        crashes=len(record.distinct),
         targets=sorted({crash.target for crash in record.live}),
     )
 
--- a/mulberryport/quarantine/tests/test_records.py
+++ b/mulberryport/quarantine/tests/test_records.py
@@ -1,9 +1,12 @@
 """Tests of the table of crashes."""
 
+from itertools import islice
+
 from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
+from .. import records as records_module
 from ..records import (
     CLEARED_LIFETIME_S,
     MAX_CRASHES,
@@ -305,3 +308,77 @@
         crash_targets(table, make_crash(f"t{target}", at / 2))
         assert table.is_blocked(IDENTITY, NOW) or not was_blocked
         was_blocked = table.is_blocked(IDENTITY, NOW)
+
+
+def is_blocked_by_definition(record: CrashRecord, records: list[CrashRecord]) -> bool:
+    def is_shared(crash):
+        return any(
+            other.target == crash.target and abs(other.at - crash.at) < SAME_CRASH_S
+            for other_record in records
+            if other_record.identity != record.identity
+            for other in other_record.live
+        )
+
+    alone = [crash for crash in record.distinct if crash.alone]
+    return len(record.distinct) >= 3 or sum(not is_shared(c) for c in alone) >= 2
+
+
+# Guards against an index of the crashes of each target that misses some, or keeps those
+# of cleared, merged or evicted records.
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 3),
+            st.integers(0, 2),
+            st.integers(0, 40),
+            st.booleans(),
+            st.integers(0, 5),
+        ),
+        max_size=25,
+    )
+)
+def test_shared_crashes_are_found_after_any_change(events):
+    table, peer = CrashTable(), CrashTable()
+    for request, target, half_seconds, alone, kind in events:
+        identity = identity_of(request)
+        crash = make_crash(f"t{target}", half_seconds / 2, alone=alone)
+        if kind == 0:
+            table.record_success(identity, NOW)
+        elif kind == 1:
+            crash_targets(peer, crash, identity=identity)
+            table.merge(peer.export(NOW), NOW)
+            peer.merge(table.export(NOW), NOW)
+        else:
+            crash_targets(table, crash, identity=identity)
+        records = table.export(NOW)
+        assert [table.is_blocked(r.identity, NOW) for r in records] == [
+            is_blocked_by_definition(r, records) for r in records
+        ]
+    for request in range(4):
+        table.record_success(identity_of(request), NOW)
+    assert table.is_empty and not table._by_target
+
+
+# Guards against a full table in which each crash takes long enough to delay requests,
+# because each record is compared with the crashes of all others.
+def test_crashes_are_compared_only_with_those_of_the_same_time(monkeypatch):
+    visited = 0
+
+    def count_visits(*arguments):
+        nonlocal visited
+        for item in islice(*arguments):
+            visited += 1
+            yield item
+
+    monkeypatch.setattr(records_module, "islice", count_visits)
+    table = CrashTable()
+    count = 200
+    for number in range(count):
+        for at in (0.0, 5.0 * count):
+            crash = make_crash("t", at + 5.0 * number, alone=True)
+            table.merge([CrashRecord(identity_of(number), "r", "w", (crash,))], at)
+    visited = 0
+    assert all(entry.blocked for entry in table.entries(1e4))
+    # Each record is examined when it is sorted and when it is described: its two
+    # crashes, and the one that follows each.
+    assert 0 < visited <= 2 * 4 * count
