Report a hedged request that was sent as unknown when its retry is shed

Cause: open_hedged_response turned every shed attempt into the refusal "not run", also when an earlier attempt had been sent. The invariant not_run_is_true then aborted the request, so that its caller got no proper answer. This happens when a retry finds no other target, for example when several targets are down.

Change: the outcome follows from the number of attempts that were sent, as for requests without hedges. The test failed before (a response without an outcome) and passes now.

--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -278,12 +278,10 @@
             hedge_delay_s=hedge_delay_s,
             discard=lambda result: result[0].close(),
         )
-    except ShedError as error:
-        raise RefusalError(503, str(error)) from error
     except ServerFailedError as error:
         # The error response is forwarded if no other attempt succeeded.
         return error.assignment, error.response
-    except (NotSentError, OutcomeUnknownError) as error:
+    except (NotSentError, OutcomeUnknownError, ShedError) as error:
         raise _error_for_caller(error, call.active.sent_attempts) from error
     stack.enter_context(assignment_stack)
     return assignment, response
--- a/mulberryport/gateway/tests/test_forwarding.py
+++ b/mulberryport/gateway/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 import eventlet
 import psutil
 import pytest
+from attrs import evolve
 
 from ...standins.fleet import find_free_address
 from ...targets import WorkRequest
@@ -97,6 +98,20 @@
         assert statuses == {200, 502}
 
 
+def test_hedged_request_that_was_sent_is_unknown_when_no_target_is_left():
+    # Guards against a false "not-run", which breaks an invariant, when the retry of a
+    # request that was sent finds no other target.
+    with (
+        scripted_target(reset_connection) as (address, heads),
+        running_gateway(address) as harness,
+    ):
+        gateway = harness.gateway
+        gateway.dialect = evolve(gateway.dialect, hedge_delay_s=lambda route: 0.5)
+        status, headers, _ = call(harness, "GET", "/filing/a")
+        assert (status, headers[OUTCOME_HEADER]) == (502, "unknown")
+        assert len(heads) == 1
+
+
 def test_refused_connection_is_not_run_and_retried_elsewhere():
     # Guards against the outcome "unknown" for a request that was certainly not sent.
     refusing = find_free_address()
