Detect requests that crash their targets, and do not send them again

Cause: a request that ends each target that begins to run it was retried and hedged like any other one, at every target that had started again, for as long as it came. Every other request in flight at these targets was lost with them.

Ruled out: taking every broken connection for a crash. Responses are lost at targets that stay up; the new connection that is made at once tells them apart. A planned stop (leaving or not listed), silence, refused connections and callers that leave are no crash either; a test shows each.

Requests with an idempotency key and generations pass the same guard.

--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -9,6 +9,7 @@
 from attrs import Factory, define, field
 
 from ..idempotency import IdempotencyService
+from ..quarantine import CrashTable
 from ..runtime.clock import boottime
 from ..runtime.invariants import require
 from ..runtime.wsgi import StartResponse
@@ -29,6 +30,7 @@
 from .once import ResponseOpener, idempotency_key, run_once
 from .refusals import OutcomeUnknownError, RefusalError
 from .server import PROTOCOL_KEY
+from .suspects import SuspectRequests
 from .target_protocol import NATIVE_PROTOCOL
 
 __all__ = ["Gateway"]
@@ -78,6 +80,8 @@
     dialect : Dialect
         Format of requests and responses of callers and targets; by default that of
         the native API.
+    crashes : CrashTable
+        Requests that have crashed targets.
     """
 
     snapshot_holder: SnapshotHolder
@@ -92,6 +96,7 @@
             lambda self: native_dialect(self.serve_trainer), takes_self=True
         )
     )
+    crashes: CrashTable = field(factory=CrashTable)
     active: ActiveRequests = field(init=False)
     _target_client: TargetClient = field(init=False)
     _closes_connections: bool = False
@@ -107,6 +112,7 @@
             lambda pool: self.may_retry(pool),
             self.dialect.target_protocol,
             self._make_start_counter,
+            SuspectRequests(self.dispatcher.directory, self.crashes),
         )
         self.snapshot_holder.subscribe(
             lambda s: self.active.abort_unauthorized(s.tables)
--- a/mulberryport/gateway/bodies.py
+++ b/mulberryport/gateway/bodies.py
@@ -35,6 +35,11 @@
     is_fully_buffered: bool
     _stream: Any = field(default=None, repr=False)
 
+    @property
+    def complete(self) -> bytes | None:
+        """The whole body; None if it is not fully buffered."""
+        return self.buffered if self.is_fully_buffered else None
+
     def parts(self) -> Iterator[bytes]:
         """Yield the body; the part that is not buffered can be read only once.
 
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -3,10 +3,11 @@
 import re
 from collections.abc import Callable
 from contextlib import AbstractContextManager, ExitStack, nullcontext
+from functools import partial
 from typing import Any
 from urllib.parse import unquote
 
-from attrs import evolve, field, frozen
+from attrs import Factory, evolve, field, frozen
 
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse
@@ -28,6 +29,7 @@
 from .headers import request_headers
 from .hedging import run_hedged
 from .refusals import OutcomeUnknownError, RefusalError
+from .suspects import BlockedError, RequestGuard, SuspectRequests
 from .target_protocol import NATIVE_PROTOCOL, OutgoingRequest, TargetProtocol
 
 __all__ = [
@@ -115,6 +117,8 @@
     on_start : callable
         Called with a workspace and a target before a request is sent there; returns a
         function to call if the request may have run, or None.
+    suspects : SuspectRequests
+        Requests that are suspected of crashing targets.
     """
 
     dispatcher: Dispatcher
@@ -123,6 +127,22 @@
     on_start: Callable[[str, TargetView], Callable[[], None] | None] = field(
         default=lambda workspace, view: None
     )
+    suspects: SuspectRequests = field(
+        default=Factory(
+            lambda self: SuspectRequests(self.dispatcher.directory), takes_self=True
+        )
+    )
+
+    def guard(self, call: CallerRequest, request: OutgoingRequest) -> RequestGuard:
+        """Return the guard that admits the attempts of a request."""
+        return RequestGuard(
+            self.suspects,
+            call.active.id,
+            call.access,
+            request.method,
+            request.target,
+            request.body.complete,
+        )
 
     def assign(
         self, work: WorkRequest, failure: Exception | None
@@ -183,6 +203,7 @@
     OutcomeUnknownError
         An attempt may have run, and there is no response.
     """
+    guard = client.guard(call, request)
     failure: Exception | None = None
     for _ in range(call.access.route.attempts):
         if failure is not None:
@@ -194,7 +215,7 @@
         try:
             with ExitStack() as assignment_stack:
                 assignment = assignment_stack.enter_context(
-                    client.assign(work, failure)
+                    guard.admit(partial(client.assign, failure=failure), work)
                 )
                 wait_context = _make_wait_context(call, assignment, client.protocol)
                 response = _forward(
@@ -206,6 +227,9 @@
             if failure is None:
                 raise RefusalError(503, str(error)) from error
             break
+        except BlockedError as error:
+            failure = error
+            break
         except (NotSentError, OutcomeUnknownError, SilentConnectionError) as error:
             failure = error
             log(ATTEMPT_FAILED, request=call.active.id, error=str(error))
@@ -240,6 +264,7 @@
     OutcomeUnknownError
         An attempt may have run, and there is no response.
     """
+    guard = client.guard(call, request)
 
     def attempt(
         excluded: frozenset[str], on_assigned: Callable[[str], None]
@@ -254,7 +279,7 @@
                 )
             remaining_work = evolve(work, exclude=work.exclude | excluded)
             assignment = assignment_stack.enter_context(
-                client.assign(remaining_work, failure)
+                guard.admit(partial(client.assign, failure=failure), remaining_work)
             )
             on_assigned(assignment.id)
             response = _forward(call, assignment, request, nullcontext, on_sent, client)
@@ -268,7 +293,8 @@
 
     def may_retry(error: Exception) -> bool:
         log(ATTEMPT_FAILED, request=call.active.id, error=str(error))
-        return not isinstance(error, ShedError) and client.may_retry(work.pool)
+        is_final = isinstance(error, (BlockedError, ShedError))
+        return not is_final and client.may_retry(work.pool)
 
     try:
         assignment_stack, assignment, response = run_hedged(
@@ -276,12 +302,13 @@
             may_retry,
             max_attempts=call.access.route.attempts,
             hedge_delay_s=hedge_delay_s,
+            may_run_beside=lambda: not guard.is_suspect,
             discard=lambda result: result[0].close(),
         )
     except ServerFailedError as error:
         # The error response is forwarded if no other attempt succeeded.
         return error.assignment, error.response
-    except (NotSentError, OutcomeUnknownError, ShedError) as error:
+    except (BlockedError, NotSentError, OutcomeUnknownError, ShedError) as error:
         raise _error_for_caller(error, call.active.sent_attempts) from error
     stack.enter_context(assignment_stack)
     return assignment, response
--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -18,12 +18,13 @@
 from urllib3.util import SKIP_HEADER
 
 from ..targets import TargetView
-from ..targets.connections import ConnectionPool, drain_refusal
+from ..targets.connections import ConnectionPool, drain_refusal, has_peer_ended
 from .headers import end_to_end, header_values
 from .refusals import OUTCOME_HEADER, OutcomeUnknownError
 from .target_protocol import NATIVE_PROTOCOL, OutgoingRequest, TargetProtocol, Verdict
 
 __all__ = [
+    "ConnectionEndedError",
     "ForwardedResponse",
     "MisdirectedError",
     "NotRunError",
@@ -53,6 +54,10 @@
     """Another target responded at the address, without running the request."""
 
 
+class ConnectionEndedError(OutcomeUnknownError):
+    """The target's end of the connection closed before the response was complete."""
+
+
 @define
 class ForwardedResponse:
     """The status and headers of a target's response, and the stream of its body.
@@ -104,7 +109,8 @@
         No connection was established, or the target reported that the request did
         not run.
     OutcomeUnknownError
-        There was no response, or none whose completeness can be checked.
+        There was no response, or none whose completeness can be checked; a
+        ``ConnectionEndedError`` if the target's end of the connection closed.
     """
     connection = _connect(view, request, protocol.connections)
     on_sent()
@@ -119,9 +125,7 @@
         return _make_response(view, request, reply, connection, wait_context, protocol)
     except (HTTPError, HTTPException, OSError, ValueError) as error:
         connection.close()
-        raise OutcomeUnknownError(
-            502, f"the connection to target {view.id} failed"
-        ) from error
+        raise _failure(error, f"the connection to target {view.id} failed") from error
     except BaseException:
         connection.close()
         raise
@@ -286,7 +290,7 @@
                 return
             yield part
     except (HTTPError, HTTPException, OSError) as error:
-        raise OutcomeUnknownError(502, "the target's answer broke off") from error
+        raise _failure(error, "the target's answer broke off") from error
     finally:
         if complete and connections is not None:
             _release_connection(view, reply, connection, connections)
@@ -295,6 +299,12 @@
             connection.close()
 
 
+def _failure(error: Exception, message: str) -> OutcomeUnknownError:
+    if has_peer_ended(error):
+        return ConnectionEndedError(502, message)
+    return OutcomeUnknownError(502, message)
+
+
 def _release_connection(
     view: TargetView,
     reply: urllib3.HTTPResponse,
--- a/mulberryport/gateway/generation.py
+++ b/mulberryport/gateway/generation.py
@@ -2,6 +2,7 @@
 
 import secrets
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any
 
 import eventlet
@@ -24,6 +25,7 @@
 from .active import SilentConnectionError
 from .calls import MAX_ATTEMPTS, MIN_SILENCE_S, CallerRequest, TargetClient
 from .refusals import OutcomeUnknownError, RefusalError
+from .suspects import BlockedError, RequestGuard
 
 __all__ = ["error_line", "parse_generation", "stream_generation"]
 
@@ -106,9 +108,11 @@
         The response cannot be completed.
     """
     progress = GenerationProgress()
+    guard = _make_guard(call, request, client)
     while True:
+        assign = partial(client.assign, failure=progress.last_failure)
         try:
-            with client.assign(work, progress.last_failure) as assignment:
+            with guard.admit(assign, work) as assignment:
                 assigned_at, latency = boottime(), None
                 for chunk in _run_attempt(call, request, assignment, progress):
                     latency = latency or boottime() - assigned_at
@@ -128,6 +132,8 @@
             if progress.last_failure is None:
                 raise RefusalError(503, str(error)) from error
             raise _error_for_caller(progress.last_failure, call) from error
+        except BlockedError as error:
+            raise _error_for_caller(error, call) from error
         except (NotStartedError, StreamError, SilentConnectionError) as error:
             progress.last_failure = error
             progress.failure_count += 1
@@ -182,7 +188,23 @@
         call.start_response("200 OK", [("Content-Type", "application/x-ndjson")])
 
 
-def _error_for_caller(failure: AttemptError, call: CallerRequest) -> Exception:
+def _make_guard(
+    call: CallerRequest, request: GenerationRequest, client: TargetClient
+) -> RequestGuard:
+    target = call.environ.get("RAW_PATH_INFO") or call.environ["PATH_INFO"]
+    body = f"{request.max_tokens}\n{request.prompt}".encode(errors="surrogatepass")
+    return RequestGuard(
+        client.suspects, call.active.id, call.access, call.method, target, body
+    )
+
+
+def _error_for_caller(
+    failure: AttemptError | BlockedError, call: CallerRequest
+) -> Exception:
+    if isinstance(failure, BlockedError):
+        if call.active.sent_attempts:
+            return OutcomeUnknownError(502, str(failure))
+        return RefusalError(503, str(failure))
     if not call.active.sent_attempts:
         return RefusalError(503, "no engine can be reached")
     if isinstance(failure, SilentConnectionError):
--- a/mulberryport/gateway/hedging.py
+++ b/mulberryport/gateway/hedging.py
@@ -73,6 +73,7 @@
     max_attempts: int,
     hedge_delay_s: float,
     discard: Callable[[T], None],
+    may_run_beside: Callable[[], bool] = lambda: True,
 ) -> T:
     """Run attempts until one succeeds, and return the first result.
 
@@ -89,6 +90,8 @@
         Seconds without a result after which a second attempt starts concurrently.
     discard : callable
         Called with each result that arrived after the one that is returned.
+    may_run_beside : callable
+        Returns whether an attempt may start while another one runs.
 
     Raises
     ------
@@ -111,12 +114,16 @@
                     timeout=hedge_delay_s if may_hedge else None
                 )
             except Empty:
-                hedged_call.start()
+                if may_run_beside():
+                    hedged_call.start()
                 continue
             hedged_call.running_attempts.remove(attempt_thread)
             if error is None:
                 return value
-            if hedged_call.started_count < max_attempts and may_retry(error):
+            may_start = hedged_call.started_count < max_attempts and (
+                not hedged_call.running_attempts or may_run_beside()
+            )
+            if may_start and may_retry(error):
                 hedged_call.start()
             elif not hedged_call.running_attempts:
                 raise error
--- a/mulberryport/gateway/tests/builders.py
+++ b/mulberryport/gateway/tests/builders.py
@@ -28,6 +28,7 @@
     "wait_until",
 ]
 
+QUEUES_PERIOD_S = 0.2
 KEY = "mbp_" + "k" * 43
 OTHER_KEY = "mbp_" + "o" * 43
 TABLES = """
@@ -38,6 +39,11 @@
 pool = desk
 workspaces = roads
 timeout = {timeout}
+[route shared]
+path = /shared/
+pool = desk
+workspaces = roads, hauliers
+timeout = {timeout}
 [route public]
 path = /public/
 pool = desk
@@ -111,6 +117,7 @@
     server.start()
     timers = TimerService()
     timers.subscribe("requests", CHECK_PERIOD_S, gateway.active.check)
+    timers.subscribe("queues", QUEUES_PERIOD_S, gateway.dispatcher.dispatch_waiting)
     try:
         yield Harness(
             listener.getsockname(), gateway, server, holder, directory, keys_usable
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -9,6 +9,7 @@
 
 import http.client
 import socket
+from contextlib import closing
 
 import urllib3
 from attrs import define, field
@@ -20,7 +21,7 @@
 from ..runtime.sockets import TCP_SOCKET_OPTIONS
 from ..runtime.wsgi import split_address
 
-__all__ = ["ConnectionPool", "drain_refusal"]
+__all__ = ["ConnectionPool", "drain_refusal", "has_peer_ended", "is_peer_gone"]
 
 # Used if the target's response states no keep-alive timeout.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
@@ -31,6 +32,11 @@
 # The body of a refusal is short.
 MAX_REFUSAL_BYTES = 16 * 1024
 MAX_REFUSAL_READ_S = 0.3
+# A target that is up accepts a connection within a round trip.
+GONE_CONNECT_TIMEOUT_S = 0.25
+# A process that ends closes its listener and its connections one after another, so
+# that a connection may still be accepted and is reset directly afterwards.
+GONE_SETTLE_TIMEOUT_S = 0.02
 
 
 def drain_refusal(response: urllib3.BaseHTTPResponse) -> bool:
@@ -52,6 +58,63 @@
     return True
 
 
+def has_peer_ended(error: BaseException) -> bool:
+    """Return whether an error says that the peer closed or reset the connection.
+
+    Parameters
+    ----------
+    error : BaseException
+        Error of a read or write, also as urllib3 wraps it. Timeouts, malformed
+        responses and unreachable networks are not an end of the connection.
+
+    Examples
+    --------
+    >>> has_peer_ended(ConnectionResetError()), has_peer_ended(TimeoutError())
+    (True, False)
+    """
+    ends = (ConnectionResetError, BrokenPipeError, http.client.IncompleteRead)
+    causes = (error, error.__cause__, *error.args)
+    return any(isinstance(cause, ends) for cause in causes)
+
+
+def is_peer_gone(address: str) -> bool:
+    """Return whether nothing accepts connections at an address any more.
+
+    The connections that this opens are closed at once.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+
+    Raises
+    ------
+    OSError
+        This process could not try, for example without a free file descriptor.
+    """
+    return not (_stays_open(address) or _stays_open(address, settle_timeout_s=0.0))
+
+
+def _stays_open(address: str, settle_timeout_s: float = GONE_SETTLE_TIMEOUT_S) -> bool:
+    """Return whether a new connection is accepted and not ended directly."""
+    try:
+        connection = socket.create_connection(
+            split_address(address), GONE_CONNECT_TIMEOUT_S
+        )
+    except (ConnectionRefusedError, ConnectionResetError, TimeoutError):
+        return False
+    with closing(connection):
+        if not settle_timeout_s:
+            return True
+        connection.settimeout(settle_timeout_s)
+        try:
+            return bool(connection.recv(1))
+        except TimeoutError:
+            return True
+        except ConnectionResetError:
+            return False
+
+
 @define(eq=False)
 class IdleConnection:
     """An idle connection and the boot time at which it expires."""
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -151,6 +151,13 @@
         """Return whether the VM list marks a target as leaving."""
         return target in self._leaving_ids
 
+    def is_in_service(self, view: TargetView) -> bool:
+        """Return whether a target is still listed and not known to be leaving."""
+        return any(
+            current.id == view.id and not current.leaving
+            for current in self.views(view.pool)
+        )
+
     def suspend_model(self, target: str, model: str, seconds: float) -> None:
         """Send no requests for a model to a target for the given number of seconds."""
         self._get_or_create_state(target).model_suspended_until[model] = (
--- a/mulberryport/targets/engine_client.py
+++ b/mulberryport/targets/engine_client.py
@@ -20,10 +20,12 @@
 from ..outcomes import Done, NotDone, Outcome
 from ..runtime.http import call_json
 from ..telemetry import process_clock
+from .connections import has_peer_ended
 
 __all__ = [
     "GenerationRequest",
     "NotStartedError",
+    "StreamEndedError",
     "StreamError",
     "TokenChunk",
     "cancel_generation",
@@ -48,6 +50,10 @@
     """The stream ended early or violated the protocol."""
 
 
+class StreamEndedError(StreamError):
+    """The engine's end of the connection closed before the final line."""
+
+
 @frozen
 class GenerationRequest:
     """Parameters of a generation request to an engine.
@@ -108,7 +114,8 @@
     NotStartedError
         If the connection failed.
     StreamError
-        If the stream ended early, belongs to another request or is malformed.
+        If the stream ended early, belongs to another request or is malformed; a
+        ``StreamEndedError`` if the engine's end of the connection closed.
     """
     host, _, port = address.rpartition(":")
     connection = urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
@@ -139,13 +146,13 @@
     except (NewConnectionError, ConnectTimeoutError) as error:
         raise NotStartedError(f"{address}: {error}") from error
     except HTTPError as error:
-        raise StreamError(f"{address}: {error}") from error
+        raise _stream_failure(error, address) from error
     try:
         if reply.status != 200:
             raise StreamError(f"{address}: HTTP status {reply.status}")
         yield from _read_chunks(reply, request, address, wait_context)
     except HTTPError as error:
-        raise StreamError(f"{address}: {error}") from error
+        raise _stream_failure(error, address) from error
     finally:
         reply.close()
         connection.close()
@@ -173,7 +180,13 @@
         if offset > request.max_tokens:
             raise StreamError(f"{address}: more tokens than requested")
         yield chunk
-    raise StreamError(f"{address}: stream ended without its final line")
+    raise StreamEndedError(f"{address}: stream ended without its final line")
+
+
+def _stream_failure(error: HTTPError, address: str) -> StreamError:
+    if has_peer_ended(error):
+        return StreamEndedError(f"{address}: {error}")
+    return StreamError(f"{address}: {error}")
 
 
 def _parse_line(line: bytes, address: str) -> dict[str, Any]:
