Prefer an idle target for a request that is suspected of crashes

Cause: a suspect request ran beside other requests of the daemon, which were lost with the target if it crashed again, and became suspects themselves.

Change: WorkRequest.prefers_idle adds a penalty to targets with own requests; suspects set it and give up the preference for the targets of their prefix. All targets with a free slot are compared, since two random ones would often miss the idle one. The penalty is below that of a failure, so that a target that is down is not preferred. Other requests may still join the suspect's target.

The new test of the selection cannot run on the code before, which has no such field.

--- a/mulberryport/gateway/suspects.py
+++ b/mulberryport/gateway/suspects.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, ExitStack, contextmanager
 
-from attrs import define, field
+from attrs import define, evolve, field
 from eventlet.semaphore import Semaphore
 
 from ..quarantine import CrashTable, request_identity
@@ -129,7 +129,8 @@
     def admit(self, assign: Assign, work: WorkRequest) -> Iterator[Assignment]:
         """Hold a slot of a target for one attempt, if the request may be sent.
 
-        A suspect request first waits for its turn, until its deadline.
+        A suspect request first waits for its turn, until its deadline, and then prefers
+        a target that has no other request of this daemon.
 
         Parameters
         ----------
@@ -154,7 +155,10 @@
                     if self.is_blocked or not self.is_suspect:
                         # Another copy of the request ended during the wait.
                         continue
-                assignment = stack.enter_context(assign(work))
+                    wanted = evolve(work, prefers_idle=True, prefix="", affinity="")
+                else:
+                    wanted = work
+                assignment = stack.enter_context(assign(wanted))
                 if self.is_blocked or (self.is_suspect and not has_turn):
                     # Another copy of the request crashed a target during the wait.
                     assignment.cancelled()
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -116,6 +116,8 @@
         Model that must serve the request; empty if any may.
     oldest_version : int
         Oldest weight version of the model that may be used; 0 for any.
+    prefers_idle : bool
+        Whether targets at which this daemon has no request in flight are preferred.
     """
 
     pool: str
@@ -129,6 +131,7 @@
     cost: float = 1.0
     model: str = ""
     oldest_version: int = 0
+    prefers_idle: bool = False
 
     def accepts_versions_of(self, view: TargetView) -> bool:
         """Whether a target serves a weight version that is new enough."""
--- a/mulberryport/routing/selection.py
+++ b/mulberryport/routing/selection.py
@@ -26,6 +26,10 @@
 # be busier than one without: one request at a target with five slots. A new connection
 # occupies a slot there for some time.
 NEW_CONNECTION_PENALTY = 0.2
+# Fraction of the capacity by which an idle target may be more loaded by others than a
+# target with own requests, for requests that prefer idle ones. It is below the penalty
+# of a failure, since a target that has just failed is idle as well.
+BUSY_PENALTY = 0.4
 # Targets with an idle connection that are compared.
 CONNECTED_CHOICES = 3
 # Largest random cost of an outdated report, as a fraction of the capacity. It keeps
@@ -55,6 +59,8 @@
         cost += REMOTE_ZONE_PENALTY
     if work.restartable and not view.cheap and targets.prefers_cheap:
         cost += ON_DEMAND_PENALTY
+    if work.prefers_idle and candidate.own_requests:
+        cost += BUSY_PENALTY
     return cost
 
 
@@ -136,10 +142,12 @@
 def _sample_random(
     targets: CandidateSet, work: WorkRequest, local: bool, generator: random.Random
 ) -> Sequence[Candidate]:
-    """Return some random targets with a free slot."""
+    """Return some random targets with a free slot; all, if an idle one is preferred."""
     eligible = targets.eligible_for(work, local)
     if not eligible:
         return ()
+    if work.prefers_idle:
+        return [c for c in eligible if _has_free_slot(c, work)]
     found: list[Candidate] = []
     # Random draws cost the same in a pool of any size. The whole pool is searched
     # only if they find no target, that is, if the pool is nearly full.
--- a/mulberryport/routing/tests/test_selection.py
+++ b/mulberryport/routing/tests/test_selection.py
@@ -44,3 +44,28 @@
     views = [view("t1", report=report(), report_age=0.0)]
     assert count_choices(views, {"other"}) == {"t1": 200}
     assert CandidateSet("a").connected() == frozenset()
+
+
+def test_an_idle_target_is_chosen_by_requests_that_prefer_it():
+    # Guards against a suspect request that runs beside others and takes them with it.
+    views = [view(f"t{n}", report=report(), report_age=0.0) for n in range(3)]
+    pool_scheduler = scheduler(views)
+    for name in ("t0", "t2"):
+        pool_scheduler.targets.get(name).own_requests = 1
+
+    def choices(**values):
+        return {
+            choose_target(
+                pool_scheduler.targets,
+                work(restartable=True, **values),
+                pool_scheduler.generator,
+            ).id
+            for _ in range(100)
+        }
+
+    pool_scheduler.targets.connected = lambda: {"t0"}
+    assert choices(prefers_idle=True) == {"t1"}
+    assert "t0" in choices()
+    # A target that has just failed is idle, but not preferred.
+    pool_scheduler.targets.get("t1").failure_penalty = 0.5
+    assert "t1" not in choices(prefers_idle=True)
