--- a/mulberryport/daemon/process.py
+++ b/mulberryport/daemon/process.py
@@ -13,6 +13,7 @@
 from ..membership import HEARTBEAT_PERIOD_S, Member, Members, new_incarnation
 from ..orders import CapacityPlanner, DemandTracker, OrderService
 from ..peering import Peers, PeerServer
+from ..quarantine import CrashAdministration, CrashExchange, CrashTable
 from ..rollouts import RolloutService
 from ..rollouts.app import TrainerInterface
 from ..runtime import TimerService
@@ -73,6 +74,8 @@
     snapshot_holder: SnapshotHolder = field(factory=SnapshotHolder)
     directory: TargetDirectory = field(factory=TargetDirectory)
     timers: TimerService = field(factory=TimerService)
+    crashes: CrashTable = field(factory=CrashTable)
+    crash_administration: CrashAdministration = field(init=False)
     members: Members = field(init=False)
     store: StoreClient = field(init=False)
     distribution: Distribution = field(init=False)
@@ -122,7 +125,14 @@
             heartbeats.apply_heartbeat,
         )
         heartbeats.peers = self.distribution.peers = self.peers
-        self.peer_server = PeerServer(vm.peer_address, credentials.peer_token)
+        crash_exchange = CrashExchange(self.crashes, self.members, self.peers.sender)
+        crash_exchange.attach(heartbeats.contributors, heartbeats.listeners)
+        self.peers.notices = crash_exchange.notices
+        self.peer_server = PeerServer(
+            vm.peer_address, credentials.peer_token, crash_exchange.notices
+        )
+        self.crash_administration = CrashAdministration(self.crashes)
+        self.crash_administration.register(self.peer_server)
         self.duty_manager = DutyManager(self.store, self.members)
         self.counters = UsageCounters(
             vm.id, self.members.self_member.incarnation, usage.window, usage.shards
@@ -218,6 +228,7 @@
                 self.settings.credentials.operator_token,
                 self.not_ready_reasons,
                 self.state,
+                self.crash_administration.lift,
             ),
         )
         gateway = Gateway(
@@ -233,6 +244,7 @@
             ),
             may_retry=self.dispatcher.may_retry,
             idempotency=self.idempotency,
+            crashes=self.crashes,
         )
         self.gateway = gateway
         self.caller_server = CallerServer(listen(vm.caller_address), gateway)
@@ -308,6 +320,8 @@
                 }
                 for view in self.directory.all_views()
             ],
+            "blocked_requests": self.crash_administration.describe(blocked=True),
+            "suspect_requests": self.crash_administration.describe(blocked=False),
             "orders": self.orders.state(),
             "steps": self.rollouts.describe(),
         }
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -91,6 +91,7 @@
     trainers: Callable[..., Iterable[bytes]]
     may_retry: Callable[[str], bool] = allow_retry
     idempotency: IdempotencyService | None = None
+    crashes: CrashTable = field(factory=CrashTable)
     dialect: Dialect = field(
         default=Factory(
             lambda self: native_dialect(self.serve_trainer), takes_self=True
--- a/mulberryport/quarantine/records.py
+++ b/mulberryport/quarantine/records.py
@@ -9,8 +9,10 @@
 """
 
 import secrets
+from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable
-from functools import partial
+from functools import cached_property, partial
+from itertools import islice
 
 from attrs import define, evolve, field, frozen
 
@@ -57,6 +59,9 @@
 # Time for which cleared reports are kept, so that a daemon that missed the clearing
 # does not bring them back.
 CLEARED_LIFETIME_S = 600.0
+# The records are sorted again after this time or after a change, not for each of many
+# heartbeats.
+EXPORT_LIFETIME_S = 5.0
 ID_BITS = 64
 
 
@@ -107,12 +112,17 @@
     crashes: tuple[Crash, ...] = ()
     version: int = field(default=0, eq=False)
 
-    @property
+    @cached_property
     def live(self) -> list[Crash]:
         """The reports that count."""
         return [crash for crash in self.crashes if not crash.cleared]
 
-    @property
+    @cached_property
+    def distinct(self) -> list[Crash]:
+        """One report for each crash that counts."""
+        return _distinct(self.live)
+
+    @cached_property
     def last_crash_at(self) -> float:
         """Boot time of the last crash that counts; minus infinity if there is none."""
         return max((crash.at for crash in self.live), default=float("-inf"))
@@ -163,7 +173,12 @@
     _records: dict[bytes, CrashRecord] = field(factory=dict)
     # Identities with crashes that count.
     _suspects: set[bytes] = field(factory=set)
+    # Times, identities and ids of the crashes that count, by target, in order of time.
+    _by_target: dict[str, list[tuple[float, bytes, int]]] = field(factory=dict)
     _version: int = 0
+    _exported: list[CrashRecord] = field(factory=list)
+    _exported_version: int = 0
+    _exported_until: float = float("-inf")
 
     @property
     def is_empty(self) -> bool:
@@ -177,7 +192,7 @@
         was_blocked = self.is_blocked(identity, crash.at)
         self._join(CrashRecord(identity, route, workspace, (crash,)), crash.at)
         if not was_blocked and self.is_blocked(identity, crash.at):
-            self._log(REQUEST_BLOCKED, identity)
+            _log(REQUEST_BLOCKED, self._records[identity])
         self.on_change()
 
     def record_success(self, identity: bytes, now: float) -> None:
@@ -220,7 +235,7 @@
                 record.route,
                 record.workspace,
                 self._is_blocked(record),
-                len(_distinct(record.live)),
+                len(record.distinct),
                 tuple(sorted({crash.target for crash in record.live})),
                 max(0.0, now - record.last_crash_at),
             )
@@ -230,8 +245,18 @@
 
     def export(self, now: float) -> list[CrashRecord]:
         """Return all records for peers, blocked ones first, then the newest first."""
-        self._expire(now)
-        return sorted(self._records.values(), key=self._rank, reverse=True)
+        if self._exported_version != self._version or now >= self._exported_until:
+            self._expire(now)
+            self._exported = sorted(
+                self._records.values(), key=self._rank, reverse=True
+            )
+            self._exported_version = self._version
+            self._exported_until = now + EXPORT_LIFETIME_S
+        return list(self._exported)
+
+    def find(self, identity: bytes) -> CrashRecord | None:
+        """Return the record of a request; None if nothing is known about it."""
+        return self._records.get(identity)
 
     def merge(self, records: Iterable[CrashRecord], now: float) -> bool:
         """Merge records of a peer; return whether this table has changed.
@@ -241,13 +266,16 @@
         """
         changed = False
         for record in records:
-            was_blocked = self.is_blocked(record.identity, now)
+            before = self._records.get(record.identity)
+            was_blocked = before is not None and self._is_blocked(before)
             if not self._join(record, now):
                 continue
             changed = True
-            if self.is_blocked(record.identity, now) != was_blocked:
-                event = BLOCK_LIFTED if was_blocked else BLOCK_LEARNED
-                self._log(event, record.identity)
+            is_blocked = self.is_blocked(record.identity, now)
+            if is_blocked and not was_blocked:
+                _log(BLOCK_LEARNED, self._records[record.identity])
+            elif before is not None and was_blocked and not is_blocked:
+                _log(BLOCK_LIFTED, before)
         if changed:
             self.on_change()
         return changed
@@ -277,21 +305,29 @@
         )
         self._store(evolve(record, crashes=_limit(crashes)))
         if was_blocked:
-            self._log(BLOCK_LIFTED, identity)
+            _log(BLOCK_LIFTED, record)
         self.on_change()
         return True
 
     def _store(self, record: CrashRecord) -> None:
+        self._remove(record.identity)
         self._version += 1
         self._records[record.identity] = evolve(record, version=self._version)
-        if record.live:
+        for crash in record.live:
             self._suspects.add(record.identity)
-        else:
-            self._suspects.discard(record.identity)
+            insort(
+                self._by_target.setdefault(crash.target, []),
+                (crash.at, record.identity, crash.id),
+            )
 
     def _remove(self, identity: bytes) -> None:
-        del self._records[identity]
+        record = self._records.pop(identity, None)
         self._suspects.discard(identity)
+        for crash in record.live if record is not None else ():
+            of_target = self._by_target[crash.target]
+            del of_target[bisect_left(of_target, (crash.at, identity, crash.id))]
+            if not of_target:
+                del self._by_target[crash.target]
 
     def _expire(self, now: float) -> None:
         """Remove cleared reports and suspect requests that are too old."""
@@ -331,10 +367,9 @@
         return self._is_blocked(record), record.last_crash_at, record.identity
 
     def _is_blocked(self, record: CrashRecord) -> bool:
-        crashes = _distinct(record.live)
-        if len(crashes) >= CRASHES_TO_BLOCK:
+        if len(record.distinct) >= CRASHES_TO_BLOCK:
             return True
-        alone = [crash for crash in crashes if crash.alone]
+        alone = [crash for crash in record.distinct if crash.alone]
         return len(alone) >= ALONE_CRASHES_TO_BLOCK and (
             sum(not self._is_shared(crash, record) for crash in alone)
             >= ALONE_CRASHES_TO_BLOCK
@@ -342,24 +377,25 @@
 
     def _is_shared(self, crash: Crash, record: CrashRecord) -> bool:
         """Return whether another request is known to have been part of a crash."""
-        return any(
-            other.target == crash.target and abs(other.at - crash.at) < SAME_CRASH_S
-            for other_record in self._records.values()
-            if other_record.identity != record.identity
-            for other in other_record.crashes
-            if not other.cleared
-        )
-
-    def _log(self, event: Event, identity: bytes) -> None:
-        record = self._records[identity]
-        log(
-            event,
-            identity=identity.hex(),
-            route=record.route,
-            workspace=record.workspace,
-            crashes=len(_distinct(record.live)),
-            targets=sorted({crash.target for crash in record.live}),
-        )
+        of_target = self._by_target.get(crash.target, [])
+        first = bisect_left(of_target, (crash.at - SAME_CRASH_S, b"", 0))
+        for at, identity, _ in islice(of_target, first, None):
+            if at - crash.at >= SAME_CRASH_S:
+                return False
+            if identity != record.identity and crash.at - at < SAME_CRASH_S:
+                return True
+        return False
+
+
+def _log(event: Event, record: CrashRecord) -> None:
+    log(
+        event,
+        identity=record.identity.hex(),
+        route=record.route,
+        workspace=record.workspace,
+        crashes=len(record.distinct),
+        targets=sorted({crash.target for crash in record.live}),
+    )
 
 
 def _join_reports(one: Crash, other: Crash) -> Crash:
