--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -97,7 +97,6 @@
             lambda self: native_dialect(self.serve_trainer), takes_self=True
         )
     )
-    crashes: CrashTable = field(factory=CrashTable)
     active: ActiveRequests = field(init=False)
     _target_client: TargetClient = field(init=False)
     _closes_connections: bool = False
