--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -30,6 +30,7 @@
 from .once import ResponseOpener, idempotency_key, run_once
 from .refusals import OutcomeUnknownError, RefusalError
 from .server import PROTOCOL_KEY
+from .suspects import SuspectRequests
 from .target_protocol import NATIVE_PROTOCOL
 
 __all__ = ["Gateway"]
@@ -84,7 +85,7 @@
         Format of requests and responses of callers and targets; by default that of
         the native API.
     crashes : CrashTable
-        Requests that crashed targets.
+        Requests that have crashed targets.
     """
 
     snapshot_holder: SnapshotHolder
@@ -116,6 +117,7 @@
             lambda pool: self.may_retry(pool),
             self.dialect.target_protocol,
             self._make_start_counter,
+            SuspectRequests(self.dispatcher.directory, self.crashes),
         )
         self.snapshot_holder.subscribe(
             lambda s: self.active.abort_unauthorized(s.tables)
