Choose ports for test processes that nothing else takes

Cause: find_free_address let the system choose a port and gave it up again. The next call could get the same port, and so could an outgoing connection before the daemon of the test listened. In one whole run, the peer port of vm1 was "already in use" when it started; in the next run of the file, vm2 and vm3 had the same peer address (39959). Both times test_resumed_daemon_neither_uses_its_lease_nor_accepts_old_keys got no healthy daemon within 20 s.

Ruled out: the daemons; the settings files and the traceback show the ports.

--- a/mulberryport/standins/fleet.py
+++ b/mulberryport/standins/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -26,13 +27,33 @@
 PEER_TOKEN = "peer-token-of-a-test-fleet"
 POLL_S = 0.05
 START_TIMEOUT_S = 20.0
+# Below the ports that outgoing connections get, which could take a port between its
+# choice and its use.
+FREE_PORTS = range(10_000, 32_768)
+
+_given_ports: set[int] = set()
 
 
 def find_free_address() -> str:
-    """Return a loopback address with a port that is currently free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port is free and was not returned before.
+
+    Raises
+    ------
+    OSError
+        No port is left.
+    """
+    candidates = [port for port in FREE_PORTS if port not in _given_ports]
+    random.shuffle(candidates)
+    for port in candidates:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                # Another process uses the port.
+                continue
+            _given_ports.add(port)
+            return f"127.0.0.1:{port}"
+    raise OSError("no free port is left")
 
 
 def wait_until(condition: Callable[[], Any], timeout: float, description: str) -> Any:
