--- a/mulberryport/jobs/tests/test_repository.py
+++ b/mulberryport/jobs/tests/test_repository.py
@@ -100,7 +100,9 @@
     assert before
     connection.late = late
     connection.execute_late()
-    assert stored_ids(store)[: len(before)] == before
+    after = stored_ids(store)
+    assert after[: len(before)] == before
+    assert len(set(after)) == len(after)
     daemon.die()
 
 
