Record the rate limits that targets name, and log who uses limited targets

Nothing in logs or metrics told which part of a daemon sends requests to a target that names a limit. Responses are now read for it in one place for requests, items and scoring calls (platform.target_reports), after the check that they belong to the request; late copies and responses of other targets are left out, also for loads, which were recorded before that check. Responses overtake each other, so a limit is only lifted or changed by a response to a request that was sent after the last report.

--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -154,7 +154,7 @@
         if failure is None:
             return self.dispatcher.assign(work)
         deadline = min(work.deadline, boottime() + RETRY_QUEUE_TIMEOUT_S)
-        return self.dispatcher.assign(evolve(work, deadline=deadline))
+        return self.dispatcher.assign(evolve(work, deadline=deadline, purpose="retry"))
 
 
 def outgoing_request(call: CallerRequest, body: RequestBody) -> OutgoingRequest:
--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -17,6 +17,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
+from ..runtime.clock import boottime
 from ..targets import TargetView
 from ..targets.connections import ConnectionPool, drain_refusal, has_peer_ended
 from .headers import end_to_end, header_values
@@ -114,6 +115,7 @@
     """
     connection = _connect(view, request, protocol.connections)
     on_sent()
+    sent_at = boottime()
     try:
         # Reads and writes are ended by the request's deadline, not a socket timeout.
         connection.timeout = None
@@ -121,7 +123,7 @@
         _send(connection, request, protocol.attempt_headers(request, view))
         with wait_context():
             reply = connection.getresponse()
-        _check_verdict(view, request, reply, connection, protocol)
+        _check_verdict(view, request, sent_at, reply, connection, protocol)
         return _make_response(view, request, reply, connection, wait_context, protocol)
     except (HTTPError, HTTPException, OSError, ValueError) as error:
         connection.close()
@@ -209,12 +211,13 @@
 def _check_verdict(
     view: TargetView,
     request: OutgoingRequest,
+    sent_at: float,
     reply: urllib3.HTTPResponse,
     connection: HTTPConnection,
     protocol: TargetProtocol,
 ) -> None:
     """Raise if the response is not the request's, or reports that it did not run."""
-    verdict = protocol.verdict(view, request, reply.status, reply.headers)
+    verdict = protocol.verdict(view, request, sent_at, reply.status, reply.headers)
     if verdict is Verdict.RESPONSE:
         return
     if verdict is Verdict.OTHER_REQUEST:
--- a/mulberryport/gateway/target_protocol.py
+++ b/mulberryport/gateway/target_protocol.py
@@ -63,8 +63,8 @@
     attempt_headers : callable
         Returns the headers to add when a request is sent to a target.
     verdict : callable
-        Classifies a response, given the target, the request, and the status and
-        headers of the response.
+        Classifies a response, given the target, the request, the boot time at which it
+        was sent, and the status and headers of the response.
     connections : ConnectionPool or None
         Pool of connections for reuse; None to open a new one for each request.
     allows_unframed : bool
@@ -79,8 +79,8 @@
         _clock_header
     )
     verdict: Callable[
-        [TargetView, OutgoingRequest, int, Mapping[str, str]], Verdict
-    ] = lambda view, request, status, headers: Verdict.RESPONSE
+        [TargetView, OutgoingRequest, float, int, Mapping[str, str]], Verdict
+    ] = lambda view, request, sent_at, status, headers: Verdict.RESPONSE
     connections: ConnectionPool | None = None
     allows_unframed: bool = False
     supports_probes: bool = True
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -241,6 +241,7 @@
             exclude=self.context.engine_latencies.slow_engines(boottime()),
             model=self.item.model,
             oldest_version=self.job.oldest_version,
+            purpose="item",
         )
         with self.context.dispatcher.assign(work) as assignment:
             try:
@@ -310,6 +311,7 @@
                 deadline=boottime() + ASSIGNMENT_WAIT_S,
                 restartable=True,
                 exclude=excluded_targets,
+                purpose="scoring",
             )
             attempted_target = ""
             try:
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -27,7 +27,7 @@
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool, drain_refusal
 from . import names
-from .ingress import record_reported_load
+from .target_reports import MISDIRECTED_STATUS, belongs_to_request, record_reports
 
 __all__ = ["EngineCalls", "EventParser"]
 
@@ -138,12 +138,13 @@
         ]
         if transcript.events:
             headers.append((names.LAST_EVENT_ID, str(len(transcript.events))))
+        sent_at = boottime()
         connection, response = self._send(
             view, item.path, headers, item.body, EVENT_TIMEOUT_S
         )
         complete = False
         try:
-            self._check_head(view, response, item.id)
+            self._check_head(view, response, item.id, sent_at)
             complete = self._read_events(
                 view, job, item, transcript, response, on_event
             )
@@ -168,13 +169,14 @@
             (names.EXPECT_INSTANCE, view.id),
             (names.DEADLINE, str(int(timeout_s * 1000))),
         ]
+        sent_at = boottime()
         connection, response = self._send(
             view, call.path, headers, call.body, timeout_s
         )
         complete = False
         try:
             try:
-                self._check_head(view, response, call.id)
+                self._check_head(view, response, call.id, sent_at)
                 _skip_body(response, boottime() + timeout_s)
                 complete = True
             except NotStartedError:
@@ -231,16 +233,21 @@
             raise
 
     def _check_head(
-        self, view: TargetView, response: urllib3.BaseHTTPResponse, request_id: str
+        self,
+        view: TargetView,
+        response: urllib3.BaseHTTPResponse,
+        request_id: str,
+        sent_at: float,
     ) -> None:
         """Raise unless the head reports success of this request."""
         headers = response.headers
-        record_reported_load(self.directory, view, headers)
+        record_reports(
+            self.directory, view, request_id, sent_at, response.status, headers
+        )
         # A late copy of an earlier refusal says nothing about this request.
-        response_id = headers.get(names.REQUEST_ID)
-        if response_id is not None and response_id != request_id:
+        if not belongs_to_request(headers, request_id):
             raise StreamInterruptedError("the response belongs to another request")
-        if response.status == 421:
+        if response.status == MISDIRECTED_STATUS:
             self.directory.mark_address_reused(view.id)
             raise NotStartedError("the address now belongs to another target")
         if headers.get(names.NOT_RUN):
@@ -249,7 +256,7 @@
             raise ItemRejectedError("rejected permanently with status 422")
         if response.status >= 500:
             raise ItemFailedError(f"status {response.status}")
-        if response.status != 200 or response_id is None:
+        if response.status != 200 or headers.get(names.REQUEST_ID) is None:
             raise StreamInterruptedError(f"status {response.status}")
 
     def _read_events(
--- a/mulberryport/platform/ingress.py
+++ b/mulberryport/platform/ingress.py
@@ -10,15 +10,16 @@
 from ..gateway.dialect import Dialect
 from ..gateway.headers import end_to_end, header_values, request_headers
 from ..gateway.target_protocol import OutgoingRequest, TargetProtocol, Verdict
-from ..routing import LoadReport, TargetView
+from ..routing import TargetView
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse, respond
 from ..tables import Route
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool
 from . import names
+from .target_reports import MISDIRECTED_STATUS, belongs_to_request, record_reports
 
-__all__ = ["make_target_protocol", "platform_dialect", "record_reported_load"]
+__all__ = ["make_target_protocol", "platform_dialect"]
 
 # Headers of callers that targets do not receive, because this system sets them itself
 # or they concern only the hop from the caller.
@@ -41,7 +42,6 @@
 # that the second response can still arrive in time.
 HEDGE_DELAY_SHARE = 0.55
 MIN_HEDGE_DELAY_S = 0.05
-MISDIRECTED_STATUS = 421
 SUCCESS_STATUSES = range(200, 300)
 
 
@@ -70,9 +70,14 @@
     """Return the protocol for requests to the platform's targets."""
 
     def classify_response(
-        view: TargetView, request: OutgoingRequest, status: int, headers: Any
+        view: TargetView,
+        request: OutgoingRequest,
+        sent_at: float,
+        status: int,
+        headers: Any,
     ) -> Verdict:
-        record_reported_load(directory, view, headers)
+        request_id = _request_id(request)
+        record_reports(directory, view, request_id, sent_at, status, headers)
         return _classify_response(request, status, headers)
 
     return TargetProtocol(
@@ -84,30 +89,23 @@
     )
 
 
-def record_reported_load(
-    directory: TargetDirectory, view: TargetView, headers: Mapping[str, str]
-) -> None:
-    """Record the load that a target reports in the headers of a response."""
-    numbers = (headers.get(names.LOAD) or "").split(",")
-    if len(numbers) == 3 and all(number.strip().isdigit() for number in numbers):
-        running, waiting, slots = map(int, numbers)
-        directory.record_load(view.id, LoadReport(running, waiting, slots), boottime())
+def _request_id(request: OutgoingRequest) -> str | None:
+    values = header_values(request.headers, names.REQUEST_ID.lower())
+    return values[0] if values else None
 
 
 def _classify_response(
     request: OutgoingRequest, status: int, headers: Mapping[str, str]
 ) -> Verdict:
     # A late copy of an earlier refusal says nothing about this request.
-    request_ids = header_values(request.headers, names.REQUEST_ID.lower())
-    response_id = headers.get(names.REQUEST_ID)
-    if response_id is not None and request_ids and response_id != request_ids[0]:
+    if not belongs_to_request(headers, _request_id(request)):
         return Verdict.OTHER_REQUEST
     if status == MISDIRECTED_STATUS:
         return Verdict.MISDIRECTED
     if headers.get(names.NOT_RUN):
         return Verdict.NOT_RUN
     if status in SUCCESS_STATUSES and (
-        response_id is None or not headers.get(names.STAMP)
+        headers.get(names.REQUEST_ID) is None or not headers.get(names.STAMP)
     ):
         return Verdict.OTHER_REQUEST
     return Verdict.RESPONSE
--- a/mulberryport/platform/names.py
+++ b/mulberryport/platform/names.py
@@ -14,6 +14,7 @@
     "LOAD",
     "MODEL",
     "NOT_RUN",
+    "RATE_LIMIT",
     "REQUEST_ID",
     "STAMP",
     "TENANT",
@@ -37,6 +38,8 @@
 STAMP = "X-Server-Stamp"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 LOAD = "X-Server-Load"
+# Decimal number of requests per second that a target takes from all daemons together.
+RATE_LIMIT = "Server-Limit"
 VERSIONS = "X-Weight-Versions"
 LAST_EVENT_ID = "Last-Event-Id"
 # Priority from 0 (highest) to 9.
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -5,6 +5,7 @@
 from .limits import ConcurrencyLimit
 from .model import LoadReport, ShedError, TargetView, WorkRequest
 from .queue import FairQueue, QueuedRequest
+from .rate_limits import RateLimitReport, latest_report
 from .retries import RetryBudget
 from .scheduler import Grant, PoolScheduler, Result
 from .selection import choose_target
@@ -25,7 +26,9 @@
     "ShedError",
     "TargetView",
     "QueuedRequest",
+    "RateLimitReport",
     "WorkRequest",
     "choose_target",
+    "latest_report",
     "max_min_fair_shares",
 ]
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from .rate_limits import RateLimitReport
+
 __all__ = ["LoadReport", "ShedError", "TargetView", "WorkRequest"]
 
 
@@ -63,6 +65,8 @@
         same time; the adaptive limit may be lower.
     versions : mapping of str to int
         Weight version that the target serves of each model, as far as known.
+    rate_limit : RateLimitReport or None
+        What the target last said about its rate limit; None if it never named one.
     """
 
     id: str
@@ -79,6 +83,12 @@
     in_flight: int = 0
     limit: int = 16
     versions: Mapping[str, int] = field(factory=dict)
+    rate_limit: RateLimitReport | None = None
+
+    @property
+    def requests_per_s(self) -> float | None:
+        """Requests per second that the target takes; None if it names no limit."""
+        return self.rate_limit.requests_per_s if self.rate_limit else None
 
     @property
     def selectable(self) -> bool:
@@ -118,6 +128,8 @@
         Oldest weight version of the model that may be used; 0 for any.
     prefers_idle : bool
         Whether targets at which this daemon has no request in flight are preferred.
+    purpose : str
+        What the request is for, for logs.
     """
 
     pool: str
@@ -132,6 +144,7 @@
     model: str = ""
     oldest_version: int = 0
     prefers_idle: bool = False
+    purpose: str = "request"
 
     def accepts_versions_of(self, view: TargetView) -> bool:
         """Whether a target serves a weight version that is new enough."""
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -9,6 +9,7 @@
 from ..tables import Pool, Snapshot
 from ..telemetry import define as define_event
 from ..telemetry import log
+from .rate_limits import RateLimits
 from .vm_list import ListedVm
 
 __all__ = ["TargetDirectory", "TargetState"]
@@ -57,8 +58,15 @@
 
 @define(eq=False)
 class TargetDirectory:
-    """The targets of all pools and their last known state."""
+    """The targets of all pools and their last known state.
 
+    Parameters
+    ----------
+    rate_limits : RateLimits
+        Rate limits that the targets have named.
+    """
+
+    rate_limits: RateLimits = field(factory=RateLimits)
     _pools: dict[str, Pool] = field(factory=dict)
     _is_configured: bool = False
     _listed_vms: tuple[ListedVm, ...] = ()
@@ -293,6 +301,7 @@
             in_flight=state.in_flight,
             limit=slots or pool.concurrency,
             versions=known_versions,
+            rate_limit=self.rate_limits.report(target),
         )
 
     def _mark_unhealthy(self, target: str, at: float) -> None:
@@ -313,3 +322,4 @@
             for target, state in self._states.items()
             if target in known_ids or state.in_flight
         }
+        self.rate_limits.remove_outdated(known_ids)
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -47,6 +47,13 @@
     "A probe succeeded; the target receives requests again.",
 )
 
+LIMITED_TARGET_USED = define_event(
+    702,
+    "limited_target_used",
+    "info",
+    "A request was assigned to a target that names a rate limit.",
+)
+
 # Target views older than this are rebuilt. Load reports arrive once a second, so
 # rebuilding more often would only add CPU cost in large pools.
 VIEW_MAX_AGE_S = 0.1
@@ -158,6 +165,14 @@
         scheduler, grant = self._acquire_grant(request)
         target = grant.candidate.id
         assignment = Assignment(grant.candidate.view)
+        limit = self.directory.rate_limits.limit(target)
+        if limit is not None:
+            log(
+                LIMITED_TARGET_USED,
+                target=target,
+                requests_per_s=limit,
+                purpose=request.purpose,
+            )
         self.directory.request_started(target, request.restartable)
         default = Result.CANCELLED
         try:
