Keep the requests of all daemons within the rate limits of targets

What callers of the targets saw: a target that had named a limit of 1 to 3 requests a second got 40 to 75 in 4 s from daemons that it had told (11 to 24 allowed).

Cause: nothing read the limit, and no single place through which requests, retries, scoring calls and items reach a target knew about rates. Ruled out: retries and hedges, at most 7 of some 650 assignments that were no items.

The scheduler assigns a request to a limited target only with a permit. Limits travel in heartbeats and with requests for permits. Requests that the limits keep past their deadline are refused at once.

--- a/mulberryport/daemon/metrics.py
+++ b/mulberryport/daemon/metrics.py
@@ -5,11 +5,14 @@
 
 from ..telemetry.metrics import Gauge, export_metrics
 
-__all__ = ["render_metrics", "set_crash_gauges"]
+__all__ = ["render_metrics", "set_crash_gauges", "set_rate_limit_gauges"]
 
 # Age that a daemon reports before its first confirmation, instead of infinity.
 UNCONFIRMED_AGE_S = 1e9
 
+RATE_LIMIT_GAUGE = "target_rate_limit"
+RATE_LIMIT_DESCRIPTION = "Requests per second that a target takes; -1 after its limit."
+_limited_targets: set[str] = set()
 _gauges: dict[str, Gauge] = {}
 
 
@@ -49,6 +52,15 @@
     _set_gauge("suspect_requests", "Requests after a crash, not blocked.", suspect)
 
 
+def set_rate_limit_gauges(limits: Mapping[str, float]) -> None:
+    """Set the rate limits of targets, in requests per second by target."""
+    for target in _limited_targets - limits.keys():
+        _set_gauge(RATE_LIMIT_GAUGE, RATE_LIMIT_DESCRIPTION, -1.0, target=target)
+    for target, limit in limits.items():
+        _set_gauge(RATE_LIMIT_GAUGE, RATE_LIMIT_DESCRIPTION, limit, target=target)
+        _limited_targets.add(target)
+
+
 def _is_selectable(target: Mapping[str, Any]) -> bool:
     return target["healthy"] and not target["leaving"]
 
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Any
 
-from attrs import Factory, define, field
+from attrs import Factory, define, evolve, field
 
 from ..idempotency import IdempotencyService
 from ..quarantine import CrashTable
@@ -264,6 +264,7 @@
             raise RefusalError(505, "HTTP/1.1 is required")
         request = self.dialect.make_outgoing_request(call, read_body(call.environ))
         work = self._make_work_request(call.access, restartable=call.is_idempotent)
+        work = evolve(work, deadline=min(work.deadline, request.deadline))
         key = idempotency_key(call)
         hedge_delay_s = self.dialect.hedge_delay_s(call.access.route)
         if (
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -225,7 +225,7 @@
                 return assignment, response
         except ShedError as error:
             if failure is None:
-                raise RefusalError(503, str(error)) from error
+                raise _refusal(error) from error
             break
         except BlockedError as error:
             failure = error
@@ -265,6 +265,7 @@
         An attempt may have run, and there is no response.
     """
     guard = client.guard(call, request)
+    assigned_targets: set[str] = set()
 
     def attempt(
         excluded: frozenset[str], on_assigned: Callable[[str], None]
@@ -282,6 +283,7 @@
                 guard.admit(partial(client.assign, failure=failure), remaining_work)
             )
             on_assigned(assignment.id)
+            assigned_targets.add(assignment.id)
             response = _forward(call, assignment, request, nullcontext, on_sent, client)
             response = buffer_body(response, MAX_BUFFERED_RESPONSE_BYTES)
             if response.status >= MIN_SERVER_ERROR_STATUS:
@@ -302,7 +304,8 @@
             may_retry,
             max_attempts=call.access.route.attempts,
             hedge_delay_s=hedge_delay_s,
-            may_run_beside=lambda: not guard.is_suspect,
+            # A first attempt that still waits for a target is not slow.
+            may_run_beside=lambda: bool(assigned_targets) and not guard.is_suspect,
             discard=lambda result: result[0].close(),
         )
     except ServerFailedError as error:
@@ -364,13 +367,21 @@
 def _error_for_caller(failure: Exception | None, may_have_run: bool) -> Exception:
     """Return the error to raise for the caller after the last failed attempt."""
     if not may_have_run:
-        return RefusalError(503, str(failure))
+        return _refusal(failure)
     if isinstance(failure, OutcomeUnknownError):
         return failure
     status = 504 if isinstance(failure, SilentConnectionError) else 502
     return OutcomeUnknownError(status, str(failure))
 
 
+def _refusal(failure: Exception | None) -> RefusalError:
+    """Return the refusal of a request of which no attempt ran."""
+    retry_after = failure.retry_after if isinstance(failure, ShedError) else None
+    if retry_after is None:
+        return RefusalError(503, str(failure))
+    return RefusalError(503, str(failure), retry_after)
+
+
 def _make_wait_context(
     call: CallerRequest, assignment: Assignment, protocol: TargetProtocol
 ) -> Callable[[], AbstractContextManager[None]]:
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -242,6 +242,7 @@
             model=self.item.model,
             oldest_version=self.job.oldest_version,
             purpose="item",
+            is_resubmitted=True,
         )
         with self.context.dispatcher.assign(work) as assignment:
             try:
@@ -312,6 +313,7 @@
                 restartable=True,
                 exclude=excluded_targets,
                 purpose="scoring",
+                is_resubmitted=True,
             )
             attempted_target = ""
             try:
--- a/mulberryport/membership/members.py
+++ b/mulberryport/membership/members.py
@@ -200,6 +200,14 @@
         """Return the live members that are not stopping and can serve."""
         return tuple(member for member in self.staying() if member.serving)
 
+    def count_silent(self) -> int:
+        """Return the number of members that are not live and did not say they leave."""
+        live = {member.vm for member in self.live()}
+        return sum(
+            member.vm not in live and not member.leaving and member.incarnation != 0
+            for member in self._members.values()
+        )
+
     def in_zone(self, zone: str) -> tuple[Member, ...]:
         """Return the live members of an availability zone."""
         return tuple(member for member in self.live() if member.zone == zone)
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -90,6 +90,10 @@
     async def LiftBlock(self, stream: 'grpclib.server.Stream[peer_pb2.LiftBlockRequest, peer_pb2.LiftBlockReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AcquirePermit(self, stream: 'grpclib.server.Stream[peer_pb2.AcquirePermitRequest, peer_pb2.AcquirePermitReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def HandOverIdempotency(self, stream: 'grpclib.server.Stream[peer_pb2.HandOverIdempotencyRequest, peer_pb2.Ack]') -> None:
         pass
@@ -210,6 +214,12 @@
                 peer_pb2.LiftBlockRequest,
                 peer_pb2.LiftBlockReply,
             ),
+            '/mulberryport.peer.Peer/AcquirePermit': grpclib.const.Handler(
+                self.AcquirePermit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.AcquirePermitRequest,
+                peer_pb2.AcquirePermitReply,
+            ),
             '/mulberryport.peer.Peer/HandOverIdempotency': grpclib.const.Handler(
                 self.HandOverIdempotency,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -336,6 +346,12 @@
             peer_pb2.LiftBlockRequest,
             peer_pb2.LiftBlockReply,
         )
+        self.AcquirePermit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/AcquirePermit',
+            peer_pb2.AcquirePermitRequest,
+            peer_pb2.AcquirePermitReply,
+        )
         self.HandOverIdempotency = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/HandOverIdempotency',
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -171,6 +171,7 @@
     StopJob = _unary_method("StopJob")
     ListCrashes = _unary_method("ListCrashes")
     LiftBlock = _unary_method("LiftBlock")
+    AcquirePermit = _unary_method("AcquirePermit")
 
 
 def _sender_member(sender: peer_pb2.Sender) -> Member:
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -11,7 +11,7 @@
 
 from ..coordination import Change, Session, SessionDuty
 from ..daemon.heartbeats import Heartbeats
-from ..daemon.metrics import set_crash_gauges
+from ..daemon.metrics import set_crash_gauges, set_rate_limit_gauges
 from ..gateway import CallerServer, Gateway, RequestAbortedError
 from ..jobs import EngineClient, JobService
 from ..jobs.repository import LIVE_PREFIX
@@ -33,6 +33,7 @@
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
 from ..targets.connections import ConnectionPool
+from ..targets.permits import PermitExchange
 from ..targets.traffic import TrafficExchange
 from ..telemetry import configure_logging, log
 from ..telemetry import define as define_event
@@ -255,10 +256,13 @@
         CrashAdministration(self.crashes).register(self.peer_server)
         self.peer_server.register("Exchange", heartbeats.reply_to_heartbeat)
         self.store.register(self.peer_server)
+        permits = PermitExchange(self.directory.rate_limits, self.members, self.peers)
+        permits.register(self.peer_server)
         self.dispatcher = Dispatcher(
             self.directory,
             vm.zone,
             connected_targets=self.connections.connected_targets,
+            acquire_permit=permits.acquire,
         )
         traffic = TrafficExchange(self.dispatcher, self.members)
         heartbeats.contributors += [
@@ -266,11 +270,13 @@
             self._add_wall_time,
             lambda heartbeat, peer: self.mirrors.add_revisions(heartbeat),
             store_relays.add_relays,
+            permits.add_reports,
         ]
         heartbeats.listeners += [
             traffic.apply,
             self._apply_wall_time,
             lambda heartbeat: self.mirrors.apply_revisions(heartbeat),
+            permits.apply_reports,
         ]
 
     def _add_wall_time(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
@@ -446,6 +452,7 @@
         entries = self.crashes.entries(boottime())
         blocked = sum(entry.blocked for entry in entries)
         set_crash_gauges(blocked, len(entries) - blocked)
+        set_rate_limit_gauges(self.directory.rate_limits.limited())
         content, content_type = export_metrics()
         start_response("200 OK", [("Content-Type", content_type)])
         return [content]
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -4,6 +4,7 @@
 from .ejection import Ejector
 from .limits import ConcurrencyLimit
 from .model import LoadReport, ShedError, TargetView, WorkRequest
+from .permits import MAX_PERMIT_WAIT_S, PermitSchedule, Reservation
 from .queue import FairQueue, QueuedRequest
 from .rate_limits import RateLimitReport, latest_report
 from .retries import RetryBudget
@@ -12,6 +13,9 @@
 from .sharing import Shares, max_min_fair_shares
 
 __all__ = [
+    "MAX_PERMIT_WAIT_S",
+    "PermitSchedule",
+    "Reservation",
     "Candidate",
     "CandidateSet",
     "ConcurrencyLimit",
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -49,6 +49,11 @@
         Uncertainty of the estimate, as a fraction of the capacity.
     failure_penalty : float
         Added to the load after failures.
+    permits : float
+        Requests that may be sent within the target's rate limit; infinite if it names
+        none.
+    permits_expire_at : float
+        Boot time after which the permits must not be used.
     """
 
     view: TargetView
@@ -57,13 +62,24 @@
     remote_requests: float = 0.0
     uncertainty: float = 0.0
     failure_penalty: float = 0.0
+    permits: float = math.inf
+    permits_expire_at: float = math.inf
     _own_requests_at_report: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        """Start without permits for a target that names a rate limit."""
+        self._update_permits()
+
     @property
     def id(self) -> str:
         """Id of the target."""
         return self.view.id
 
+    @property
+    def is_rate_limited(self) -> bool:
+        """Whether the target names a rate limit."""
+        return self.view.requests_per_s is not None
+
     @property
     def capacity(self) -> int:
         """Requests of all daemons that the target can run at the same time."""
@@ -81,7 +97,8 @@
     def free_slots(self) -> int:
         """Requests that this daemon may start at the target now."""
         available = self.capacity * (1.0 + CAPACITY_SLACK) - self.remote_requests
-        return min(self.limit.value, max(MIN_SLOTS, int(available))) - self.own_requests
+        slots = min(self.limit.value, max(MIN_SLOTS, int(available)))
+        return int(min(slots - self.own_requests, self.permits))
 
     def reported_remote_requests(self) -> float | None:
         """Return the requests of other daemons according to the newest report."""
@@ -97,6 +114,13 @@
             self.limit.record_load_report(view.report, now)
         self.limit.set_ceiling(view.limit)
         self.view = view
+        self._update_permits()
+
+    def _update_permits(self) -> None:
+        if not self.is_rate_limited:
+            self.permits = self.permits_expire_at = math.inf
+        elif self.permits == math.inf:
+            self.permits = 0
 
     def update_load_estimate(self, pool_mean: float) -> None:
         """Move the load estimate towards the mean of the pool as the report ages."""
@@ -135,6 +159,7 @@
     _encoded_ids: list[bytes] = field(factory=list)
     _has_on_demand: bool = False
     _has_cheap: bool = False
+    _has_rate_limited: bool = False
 
     def __len__(self) -> int:
         return len(self._all)
@@ -153,6 +178,11 @@
         """Whether restartable requests should leave on-demand targets free."""
         return self._has_cheap and self._has_on_demand
 
+    @property
+    def has_rate_limited(self) -> bool:
+        """Whether a target that may be selected names a rate limit."""
+        return self._has_rate_limited
+
     def update_views(self, views: Iterable[TargetView], now: float) -> None:
         """Apply the newest views; ``update_eligibility`` must be called afterwards."""
         known = {**self._removed, **self._all}
@@ -187,6 +217,7 @@
         self.usable = [
             c for c in self._all.values() if c.view.selectable and c.id not in excluded
         ]
+        self._has_rate_limited = any(c.is_rate_limited for c in self.usable)
         self._has_cheap = any(c.view.cheap for c in self.usable)
         # On-demand targets count even while they cannot be reached: requests that
         # must not be interrupted wait for them.
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -10,7 +10,19 @@
 
 
 class ShedError(Exception):
-    """The request was rejected before any of it was sent to a target."""
+    """The request was rejected before any of it was sent to a target.
+
+    Parameters
+    ----------
+    message : str
+        Reason.
+    retry_after : float or None
+        Seconds after which a request like it may be accepted; None if not known.
+    """
+
+    def __init__(self, message: str, retry_after: float | None = None) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
 
 
 @frozen
@@ -130,6 +142,9 @@
         Whether targets at which this daemon has no request in flight are preferred.
     purpose : str
         What the request is for, for logs.
+    is_resubmitted : bool
+        Whether the request comes again after its deadline, so that it is not refused
+        because the deadline cannot be met.
     """
 
     pool: str
@@ -145,6 +160,7 @@
     oldest_version: int = 0
     prefers_idle: bool = False
     purpose: str = "request"
+    is_resubmitted: bool = False
 
     def accepts_versions_of(self, view: TargetView) -> bool:
         """Whether a target serves a weight version that is new enough."""
--- a/mulberryport/routing/queue.py
+++ b/mulberryport/routing/queue.py
@@ -177,6 +177,10 @@
         self.remove(evicted)
         return evicted
 
+    def any_fits(self, fits: Callable[[WorkRequest], bool]) -> bool:
+        """Return whether a queued request fits a target."""
+        return any(fits(queued.work) for flow in self._all_flows() for queued in flow)
+
     def remove(self, queued: QueuedRequest) -> bool:
         """Remove a request; return whether it was queued."""
         workspace = queued.work.workspace
--- a/mulberryport/routing/rate_limits.py
+++ b/mulberryport/routing/rate_limits.py
@@ -56,18 +56,22 @@
     >>> overtaken = RateLimitReport(None, sent_at=0.9, received_at=1.6)
     >>> latest_report([named, overtaken]).requests_per_s
     2.0
+    >>> ended = RateLimitReport(None, sent_at=2.0, received_at=2.5)
+    >>> latest_report([ended, named]).requests_per_s is None
+    True
     """
     latest, *others = reports
     for report in others:
+        if latest.is_newer_than(report):
+            continue
         if report.is_newer_than(latest):
             latest = report
-        elif report.requests_per_s is not None and (
-            latest.requests_per_s is None
-            or (
-                report.requests_per_s == latest.requests_per_s
-                and report.received_at > latest.received_at
+        elif report.requests_per_s is not None:
+            # A report without a limit has to be newer than both.
+            value = latest.requests_per_s
+            latest = RateLimitReport(
+                report.requests_per_s if value is None else value,
+                max(latest.sent_at, report.sent_at),
+                max(latest.received_at, report.received_at),
             )
-        ):
-            # The same limit again confirms it, so that it counts as current for longer.
-            latest = report
     return latest
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define, field
 
@@ -26,6 +26,14 @@
 # away before the target is ejected, and when the ejection limit prevents that.
 FAILURE_PENALTY = 0.5
 MAX_FAILURE_PENALTY = 2.0
+# A permit that is not used within this time expires, so that permits of idle daemons
+# do not add up.
+PERMIT_LIFETIME_S = 0.5
+# A target whose rate limit was not confirmed for this time gets the next request for
+# which there is a permit, since only a response shows whether the limit has ended.
+LIMIT_CONFIRMATION_INTERVAL_S = 1.0
+# Limits below this rate count as this rate when a wait is estimated.
+MIN_REQUESTS_PER_S = 0.1
 
 
 class Result(enum.Enum):
@@ -85,6 +93,9 @@
     _saturated: bool = False
     _running_by_workspace: Counter = field(factory=Counter)
     _running_count: int = 0
+    _last_request_at: float = -math.inf
+    # Targets that name a rate limit.
+    _limited: list[Candidate] = field(factory=list)
 
     @property
     def demand(self) -> dict[str, float]:
@@ -97,6 +108,8 @@
         self.ejector.set_targets([c.id for c in self.targets.all])
         for target in self.ejector.apply_remote_ejections(now):
             self.on_ejection(target, True)
+        self._limited = [c for c in self.targets.all if c.is_rate_limited]
+        self._drop_expired_permits(now)
         self._update_eligibility()
         total_capacity = sum(candidate.capacity for candidate in self.targets.usable)
         self.shares.update(self.demand, total_capacity, now)
@@ -126,7 +139,8 @@
         Raises
         ------
         ShedError
-            The queue is full, the deadline has passed or the pool has no targets.
+            The queue is full, the deadline has passed, the pool has no targets, or the
+            rate limits of its targets do not allow the request before its deadline.
         """
         if not work.exclude:
             self.budget.record_request()
@@ -134,9 +148,14 @@
             raise ShedError(f"pool {work.pool} has no targets")
         if work.deadline <= now:
             raise ShedError("the deadline passed before the request could start")
+        self._last_request_at = now
+        self._drop_expired_permits(now)
         probe_target = self._probe_target_for(work, now)
         if probe_target is not None:
             return self._allocate(probe_target, work, probe=True)
+        unconfirmed = self._unconfirmed_target_for(work, now)
+        if unconfirmed is not None:
+            return self._allocate(unconfirmed, work)
         at_capacity = self._saturated or self._running_count >= self.shares.max_running
         candidate = (
             None if at_capacity else self.choose(*self._selection_arguments(work))
@@ -151,6 +170,7 @@
                 and self._running_count < self.shares.max_running
             ):
                 return self._allocate(candidate, work)
+        self._refuse_beyond_rate_limits(work, now)
         queued = QueuedRequest(work, notify)
         evicted = self.queue.add(queued)
         if evicted is queued:
@@ -163,6 +183,44 @@
         """Remove a request from the queue."""
         self.queue.remove(queued)
 
+    def wanted_permits(self, now: float, requested: Collection[str]) -> list[str]:
+        """Return the targets for which permits should be requested now.
+
+        There are no more of them than requests that could use a permit, so that daemons
+        do not take permits from each other that they do not need.
+
+        Parameters
+        ----------
+        now : float
+            Boot time.
+        requested : collection of str
+            Targets for which permits were requested already.
+        """
+        limited = [c for c in self._limited if c.view.selectable]
+        without = [c for c in limited if not c.permits and c.id not in requested]
+        wanted = [c for c in without if self._needs_confirmation(c, now)]
+        spare = len(self.queue) - (len(limited) - len(without)) - len(wanted)
+        others = [
+            c
+            for c in without
+            if c not in wanted
+            and self.queue.any_fits(lambda work, c=c: self.targets.admits(c, work))
+        ]
+        chosen = self.generator.sample(others, max(0, min(len(others), spare)))
+        return [candidate.id for candidate in (*wanted, *chosen)]
+
+    def add_permit(self, target: str, now: float) -> None:
+        """Use a permit for a queued request, or keep it for a short time."""
+        candidate = self.targets.get(target)
+        if candidate is None or not candidate.is_rate_limited:
+            return
+        candidate.permits, candidate.permits_expire_at = 1, now + PERMIT_LIFETIME_S
+        self._saturated = False
+        if candidate in self.targets.usable:
+            self._dispatch_queued(candidate, now)
+        else:
+            self._dispatch_probes(now)
+
     def release(
         self, grant: Grant, result: Result, now: float, latency: float | None = None
     ) -> None:
@@ -221,6 +279,7 @@
         self, candidate: Candidate, work: WorkRequest, probe: bool = False
     ) -> Grant:
         candidate.own_requests += 1
+        candidate.permits -= 1
         self._running_count += 1
         self._running_by_workspace[work.workspace] += 1
         if probe:
@@ -247,7 +306,7 @@
     def _dispatch_probes(self, now: float) -> None:
         for target in self.ejector.ejected:
             candidate = self.targets.get(target)
-            if candidate is None or not candidate.view.selectable:
+            if not (candidate and candidate.view.selectable and candidate.permits > 0):
                 continue
             queued = self.queue.pop(
                 lambda work, c=candidate: (
@@ -259,12 +318,68 @@
             if queued is not None:
                 queued.notify(self._allocate(candidate, queued.work, probe=True))
 
+    def _unconfirmed_target_for(
+        self, work: WorkRequest, now: float
+    ) -> Candidate | None:
+        """Return a target with a permit whose rate limit may have ended."""
+        for candidate in self._limited:
+            if (
+                candidate in self.targets.usable
+                and candidate.free_slots > 0
+                and self._needs_confirmation(candidate, now)
+                and self.targets.admits(candidate, work)
+            ):
+                return candidate
+        return None
+
+    def _needs_confirmation(self, candidate: Candidate, now: float) -> bool:
+        report = candidate.view.rate_limit
+        return (
+            report is not None
+            and report.requests_per_s is not None
+            and now - report.received_at > LIMIT_CONFIRMATION_INTERVAL_S
+            and now - self._last_request_at < LIMIT_CONFIRMATION_INTERVAL_S
+        )
+
+    def _drop_expired_permits(self, now: float) -> None:
+        for candidate in self._limited:
+            if candidate.permits_expire_at <= now:
+                candidate.permits, candidate.permits_expire_at = 0, math.inf
+
+    def _refuse_beyond_rate_limits(self, work: WorkRequest, now: float) -> None:
+        """Raise ``ShedError`` if rate limits keep a request waiting past its deadline.
+
+        Its wait follows from the limits of all targets that admit it and from the
+        queued requests of all daemons, as far as they are known.
+        """
+        if not self._limited or work.is_resubmitted:
+            return
+        targets = [
+            candidate
+            for candidate in self.targets.eligible_for(work, local=False)
+            if self.targets.admits(candidate, work)
+        ]
+        limits = [candidate.view.requests_per_s for candidate in targets]
+        if not limits or None in limits:
+            return
+        rate = sum(max(MIN_REQUESTS_PER_S, limit or 0.0) for limit in limits)
+        own_rate = rate / self.shares.fleet_to_own_demand(sum(self.demand.values()))
+        wait_s = (len(self.queue) + 1) / own_rate
+        late_s = now + wait_s - work.deadline
+        if late_s > 0.0:
+            raise ShedError(
+                f"all targets of pool {work.pool} name rate limits; {rate:g} requests "
+                f"per second in all leave no time before the deadline",
+                retry_after=max(late_s, 1.0 / own_rate),
+            )
+
     def _probe_target_for(self, work: WorkRequest, now: float) -> Candidate | None:
         for target in self.ejector.ejected:
             candidate = self.targets.get(target)
             if (
                 candidate is not None
                 and candidate.view.selectable
+                and candidate.permits > 0
                 and self.ejector.may_probe(target, work.restartable, now)
                 and self.targets.admits(candidate, work)
             ):
--- a/mulberryport/routing/selection.py
+++ b/mulberryport/routing/selection.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from .candidates import Candidate, CandidateSet
 from .model import WorkRequest
@@ -70,7 +70,8 @@
     """Choose the target of a request.
 
     Returns the first preferred target of the request's prefix or group that is not
-    much busier than the best of the sampled targets, otherwise that best one.
+    much busier than the best of the sampled targets, otherwise that best one. Targets
+    that name a rate limit are used only if no other can take the request.
 
     Parameters
     ----------
@@ -86,17 +87,38 @@
     Candidate or None
         None if no target can take the request now.
     """
+    choice = _choose_among(targets, work, generator, rate_limited=False)
+    if choice is None and targets.has_rate_limited:
+        choice = _choose_among(targets, work, generator, rate_limited=True)
+    return choice
+
+
+def _choose_among(
+    targets: CandidateSet,
+    work: WorkRequest,
+    generator: random.Random,
+    *,
+    rate_limited: bool,
+) -> Candidate | None:
     connected = targets.connected()
 
+    def fits(candidate: Candidate) -> bool:
+        return (
+            candidate.is_rate_limited is rate_limited
+            and candidate.free_slots > 0
+            and candidate.id not in work.exclude
+            and work.accepts_versions_of(candidate.view)
+        )
+
     def cost_of(candidate: Candidate, draw: float) -> float:
         is_connected = candidate.id in connected
         cost = selection_cost(candidate, work, targets, draw)
         return cost if is_connected else cost + NEW_CONNECTION_PENALTY
 
     compared = [
-        *_sample_random(targets, work, True, generator),
-        *_sample_random(targets, work, False, generator),
-        *_sample_connected(targets, work, connected),
+        *_sample_random(targets, work, True, generator, fits),
+        *_sample_random(targets, work, False, generator, fits),
+        *_sample_connected(targets, work, connected, fits),
     ]
     if not compared:
         return None
@@ -109,30 +131,25 @@
         candidate = targets.get(target)
         if (
             candidate in eligible
-            and _has_free_slot(candidate, work)
+            and fits(candidate)
             and cost_of(candidate, 0.0) <= lowest + AFFINITY_LOAD_MARGIN
         ):
             return candidate
     return best
 
 
-def _has_free_slot(candidate: Candidate, work: WorkRequest) -> bool:
-    return (
-        candidate.free_slots > 0
-        and candidate.id not in work.exclude
-        and work.accepts_versions_of(candidate.view)
-    )
-
-
 def _sample_connected(
-    targets: CandidateSet, work: WorkRequest, connected: Collection[str]
+    targets: CandidateSet,
+    work: WorkRequest,
+    connected: Collection[str],
+    fits: Callable[[Candidate], bool],
 ) -> list[Candidate]:
-    """Return some targets with a free slot and an idle connection."""
+    """Return some targets that fit and have an idle connection."""
     eligible = targets.eligible_for(work, local=False)
     found: list[Candidate] = []
     for target in connected:
         candidate = targets.get(target)
-        if candidate in eligible and _has_free_slot(candidate, work):
+        if candidate in eligible and fits(candidate):
             found.append(candidate)
             if len(found) == CONNECTED_CHOICES:
                 break
@@ -140,24 +157,28 @@
 
 
 def _sample_random(
-    targets: CandidateSet, work: WorkRequest, local: bool, generator: random.Random
+    targets: CandidateSet,
+    work: WorkRequest,
+    local: bool,
+    generator: random.Random,
+    fits: Callable[[Candidate], bool],
 ) -> Sequence[Candidate]:
-    """Return some random targets with a free slot; all, if an idle one is preferred."""
+    """Return some random targets that fit; all, if an idle one is preferred."""
     eligible = targets.eligible_for(work, local)
     if not eligible:
         return ()
     if work.prefers_idle:
-        return [c for c in eligible if _has_free_slot(c, work)]
+        return [c for c in eligible if fits(c)]
     found: list[Candidate] = []
     # Random draws cost the same in a pool of any size. The whole pool is searched
     # only if they find no target, that is, if the pool is nearly full.
     for _ in range(2 * RANDOM_CHOICES):
         candidate = eligible[int(generator.random() * len(eligible))]
-        if candidate not in found and _has_free_slot(candidate, work):
+        if candidate not in found and fits(candidate):
             found.append(candidate)
             if len(found) == RANDOM_CHOICES:
                 return found
     if found:
         return found
-    free = [c for c in eligible if _has_free_slot(c, work)]
+    free = [c for c in eligible if fits(c)]
     return generator.sample(free, min(RANDOM_CHOICES, len(free)))
--- a/mulberryport/routing/sharing.py
+++ b/mulberryport/routing/sharing.py
@@ -85,6 +85,17 @@
         """Set the running and queued requests of another daemon, by workspace."""
         self._remote_demand[daemon] = (now, demand)
 
+    def fleet_to_own_demand(self, own_demand: float) -> float:
+        """Return the ratio of the demand of all daemons to that of this one.
+
+        Parameters
+        ----------
+        own_demand : float
+            Running and queued requests of this daemon.
+        """
+        remote = sum(sum(demand.values()) for _, demand in self._remote_demand.values())
+        return 1.0 + remote / max(1.0, own_demand)
+
     def weight(self, workspace: str) -> float:
         """Return the weight of a workspace in this daemon's queue."""
         return self._local_weights.get(
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -11,7 +11,7 @@
 
 import eventlet
 import eventlet.event
-from attrs import define, field, frozen
+from attrs import Factory, define, field, frozen
 
 from ..routing import (
     CandidateSet,
@@ -30,7 +30,9 @@
 from ..tables import Snapshot
 from ..telemetry import define as define_event
 from ..telemetry import log
+from ..telemetry.metrics import LIMITED_TARGET_REQUESTS, RATE_LIMIT_REFUSALS
 from .directory import TargetDirectory
+from .permits import LocalPermits
 
 __all__ = ["Assignment", "Dispatcher", "ShedError", "TrafficReport", "WorkRequest"]
 
@@ -139,15 +141,25 @@
         Random number generator of the policy.
     connected_targets : callable
         Returns the ids of the targets to which this daemon has an idle connection.
+    acquire_permit : callable
+        Waits for a permit to send a request to a target that names a rate limit;
+        returns whether there is one.
     """
 
     directory: TargetDirectory
     zone: str
     rng: random.Random = field(factory=random.Random)
     connected_targets: Callable[[], Collection[str]] = frozenset
+    acquire_permit: Callable[[str], bool] = field(
+        default=Factory(
+            lambda self: LocalPermits(self.directory.rate_limits).acquire,
+            takes_self=True,
+        )
+    )
     _workspace_weights: dict[str, float] = field(factory=dict)
     _schedulers: dict[str, PoolScheduler] = field(factory=dict)
     _refreshed_at: dict[str, float] = field(factory=dict)
+    _requested_permits: set[str] = field(factory=set)
 
     @contextmanager
     def assign(self, request: WorkRequest) -> Iterator[Assignment]:
@@ -173,6 +185,7 @@
                 requests_per_s=limit,
                 purpose=request.purpose,
             )
+            LIMITED_TARGET_REQUESTS.inc({"target": target, "purpose": request.purpose})
         self.directory.request_started(target, request.restartable)
         default = Result.CANCELLED
         try:
@@ -256,6 +269,7 @@
         for pool, scheduler in list(self._schedulers.items()):
             if len(scheduler.queue):
                 self._refresh_pool(pool, now)
+                self._request_permits(pool)
 
     def _acquire_grant(self, request: WorkRequest) -> tuple[PoolScheduler, Grant]:
         if self.directory.pool(request.pool) is None:
@@ -265,7 +279,13 @@
         if now - self._refreshed_at.get(request.pool, 0.0) > VIEW_MAX_AGE_S:
             self._refresh_pool(request.pool, now)
         event = eventlet.event.Event()
-        admission = scheduler.submit(request, event.send, now)
+        try:
+            admission = scheduler.submit(request, event.send, now)
+        except ShedError as error:
+            if error.retry_after is not None:
+                RATE_LIMIT_REFUSALS.inc({"pool": request.pool})
+            raise
+        self._request_permits(request.pool)
         if isinstance(admission, QueuedRequest):
             admission = self._await_grant(scheduler, admission, event)
         return scheduler, admission
@@ -294,6 +314,23 @@
             return outcome
         raise outcome
 
+    def _request_permits(self, pool: str) -> None:
+        """Request the permits that the queued requests of a pool need."""
+        scheduler = self._schedulers[pool]
+        for target in scheduler.wanted_permits(boottime(), self._requested_permits):
+            self._requested_permits.add(target)
+            eventlet.spawn_n(self._await_permit, pool, target)
+
+    def _await_permit(self, pool: str, target: str) -> None:
+        try:
+            has_permit = self.acquire_permit(target)
+        finally:
+            self._requested_permits.discard(target)
+        scheduler = self._schedulers.get(pool)
+        if has_permit and scheduler is not None:
+            scheduler.add_permit(target, boottime())
+            self._request_permits(pool)
+
     def _get_or_create_scheduler(self, pool: str) -> PoolScheduler:
         scheduler = self._schedulers.get(pool)
         if scheduler is None:
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -12,6 +12,8 @@
 __all__ = [
     "ANSWER_SECONDS",
     "EVENTS",
+    "LIMITED_TARGET_REQUESTS",
+    "RATE_LIMIT_REFUSALS",
     "SAMPLE_STALENESS",
     "Counter",
     "Gauge",
@@ -25,6 +27,14 @@
     "Seconds from a request to the end of its answer, by route and outcome.",
     buckets=[0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100],
 )
+LIMITED_TARGET_REQUESTS = Counter(
+    "mulberryport_limited_target_requests_total",
+    "Requests to targets that name a rate limit, by target and purpose.",
+)
+RATE_LIMIT_REFUSALS = Counter(
+    "mulberryport_rate_limit_refusals_total",
+    "Requests refused because of the rate limits of all targets of a pool.",
+)
 SAMPLE_STALENESS = Histogram(
     "mulberryport_sample_staleness_versions",
     "Weight versions by which delivered samples were behind, by workspace.",
