Take a response whose head is cut off for broken

What callers saw: a 200 with an empty or short body, framed as whole, a text that counted as complete, or a part of a signature as the score of a sample, after a target had closed the connection in the middle of its head.

Cause: http.client takes the end of the connection for the end of a head or of trailers. The one class that reads the responses of all clients now requires the empty line. Three clients that did not use that class do.

--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from urllib3.util import SKIP_HEADER
 
 from ..runtime.clock import boottime
+from ..runtime.http import BoundedConnection
 from ..targets import TargetView
 from ..targets.connections import ConnectionPool, drain_refusal, has_peer_ended
 from .headers import end_to_end, header_values
@@ -166,7 +167,7 @@
             must_be_new = not request.may_reuse_connection
             return connections.acquire(view.id, view.address, fresh=must_be_new)[0]
         host, _, port = view.address.rpartition(":")
-        connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        connection = BoundedConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
         try:
             connection.connect()
         except BaseException:
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "BoundedConnection",
+    "BoundedConnectionPool",
     "BoundedResponse",
     "JsonReply",
     "call_json",
@@ -39,14 +40,55 @@
 MAX_TRAILER_LINE_BYTES = 8 * 1024
 
 
+class HeadReader:
+    """Reads the lines of a response's head; fails where the connection ends within it.
+
+    ``http.client`` takes the end of the connection for the end of the head.
+    """
+
+    def __init__(self, stream: Any) -> None:
+        self.stream = stream
+        self._in_head = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line; empty if the connection ends before a head."""
+        line = self.stream.readline(limit)
+        is_cut = not line.endswith(b"\n") and (limit < 0 or len(line) < limit)
+        if is_cut and (line or self._in_head):
+            raise http.client.IncompleteRead(line)
+        self._in_head = line not in (b"\r\n", b"\n")
+        return line
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.stream.close()
+
+
 class BoundedResponse(http.client.HTTPResponse):
-    """Response that fails if its interim responses or trailers do not end.
+    """Response whose head and trailers have to end, and within bounds.
 
-    ``http.client`` reads both without a limit.
+    ``http.client`` reads interim responses and trailers without a limit, and takes the
+    end of the connection for their end.
     """
 
     _interim_responses = 0
 
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises
+        ------
+        http.client.HTTPException
+            The head is malformed, too long, or cut off by the end of the connection.
+        """
+        reader = HeadReader(self.fp)
+        self.fp = reader
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = reader.stream
+
     def _read_status(self) -> tuple[str, int, str]:
         self._interim_responses += 1
         if self._interim_responses > 1 + MAX_INTERIM_RESPONSES:
@@ -58,7 +100,9 @@
             line = self.fp.readline(MAX_TRAILER_LINE_BYTES + 1)
             if len(line) > MAX_TRAILER_LINE_BYTES:
                 raise http.client.LineTooLong("trailer line")
-            if line in (b"\r\n", b"\n", b""):
+            if not line.endswith(b"\n"):
+                raise http.client.IncompleteRead(line)
+            if line in (b"\r\n", b"\n"):
                 return
         raise http.client.HTTPException("too many trailer lines")
 
--- a/mulberryport/targets/engine_client.py
+++ b/mulberryport/targets/engine_client.py
@@ -18,7 +18,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from ..outcomes import Done, NotDone, Outcome
-from ..runtime.http import call_json
+from ..runtime.http import BoundedConnectionPool, call_json, make_connection_pool
 from ..telemetry import process_clock
 from .connections import has_peer_ended
 
@@ -118,7 +118,7 @@
         ``StreamEndedError`` if the engine's end of the connection closed.
     """
     host, _, port = address.rpartition(":")
-    connection = urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
+    connection = BoundedConnectionPool(host, int(port), maxsize=1)
     body = orjson.dumps(
         {
             "id": request.id,
@@ -245,7 +245,7 @@
     bool or None
         None if the target does not respond.
     """
-    with urllib3.PoolManager(num_pools=1, retries=False) as pool:
+    with make_connection_pool(num_pools=1) as pool:
         outcome = call_json(
             "GET", f"http://{address}/load", timeout=PROBE_TIMEOUT_S, pool=pool
         )
