Send no requests to targets that say in their responses that they are leaving

A target that leaves says so in all its responses. Nothing read that, so a target whose entry in the list did not say so yet, or could not while the store was away, got new requests.

Responses are read for it where they are read for rate limits, after the check that they belong to the request and the target. The mark is kept with the time of the target's start, so that a new target with the same id is not affected, and one whose entry lapses and comes back is.

The tests fail on the code before, which has no such mark.

--- a/mulberryport/platform/names.py
+++ b/mulberryport/platform/names.py
@@ -11,6 +11,7 @@
     "EXPECT_VERSION",
     "KEY",
     "LAST_EVENT_ID",
+    "LEAVING",
     "LOAD",
     "MODEL",
     "NOT_RUN",
@@ -40,6 +41,8 @@
 LOAD = "X-Server-Load"
 # Decimal number of requests per second that a target takes from all daemons together.
 RATE_LIMIT = "Server-Limit"
+# "1" in all responses of a target that is going to stop.
+LEAVING = "Server-Leaving"
 VERSIONS = "X-Weight-Versions"
 LAST_EVENT_ID = "Last-Event-Id"
 # Priority from 0 (highest) to 9.
--- a/mulberryport/platform/registrations.py
+++ b/mulberryport/platform/registrations.py
@@ -68,11 +68,20 @@
             leaving=values["state"] != "ready",
             slots=slots,
             versions=_decode_versions(values.get("models") or []),
+            born=_decode_born(values.get("born")),
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"malformed registration: {error!r}") from error
 
 
+def _decode_born(value: object) -> int:
+    if value is None:
+        return 0
+    if type(value) is not int or value < 0:
+        raise ValueError(f"invalid time of the start {value!r}")
+    return value
+
+
 def _decode_versions(models: list[dict[str, object]]) -> dict[str, int]:
     versions = {}
     for model in models:
--- a/mulberryport/platform/target_reports.py
+++ b/mulberryport/platform/target_reports.py
@@ -21,6 +21,7 @@
 )
 
 MISDIRECTED_STATUS = 421
+LEAVING_VALUE = "1"
 RATE_LIMIT_FORMAT = re.compile(r"[0-9]{1,6}(\.[0-9]{1,9})?", re.ASCII)
 
 
@@ -70,6 +71,8 @@
         return
     _record_load(directory, view, headers)
     _record_rate_limit(directory, view, sent_at, headers)
+    if (headers.get(names.LEAVING) or "").strip() == LEAVING_VALUE:
+        directory.mark_leaving(view.id, view.born)
 
 
 def _record_load(
--- a/mulberryport/platform/tests/test_target_reports.py
+++ b/mulberryport/platform/tests/test_target_reports.py
@@ -5,7 +5,9 @@
 
 from ...routing import TargetView
 from ...runtime.clock import boottime
+from ...tables import Pool, Snapshot, Tables
 from ...targets import TargetDirectory
+from ...targets.vm_list import ListedVm
 from ..target_reports import record_reports
 
 VIEW = TargetView(
@@ -65,3 +67,77 @@
     # Guards against a limit, or a load, of an earlier time.
     late = headers(("Server-Limit", "3"), ("X-Server-Load", "9,9,9"), request_id="old")
     assert limit_after((200, late)) is None
+
+
+def listed_directory(born=7):
+    """Return a directory in which target t of pool p is listed."""
+    directory = TargetDirectory()
+    directory.apply_snapshot(Snapshot(1, "c", Tables(pools={"p": make_pool()})))
+    list_target(directory, born)
+    return directory
+
+
+def make_pool():
+    """Return pool p, whose targets come from the list."""
+    return Pool(name="p", kind="plain-service", concurrency=4, queue=4)
+
+
+def list_target(directory, *borns):
+    """List target t with the times of its start; none to list no target."""
+    directory.apply_vm_list(
+        ListedVm("t", "127.0.0.1:1", "a", "p", False, False, born=born)
+        for born in borns
+    )
+
+
+def is_selectable(directory):
+    """Return whether target t may get requests."""
+    return directory.views("p")[0].selectable
+
+
+def answer_leaving(directory, view, status=200, **values):
+    """Record a response that says that its target is leaving."""
+    leaving = headers(("Server-Leaving", "1"), **values)
+    record_reports(directory, view, "r", boottime(), status, leaving)
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_a_target_that_says_it_leaves_gets_no_new_requests(status):
+    # Guards against requests to a leaving target whose entry in the list does not say
+    # so yet, or cannot because the store is away.
+    directory = listed_directory()
+    answer_leaving(directory, directory.views("p")[0], status)
+    assert not is_selectable(directory)
+    assert directory.is_leaving("t")
+    list_target(directory, 7)
+    assert not is_selectable(directory)
+
+
+def test_a_leaving_target_whose_entry_lapses_and_returns_stays_out():
+    # Guards against a mark that is lost with the entry, which may lapse in an outage.
+    directory = listed_directory()
+    answer_leaving(directory, directory.views("p")[0])
+    list_target(directory)
+    list_target(directory, 7)
+    assert not is_selectable(directory)
+
+
+def test_a_new_target_with_the_id_of_one_that_left_gets_requests():
+    # Guards against a mark that outlives its target, also if the last answer of the old
+    # target arrives after the new one was listed.
+    directory = listed_directory()
+    old_view = directory.views("p")[0]
+    answer_leaving(directory, old_view)
+    list_target(directory, 9)
+    assert is_selectable(directory)
+    answer_leaving(directory, old_view)
+    assert is_selectable(directory)
+
+
+def test_late_copies_and_other_targets_say_nothing_about_leaving():
+    # Guards against a target that is taken out by an answer that is not its own.
+    directory = listed_directory()
+    view = directory.views("p")[0]
+    answer_leaving(directory, view, 421)
+    answer_leaving(directory, view, request_id="other")
+    assert is_selectable(directory)
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -79,6 +79,9 @@
         Weight version that the target serves of each model, as far as known.
     rate_limit : RateLimitReport or None
         What the target last said about its rate limit; None if it never named one.
+    born : int
+        Time of the target's start, which tells apart targets that used the same id; 0
+        if not known.
     """
 
     id: str
@@ -96,6 +99,7 @@
     limit: int = 16
     versions: Mapping[str, int] = field(factory=dict)
     rate_limit: RateLimitReport | None = None
+    born: int = 0
 
     @property
     def requests_per_s(self) -> float | None:
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -35,6 +35,8 @@
 MISSED_POLL_LIMIT = 2
 # A target that responded to a request within this time is considered responsive.
 RESPONSE_FRESHNESS_S = 2.0
+# Targets that said that they are leaving and are kept in mind.
+MAX_LEAVING_KEPT = 4096
 
 
 @define(eq=False)
@@ -73,6 +75,10 @@
     _vm_list_read_at: float = float("-inf")
     _states: dict[str, TargetState] = field(factory=dict)
     _leaving_ids: frozenset[str] = frozenset()
+    # Times of the start of targets that said in a response that they are leaving. They
+    # are kept while the targets are not listed, for example in an outage of the store.
+    _leaving_by_own_account: dict[str, int] = field(factory=dict)
+    _born: dict[str, int] = field(factory=dict)
 
     @property
     def is_configured(self) -> bool:
@@ -89,6 +95,12 @@
         self._listed_vms = tuple(vms)
         self._vm_list_read_at = boottime()
         self._leaving_ids = frozenset(vm.id for vm in self._listed_vms if vm.leaving)
+        self._born = {vm.id: vm.born for vm in self._listed_vms}
+        self._leaving_by_own_account = {
+            target: born
+            for target, born in self._leaving_by_own_account.items()
+            if self._born.get(target, born) == born
+        }
         self._remove_stale_states()
 
     def record_load(self, target: str, report: LoadReport, received_at: float) -> None:
@@ -161,9 +173,29 @@
         versions = self._get_or_create_state(target).versions
         versions[model] = max(version, versions.get(model, 0))
 
+    def mark_leaving(self, target: str, born: int) -> None:
+        """Send no more requests to a target that said that it is leaving.
+
+        Parameters
+        ----------
+        target : str
+            Id of the target.
+        born : int
+            Time of the start of the target that said so. Another target that starts
+            with the same id later is not affected.
+        """
+        if self._born.get(target, born) != born:
+            return
+        if target not in self._leaving_by_own_account:
+            log(TARGET_LEAVING, target=target)
+            self._leaving_by_own_account[target] = born
+            if len(self._leaving_by_own_account) > MAX_LEAVING_KEPT:
+                oldest = next(iter(self._leaving_by_own_account))
+                del self._leaving_by_own_account[oldest]
+
     def is_leaving(self, target: str) -> bool:
-        """Return whether the VM list marks a target as leaving."""
-        return target in self._leaving_ids
+        """Return whether the VM list or the target itself says that it is leaving."""
+        return target in self._leaving_ids or target in self._leaving_by_own_account
 
     def is_in_service(self, view: TargetView) -> bool:
         """Return whether a target is still listed and not known to be leaving."""
@@ -253,6 +285,7 @@
                 vm.leaving,
                 vm.slots,
                 vm.versions,
+                vm.born,
             )
             for vm in self._listed_vms
             if vm.pool == pool_name and vm.id not in static_ids
@@ -278,6 +311,7 @@
         leaving: bool,
         slots: int = 0,
         versions: Mapping[str, int] | None = None,
+        born: int = 0,
     ) -> TargetView:
         state = self._get_or_create_state(target)
         known_versions = {**state.versions}
@@ -296,12 +330,16 @@
             checks_fencing=checks_fencing,
             report=state.report,
             report_age=boottime() - state.reported_at,
-            leaving=leaving or state.leaving or state.address_reused,
+            leaving=leaving
+            or state.leaving
+            or state.address_reused
+            or target in self._leaving_by_own_account,
             healthy=state.healthy,
             in_flight=state.in_flight,
             limit=slots or pool.concurrency,
             versions=known_versions,
             rate_limit=self.rate_limits.report(target),
+            born=born,
         )
 
     def _mark_unhealthy(self, target: str, at: float) -> None:
--- a/mulberryport/targets/vm_list.py
+++ b/mulberryport/targets/vm_list.py
@@ -26,6 +26,9 @@
         Maximum number of concurrent requests; 0 to use the limit of its pool.
     versions : mapping of str to int
         Weight version of each model that is loaded.
+    born : int
+        Time of the target's start, which tells apart targets that used the same id; 0
+        if not known.
     """
 
     id: str
@@ -36,6 +39,7 @@
     leaving: bool
     slots: int = 0
     versions: Mapping[str, int] = field(factory=dict)
+    born: int = 0
 
 
 def fetch_vms(url: str, timeout: float) -> Outcome[tuple[ListedVm, ...]]:
