Continue a text only at engines of the software version that began it

What trainers would see: a text whose first part comes from one software version of the engines and the rest from another, with nothing to show it. What two versions write does not fit together, and engines do not check it.

Cause: the software version of a registration was dropped when it was decoded, so texts went on at whichever engine had a slot after a break, a move or a take-over. Stored texts had no version either.

Registrations keep the version; a text carries that of the engines which made it, also when it is stored, and waits for one of these. If none is in service, or none is free in time while another version serves, it starts over. A text that was running while its engine was replaced under its id starts over, since either may have made it. Texts that an earlier build stored start over; an earlier build cannot read the texts of this one.

--- a/mulberryport/jobs/codec.py
+++ b/mulberryport/jobs/codec.py
@@ -103,13 +103,19 @@
 def encode_transcripts(transcripts: dict[str, Transcript]) -> bytes:
     """Encode partial transcripts, keyed by item id."""
     return orjson.dumps(
-        {item: [t.events, t.versions, t.failures] for item, t in transcripts.items()}
+        {
+            item: [t.events, t.versions, t.failures, t.software]
+            for item, t in transcripts.items()
+        }
     )
 
 
 def decode_transcripts(content: bytes) -> dict[str, Transcript]:
     """Decode partial transcripts, keyed by item id.
 
+    Earlier builds stored no software version. Which one made such a text is not known,
+    so it is left out.
+
     Raises
     ------
     ValueError
@@ -117,13 +123,21 @@
     """
     try:
         return {
-            item: Transcript(list(events), list(versions), int(failures))
-            for item, (events, versions, failures) in orjson.loads(content).items()
+            item: _transcript_from_json(*values)
+            for item, values in orjson.loads(content).items()
         }
     except (TypeError, AttributeError) as error:
         raise ValueError(f"not a mapping of transcripts: {error!r}") from error
 
 
+def _transcript_from_json(
+    events: Any, versions: Any, failures: Any, software: Any = None
+) -> Transcript:
+    if software is None:
+        return Transcript(failures=int(failures))
+    return Transcript(list(events), list(versions), int(failures), str(software))
+
+
 def _result_from_json(values: Any) -> JobResult:
     try:
         item, state, text, versions, score = values
--- a/mulberryport/jobs/generation.py
+++ b/mulberryport/jobs/generation.py
@@ -55,11 +55,14 @@
         Weight version of each event.
     failures : int
         Number of attempts that the engine or the scoring service reported as failed.
+    software : str
+        Software version of the engines that made the events.
     """
 
     events: list[str] = field(factory=list, repr=False)
     versions: list[int] = field(factory=list, repr=False)
     failures: int = 0
+    software: str = ""
 
     def add(self, data: str, version: int) -> None:
         """Append the data of the next event."""
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -1,7 +1,8 @@
 """Execution of one item of a job: generation, resumption, migration and scoring."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from typing import Any
 
 import eventlet
@@ -52,6 +53,14 @@
     "the one under which its job was accepted.",
 )
 
+ITEM_RESTARTED = define_event(
+    929,
+    "item_restarted",
+    "info",
+    "A partial text was discarded, because it cannot go on at another version of the "
+    "engines' software.",
+)
+
 # Delay before the next attempt after one that failed or did not start.
 RETRY_DELAY_S = 0.05
 # How often an item without a route looks for a newer configuration.
@@ -231,8 +240,10 @@
             raise ItemGivenUpError(f"attempts: {self.transcript.failures} have failed")
 
     def _generate(self, route: Route) -> None:
+        pool = route.select_pool(random.random())
+        self._restart_without_software(pool)
         work = WorkRequest(
-            pool=route.select_pool(random.random()),
+            pool=pool,
             workspace=self.job.workspace,
             priority=route.priority,
             deadline=boottime() + ASSIGNMENT_WAIT_S,
@@ -241,18 +252,21 @@
             exclude=self.context.engine_latencies.slow_engines(boottime()),
             model=self.item.model,
             oldest_version=self.job.oldest_version,
+            software=self.transcript.software if self.transcript.events else None,
             purpose="item",
             is_resubmitted=True,
         )
-        with self.context.dispatcher.assign(work) as assignment:
+        with self._assign(work) as assignment:
+            self.transcript.software = assignment.software
             try:
-                self.context.engine_client.generate(
-                    assignment.view,
-                    self.job,
-                    self.item,
-                    self.transcript,
-                    self._make_event_callback(assignment.id),
-                )
+                with self._watch_replacement(assignment):
+                    self.context.engine_client.generate(
+                        assignment.view,
+                        self.job,
+                        self.item,
+                        self.transcript,
+                        self._make_event_callback(assignment.id),
+                    )
                 self._require_single_version(route)
             except (NotStartedError, StaleWeightsError, EngineSwitchError):
                 assignment.cancelled()
@@ -261,6 +275,60 @@
                 assignment.succeeded()
                 raise
 
+    @contextmanager
+    def _assign(self, work: WorkRequest) -> Iterator[Assignment]:
+        with ExitStack() as stack:
+            try:
+                assignment = stack.enter_context(self.context.dispatcher.assign(work))
+            except ShedError:
+                self._restart_if_others_serve(work)
+                raise
+            yield assignment
+
+    def _restart_without_software(self, pool: str) -> None:
+        """Restart a text if no target in service runs the software that began it."""
+        directory = self.context.dispatcher.directory
+        if self.transcript.events and not directory.serves_software(
+            pool, self.transcript.software
+        ):
+            self._restart("no target in service runs the software that began it")
+
+    def _restart_if_others_serve(self, work: WorkRequest) -> None:
+        """Restart a text whose software has no free slot, if another version serves."""
+        views = self.context.dispatcher.directory.views(work.pool)
+        if work.software is not None and any(
+            view.selectable and view.software != work.software for view in views
+        ):
+            self._restart("no target that runs its software was free in time")
+
+    @contextmanager
+    def _watch_replacement(self, assignment: Assignment) -> Iterator[None]:
+        """Restart the text if its engine was replaced under its id meanwhile.
+
+        Raises
+        ------
+        StreamInterruptedError
+            The engine was replaced, and the text was complete.
+        """
+        try:
+            yield
+        finally:
+            is_replaced = self.context.dispatcher.directory.is_replaced(assignment.view)
+            if is_replaced and self.transcript.events:
+                self._restart("its engine was replaced under its id")
+        if is_replaced:
+            raise StreamInterruptedError("the engine was replaced under its id")
+
+    def _restart(self, reason: str) -> None:
+        log(
+            ITEM_RESTARTED,
+            **self._log_fields(),
+            software=self.transcript.software,
+            events=len(self.transcript.events),
+            reason=reason,
+        )
+        self.transcript.restart()
+
     def _require_single_version(self, route: Route) -> None:
         """Restart a text of several versions if its route requires a single one."""
         assert route.batch is not None
--- a/mulberryport/platform/registrations.py
+++ b/mulberryport/platform/registrations.py
@@ -69,6 +69,7 @@
             slots=slots,
             versions=_decode_versions(values.get("models") or []),
             born=_decode_born(values.get("born")),
+            software=_decode_software(values.get("version")),
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"malformed registration: {error!r}") from error
@@ -82,6 +83,14 @@
     return value
 
 
+def _decode_software(value: object) -> str:
+    if value is None:
+        return ""
+    if type(value) not in (int, str):
+        raise ValueError(f"invalid version of the software {value!r}")
+    return str(value)
+
+
 def _decode_versions(models: list[dict[str, object]]) -> dict[str, int]:
     versions = {}
     for model in models:
@@ -156,6 +165,7 @@
                 pool=vm.pool,
                 target_zone=vm.zone,
                 leaving=vm.leaving,
+                software=vm.software,
             )
         self._listed[key] = vm
 
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -82,6 +82,8 @@
     born : int
         Time of the target's start, which tells apart targets that used the same id; 0
         if not known.
+    software : str
+        Version of the target's software; empty if not known.
     """
 
     id: str
@@ -100,6 +102,7 @@
     versions: Mapping[str, int] = field(factory=dict)
     rate_limit: RateLimitReport | None = None
     born: int = 0
+    software: str = ""
 
     @property
     def requests_per_s(self) -> float | None:
@@ -142,6 +145,9 @@
         Model that must serve the request; empty if any may.
     oldest_version : int
         Oldest weight version of the model that may be used; 0 for any.
+    software : str or None
+        Version of the software that the target must run, because it goes on with what
+        this version began; None if any may.
     prefers_idle : bool
         Whether targets at which this daemon has no request in flight are preferred.
     purpose : str
@@ -162,12 +168,15 @@
     cost: float = 1.0
     model: str = ""
     oldest_version: int = 0
+    software: str | None = None
     prefers_idle: bool = False
     purpose: str = "request"
     is_resubmitted: bool = False
 
     def accepts_versions_of(self, view: TargetView) -> bool:
-        """Whether a target serves a weight version that is new enough."""
+        """Whether a target runs the software and serves weights that are new enough."""
+        if self.software is not None and view.software != self.software:
+            return False
         if not self.oldest_version:
             return True
         return view.versions.get(self.model, 0) >= self.oldest_version
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -389,4 +389,9 @@
 
 def _is_unrestricted(work: WorkRequest) -> bool:
     """Whether a request can run at any target of its pool."""
-    return work.restartable and not work.exclude and not work.oldest_version
+    return (
+        work.restartable
+        and not work.exclude
+        and not work.oldest_version
+        and work.software is None
+    )
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -79,6 +79,7 @@
     # are kept while the targets are not listed, for example in an outage of the store.
     _leaving_by_own_account: dict[str, int] = field(factory=dict)
     _born: dict[str, int] = field(factory=dict)
+    _software: dict[str, str] = field(factory=dict)
 
     @property
     def is_configured(self) -> bool:
@@ -96,6 +97,7 @@
         self._vm_list_read_at = boottime()
         self._leaving_ids = frozenset(vm.id for vm in self._listed_vms if vm.leaving)
         self._born = {vm.id: vm.born for vm in self._listed_vms}
+        self._software = {vm.id: vm.software for vm in self._listed_vms}
         self._leaving_by_own_account = {
             target: born
             for target, born in self._leaving_by_own_account.items()
@@ -204,6 +206,24 @@
             for current in self.views(view.pool)
         )
 
+    def is_replaced(self, view: TargetView) -> bool:
+        """Return whether another target is listed under a target's id by now.
+
+        What a request at that id brought may come from either of them.
+        """
+        if view.id not in self._born:
+            return False
+        return (self._born[view.id], self._software[view.id]) != (
+            view.born,
+            view.software,
+        )
+
+    def serves_software(self, pool: str, software: str) -> bool:
+        """Return whether a target of a pool that may get requests runs a version."""
+        return any(
+            view.selectable and view.software == software for view in self.views(pool)
+        )
+
     def suspend_model(self, target: str, model: str, seconds: float) -> None:
         """Send no requests for a model to a target for the given number of seconds."""
         self._get_or_create_state(target).model_suspended_until[model] = (
@@ -286,6 +306,7 @@
                 vm.slots,
                 vm.versions,
                 vm.born,
+                vm.software,
             )
             for vm in self._listed_vms
             if vm.pool == pool_name and vm.id not in static_ids
@@ -312,6 +333,7 @@
         slots: int = 0,
         versions: Mapping[str, int] | None = None,
         born: int = 0,
+        software: str = "",
     ) -> TargetView:
         state = self._get_or_create_state(target)
         known_versions = {**state.versions}
@@ -340,6 +362,7 @@
             versions=known_versions,
             rate_limit=self.rate_limits.report(target),
             born=born,
+            software=software,
         )
 
     def _mark_unhealthy(self, target: str, at: float) -> None:
--- a/mulberryport/targets/vm_list.py
+++ b/mulberryport/targets/vm_list.py
@@ -29,6 +29,8 @@
     born : int
         Time of the target's start, which tells apart targets that used the same id; 0
         if not known.
+    software : str
+        Version of the target's software; empty if not known.
     """
 
     id: str
@@ -40,6 +42,7 @@
     slots: int = 0
     versions: Mapping[str, int] = field(factory=dict)
     born: int = 0
+    software: str = ""
 
 
 def fetch_vms(url: str, timeout: float) -> Outcome[tuple[ListedVm, ...]]:
