Take a stream for broken that holds bytes which are no events

What trainers could see: a text that counts as complete although the stream of its engine went over into something else, such as the text of an error, stopped within an event, had no event at all, or came without a signature.

Cause: lines that are no part of an event were skipped, what was left at the end of a framed stream was dropped, and only callers' responses were checked for a signature. An error with its own status never entered a text; seven statuses are tested now, and passed before.

--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -42,6 +42,9 @@
 MAX_TEXT_BYTES = 16 * 1024 * 1024
 MAX_SCORE_BODY_BYTES = 1024 * 1024
 NO_VERSION_REASON = "the response has no weight version"
+# Fields of event streams that texts do not need; a comment has an empty name (HTML
+# standard, section 9.2.6).
+IGNORED_FIELDS = frozenset({"", "event", "retry"})
 VERSION_LINE_PREFIX = names.VERSIONS.lower() + ":"
 
 
@@ -66,6 +69,11 @@
     version: int
     _buffer: bytes = b""
 
+    @property
+    def is_within_event(self) -> bool:
+        """Whether the bytes so far end within an event."""
+        return bool(self._buffer.strip())
+
     def feed(self, content: bytes) -> Iterator[tuple[int, str, int]]:
         """Yield the number, data and weight version of each complete event.
 
@@ -88,6 +96,8 @@
                     data.append(value)
                 elif line.lower().startswith(VERSION_LINE_PREFIX):
                     self.version = int(value)
+                elif name not in IGNORED_FIELDS:
+                    raise ValueError(f"not a line of an event: {line[:40]!r}")
             if number and data:
                 yield number, "\n".join(data), self.version
 
@@ -184,10 +194,7 @@
                 raise
             except (HTTPError, HTTPException, OSError) as error:
                 raise StreamInterruptedError(repr(error)) from error
-            score = response.headers.get(names.STAMP)
-            if not score:
-                raise StreamInterruptedError("the response has no signature")
-            return score
+            return response.headers[names.STAMP]
         finally:
             self._release_connection(view, connection, response, complete)
 
@@ -258,6 +265,8 @@
             raise ItemFailedError(f"status {response.status}")
         if response.status != 200 or headers.get(names.REQUEST_ID) is None:
             raise StreamInterruptedError(f"status {response.status}")
+        if not headers.get(names.STAMP):
+            raise StreamInterruptedError("the response has no signature")
 
     def _read_events(
         self,
@@ -304,6 +313,10 @@
             raise StreamInterruptedError(repr(error)) from error
         if not is_framed:
             raise StreamInterruptedError("the response has no length or chunked coding")
+        if parser.is_within_event:
+            raise StreamInterruptedError("the stream ended within an event")
+        if not transcript.events:
+            raise StreamInterruptedError("the stream has no events")
         return True
 
     def _check_version(
--- a/mulberryport/platform/tests/test_engines.py
+++ b/mulberryport/platform/tests/test_engines.py
@@ -209,3 +209,50 @@
     cut = ScriptedEngine(b"body", None)
     with pytest.raises(StreamInterruptedError):
         engines.score(cut.view, call, 1.0)
+
+
+ERROR_TEXT = b"id: 3\ndata: internal error\n\n"
+
+
+@pytest.mark.parametrize("status", [302, 400, 404, 429, 500, 502, 503])
+def test_the_text_of_an_error_does_not_enter_a_text_that_is_continued(status):
+    # Guards against the error of the next engine, or its head, in the middle of a text.
+    engine = ScriptedEngine(ERROR_TEXT, END, status=status)
+    transcript = Transcript(["a", "b"], [5, 5])
+    with pytest.raises((StreamInterruptedError, ItemFailedError, NotStartedError)):
+        engine.generate(transcript)
+    assert transcript.events == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"internal error",
+        b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+        b"id: 3\ndata: c\n\ninternal error\n\n",
+        b"id: 3\ndata: c\n\nid: 4\nda",
+    ],
+)
+def test_a_text_does_not_end_as_complete_after_bytes_that_are_no_events(body):
+    # Guards against a text that counts as complete although the stream of its engine
+    # went over into the text of an error, or stopped within an event.
+    engine = ScriptedEngine(body, END)
+    transcript = Transcript(["a", "b"], [5, 5])
+    with pytest.raises(StreamInterruptedError):
+        engine.generate(transcript)
+    assert transcript.events in (["a", "b"], ["a", "b", "c"])
+
+
+def test_a_stream_without_events_is_no_text():
+    # Guards against a sample without a text, from a response that lost its body.
+    engine = ScriptedEngine(END)
+    with pytest.raises(StreamInterruptedError):
+        engine.generate()
+
+
+def test_a_stream_without_a_signature_is_broken():
+    # Guards against a success that no engine has signed.
+    engine = ScriptedEngine(EVENT % (1, b"a"), END)
+    engine.head = engine.head.replace(b"X-Server-Stamp: s\r\n", b"")
+    with pytest.raises(StreamInterruptedError):
+        engine.generate()
