Take up a caller's stream only at the software version that began it

What callers saw: a stream that had broken off was taken up, answered 200 and ran to its end, with its first part from one software version and the rest from another.

Cause: the attempt that a take-up names was not read, and nothing knew which version had begun a stream; after a restart of all daemons nothing could.

The versions at which streams of a pool began lately are recorded in the store before the first event is passed on. If there is one, every stream is of it; while there are several, the origins of streams are written too, in groups. A stream of unknown origin, or of a version that is not in service, is refused at once as not run.

Ruled out: copies to peers, which are lost with all daemons; a record of each stream at all times, which costs writes while there is one version.

--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -13,6 +13,7 @@
 from ..runtime.clock import boottime
 from ..runtime.invariants import require
 from ..runtime.wsgi import StartResponse
+from ..streams import StreamOrigin, StreamOrigins, stream_key
 from ..tables import MODEL_ENGINE, Route, SnapshotHolder, Tables, find_key
 from ..targets import Assignment, Dispatcher, TargetView, WorkRequest
 from ..targets.engine_client import has_waiting_requests
@@ -31,7 +32,7 @@
 from .refusals import OutcomeUnknownError, RefusalError
 from .server import PROTOCOL_KEY
 from .suspects import SuspectRequests
-from .target_protocol import NATIVE_PROTOCOL
+from .target_protocol import NATIVE_PROTOCOL, OutgoingRequest
 
 __all__ = ["Gateway"]
 
@@ -46,6 +47,7 @@
 )
 REQUEST_SERVED = define_event(602, "request_served", "info", "A request was served.")
 
+SUCCESS_STATUSES = range(200, 300)
 TRAINER_PREFIX = "/v1/"
 # Statuses after which callers do not repeat a request.
 FINAL_STATUSES = frozenset({401, 403, 404})
@@ -86,6 +88,8 @@
         the native API.
     crashes : CrashTable
         Requests that have crashed targets.
+    origins : StreamOrigins or None
+        Where streams of callers began; None if streams are not taken up.
     """
 
     snapshot_holder: SnapshotHolder
@@ -97,6 +101,7 @@
     may_retry: Callable[[str], bool] = allow_retry
     idempotency: IdempotencyService | None = None
     crashes: CrashTable = field(factory=CrashTable)
+    origins: StreamOrigins | None = None
     dialect: Dialect = field(
         default=Factory(
             lambda self: native_dialect(self.serve_trainer), takes_self=True
@@ -266,6 +271,8 @@
         work = self._make_work_request(call.access, restartable=call.is_idempotent)
         work = evolve(work, deadline=min(work.deadline, request.deadline))
         key = idempotency_key(call)
+        if call.access.route.streaming and self.origins is not None:
+            return self._forward_stream(call, request, work)
         hedge_delay_s = self.dialect.hedge_delay_s(call.access.route)
         if (
             hedge_delay_s is not None
@@ -311,6 +318,76 @@
             )
         return self._stream_opened(call, open_target_response)
 
+    def _forward_stream(
+        self, call: CallerRequest, request: OutgoingRequest, work: WorkRequest
+    ) -> Iterator[bytes]:
+        """Forward a stream; one that is taken up goes on where its software runs."""
+        assert self.origins is not None
+        resumed = self.dialect.resumed_attempt(call.environ)
+        workspace = call.access.workspace
+        if resumed is not None:
+            key = stream_key(workspace, resumed) if resumed else ""
+            work = self._bind_to_origin(call, key, work)
+        with ExitStack() as stack:
+            assignment, response = open_response(
+                stack,
+                call,
+                request,
+                self._target_client,
+                work,
+                lambda: _record_sent(call, False),
+            )
+            is_replaced = self.dispatcher.directory.is_replaced(assignment.view)
+            if resumed is not None:
+                if is_replaced:
+                    raise OutcomeUnknownError(
+                        502, f"target {assignment.id} was replaced under its id"
+                    )
+                yield from self._stream_response(call, assignment, response)
+                return
+            key = stream_key(workspace, call.active.id)
+            if response.status in SUCCESS_STATUSES:
+                self._record_origin(key, assignment, is_replaced)
+            yield from self._stream_response(call, assignment, response)
+            self.origins.end(key)
+
+    def _bind_to_origin(
+        self, call: CallerRequest, key: str, work: WorkRequest
+    ) -> WorkRequest:
+        """Return the work of a stream that is taken up, bound to where it began.
+
+        Raises
+        ------
+        RefusalError
+            It is not known where the stream began, or no target in service runs that
+            software version.
+        """
+        assert self.origins is not None
+        route = call.access.route
+        pools = {share.pool for share in route.split} or {route.pool}
+        origin = self.origins.find(key, pools, route.timeout)
+        if origin is None:
+            raise RefusalError(503, "it is not known which software began the stream")
+        directory = self.dispatcher.directory
+        if not directory.serves_software(origin.pool, origin.software):
+            raise RefusalError(
+                503,
+                f"no target in service runs software {origin.software}, which began "
+                "the stream",
+            )
+        return evolve(work, pool=origin.pool, software=origin.software)
+
+    def _record_origin(
+        self, key: str, assignment: Assignment, is_replaced: bool
+    ) -> None:
+        assert self.origins is not None
+        pool = assignment.pool
+        if is_replaced:
+            listed = {view.software for view in self.dispatcher.directory.views(pool)}
+            self.origins.begin_unknown(pool, {assignment.software, *listed})
+        else:
+            self.origins.begin(key, StreamOrigin(pool, assignment.software))
+
     def _stream_opened(
         self, call: CallerRequest, open_target_response: ResponseOpener
     ) -> Iterator[bytes]:
--- a/mulberryport/gateway/dialect.py
+++ b/mulberryport/gateway/dialect.py
@@ -44,6 +44,9 @@
     hedge_delay_s : callable
         Returns the seconds without a response after which an idempotent request is
         also sent to a second target; None to never do so.
+    resumed_attempt : callable
+        Returns the id of the attempt that brought the first event of the stream that a
+        request takes up; empty if it is not named, None if no stream is taken up.
     counts_started_requests : bool
         Whether usage counts the requests that targets started, instead of those that
         were served.
@@ -57,6 +60,7 @@
     intercept: Callable[..., Iterable[bytes] | None] = lambda *_: None
     submit: Callable[[CallerRequest], Iterable[bytes]] | None = None
     hedge_delay_s: Callable[[Route], float | None] = lambda route: None
+    resumed_attempt: Callable[[dict[str, Any]], str | None] = lambda environ: None
     counts_started_requests: bool = False
 
 
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -30,6 +30,7 @@
 from ..runtime.clock import boottime, wall_time
 from ..runtime.signals import exit_process, on_stop_signal
 from ..runtime.wsgi import StartResponse, listen, respond, serve
+from ..streams import StreamOrigins
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
 from ..targets.connections import ConnectionPool
@@ -89,6 +90,7 @@
 REQUESTS_PERIOD_S = 0.1
 REGISTRATIONS_PERIOD_S = 0.5
 CONNECTIONS_PERIOD_S = 1.0
+ORIGINS_PERIOD_S = 0.25
 PROVIDERS_PERIOD_S = 0.2
 # A daemon that has just started learns of the relays of its zone in two exchanges.
 JOIN_STEP_S = 0.15
@@ -136,6 +138,7 @@
     crashes: CrashTable = field(factory=CrashTable)
     jobs: JobService = field(init=False)
     duty: SessionDuty = field(init=False)
+    origins: StreamOrigins = field(init=False)
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
     _duties: ControlDuties = field(init=False)
@@ -355,6 +358,7 @@
             self.clock.now,
             lambda: self.mirrors.configuration.is_behind,
         )
+        self.origins = StreamOrigins(self.store, self.clock.now, self.directory)
         self.gateway = Gateway(
             self.snapshot_holder,
             self.dispatcher,
@@ -364,6 +368,7 @@
             is_behind=lambda: self.mirrors.configuration.is_behind,
             may_retry=self.dispatcher.may_retry,
             crashes=self.crashes,
+            origins=self.origins,
             dialect=platform_dialect(
                 make_target_protocol(self.directory, self.connections),
                 batches.intercept,
@@ -402,6 +407,7 @@
         subscribe(
             "orders", CONTROL_PERIOD_S, self._duties.order_sender.send_changed_orders
         )
+        subscribe("stream origins", ORIGINS_PERIOD_S, self.origins.run_once)
         subscribe("usage replicas", USAGE_PERIOD_S, self.replicator.update_replicas)
         subscribe(
             "usage", USAGE_PERIOD_S, self._duties.usage_ledger.report_closed_windows
--- a/mulberryport/platform/ingress.py
+++ b/mulberryport/platform/ingress.py
@@ -60,6 +60,7 @@
         intercept=intercept,
         submit=submit,
         hedge_delay_s=_hedge_delay_s,
+        resumed_attempt=_resumed_attempt,
         counts_started_requests=True,
     )
 
@@ -111,6 +112,12 @@
     return Verdict.RESPONSE
 
 
+def _resumed_attempt(environ: dict[str, Any]) -> str | None:
+    named = environ.get("HTTP_RESUMES", "").strip()
+    is_continued = environ.get("HTTP_LAST_EVENT_ID", "").strip() not in ("", "0")
+    return named if named or is_continued else None
+
+
 def _allowed_time_s(environ: dict[str, Any], route: Route) -> float:
     """Return the time in seconds that the route and the caller allow."""
     value = environ.get("HTTP_X_DEADLINE_MS", "")
--- a/mulberryport/platform/names.py
+++ b/mulberryport/platform/names.py
@@ -15,6 +15,7 @@
     "LOAD",
     "MODEL",
     "NOT_RUN",
+    "RESUMES",
     "RATE_LIMIT",
     "REQUEST_ID",
     "STAMP",
@@ -45,6 +46,8 @@
 LEAVING = "Server-Leaving"
 VERSIONS = "X-Weight-Versions"
 LAST_EVENT_ID = "Last-Event-Id"
+# Id of the attempt that brought the first event of a stream that is taken up.
+RESUMES = "Resumes"
 # Priority from 0 (highest) to 9.
 URGENCY = "X-Urgency"
 MODEL = "X-Model"
--- a/mulberryport/platform/registrations.py
+++ b/mulberryport/platform/registrations.py
@@ -158,7 +158,10 @@
 
     def _add_target(self, key: str, vm: ListedVm) -> None:
         previous = self._listed.get(key)
-        if previous is None or previous.leaving != vm.leaving:
+        if previous is None or (previous.leaving, previous.software) != (
+            vm.leaving,
+            vm.software,
+        ):
             log(
                 TARGET_LISTED,
                 target=vm.id,
--- a/mulberryport/standins/platform_targets.py
+++ b/mulberryport/standins/platform_targets.py
@@ -79,6 +79,10 @@
         Seconds before each event.
     on_load : callable
         Called after weights are loaded.
+    software : str
+        Version of the engine's software, which its events name; empty to leave it out.
+    break_after : int
+        Number of events after which streams that begin anew break off; 0 for never.
     """
 
     id: str
@@ -87,6 +91,8 @@
     event_count: int = 3
     event_interval_s: float = 0.01
     on_load: Callable[[], None] = lambda: None
+    software: str = ""
+    break_after: int = 0
     orders: list[dict[str, Any]] = field(factory=list)
     started_items: list[tuple[str, int]] = field(factory=list)
 
@@ -124,9 +130,11 @@
                 ("X-Weight-Versions", str(self.version)),
             ],
         )
-        version = self.version
+        version, prefix = self.version, f"{self.software}:" * bool(self.software)
         for number in range(after + 1, self.event_count + 1):
             eventlet.sleep(self.event_interval_s)
             head = f"x-weight-versions: {self.version}\n" * (version != self.version)
             version = self.version
-            yield f"{head}id: {number}\ndata: {item}.{number}\n\n".encode()
+            yield f"{head}id: {number}\ndata: {prefix}{item}.{number}\n\n".encode()
+            if number == self.break_after and not after:
+                raise ConnectionResetError("the stream breaks off")
--- /dev/null
+++ b/mulberryport/streams/origins.py
@@ -0,0 +1,232 @@
+"""Where streams of callers began, so that they go on at the same software version.
+
+What two software versions of a target write does not fit together, and targets do not
+check it. A caller may take up a stream at any daemon, also after all daemons were
+restarted. While streams of a pool are all of one version, the record of versions tells
+it. Otherwise each daemon writes the origins of its streams to the store, several at
+once. A stream whose origin is not known is not continued.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import orjson
+import xxhash
+from attrs import define, field, frozen
+
+from ..coordination import Committed, KeyValueStore, Put, Transaction
+from ..outcomes import Done
+from ..runtime.clock import boottime
+from ..targets import TargetDirectory
+from ..telemetry import define as define_event
+from ..telemetry import log
+from .versions import STREAM_LIFETIME_S, SoftwareVersions
+
+__all__ = ["StreamOrigin", "StreamOrigins", "stream_key"]
+
+ORIGINS_UNWRITTEN = define_event(
+    652,
+    "stream_origins_unwritten",
+    "warning",
+    "Origins of streams could not be written to the store; they are written again.",
+)
+ORIGIN_MALFORMED = define_event(
+    653,
+    "stream_origin_malformed",
+    "error",
+    "The origin of a stream that the store has is malformed.",
+)
+
+ORIGINS_PREFIX = "mulberryport/stream/"
+# Puts of one transaction; the store accepts at most 32 entries.
+MAX_PUTS = 30
+MAX_TRANSACTIONS_PER_RUN = 8
+# A new lease is used after this time, so that origins are removed in groups.
+LEASE_ROTATION_S = 30.0
+LEASE_TTL_S = STREAM_LIFETIME_S + LEASE_ROTATION_S
+MAX_STREAMS = 20_000
+# Callers take a stream up a few times within the time that they wait for it.
+RESPONSES_PER_STREAM = 2
+
+
+@frozen
+class StreamOrigin:
+    """Where the first event of a stream came from.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the target.
+    software : str
+        Version of the target's software.
+    """
+
+    pool: str
+    software: str
+
+
+@define(eq=False)
+class BegunStream:
+    """A stream that this daemon passed on, and whether the store has its origin."""
+
+    origin: StreamOrigin
+    begun_at: float
+    is_written: bool = False
+
+
+def stream_key(workspace: str, request_id: str) -> str:
+    """Return the key of a stream, which tells nothing about its caller.
+
+    Parameters
+    ----------
+    workspace : str
+        Workspace of the caller.
+    request_id : str
+        Id of the attempt that brought the first event.
+
+    Examples
+    --------
+    >>> stream_key("a", "r1") == stream_key("b", "r1")
+    False
+    """
+    return xxhash.xxh3_128_hexdigest(f"{workspace}\0{request_id}".encode())
+
+
+@define(eq=False)
+class StreamOrigins:
+    """Origins of the streams of callers.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The store.
+    now : callable
+        Returns seconds since 1970 by the fleet's clock.
+    directory : TargetDirectory
+        Targets and their software versions.
+    """
+
+    store: KeyValueStore
+    now: Callable[[], float]
+    directory: TargetDirectory
+    _versions: SoftwareVersions = field(init=False)
+    _streams: OrderedDict[str, BegunStream] = field(factory=OrderedDict)
+    _unwritten: dict[str, BegunStream] = field(factory=dict)
+    _lease: int = 0
+    _lease_granted_at: float = float("-inf")
+
+    def __attrs_post_init__(self) -> None:
+        """Create the record of versions."""
+        self._versions = SoftwareVersions(self.store, self.now)
+
+    def begin(self, key: str, origin: StreamOrigin) -> None:
+        """Record where a stream began; call it before its first event is passed on.
+
+        Parameters
+        ----------
+        key : str
+            Key of the stream, see ``stream_key``.
+        origin : StreamOrigin
+            Where it began.
+        """
+        self._versions.confirm(origin.pool, origin.software)
+        stream = BegunStream(origin, boottime())
+        self._streams[key] = self._unwritten[key] = stream
+        self._remove_outdated()
+
+    def begin_unknown(self, pool: str, candidates: set[str]) -> None:
+        """Record that a stream began at one of several versions, nobody knows which."""
+        for software in candidates:
+            self._versions.confirm(pool, software)
+
+    def end(self, key: str) -> None:
+        """Forget a stream that was passed on whole."""
+        self._streams.pop(key, None)
+        self._unwritten.pop(key, None)
+
+    def find(self, key: str, pools: set[str], longest_s: float) -> StreamOrigin | None:
+        """Return where a stream began; None if that is not known for certain.
+
+        Parameters
+        ----------
+        key : str
+            Key of the stream; empty if the caller did not name it.
+        pools : set of str
+            Pools that may have served it.
+        longest_s : float
+            Seconds that one response of the stream may last.
+        """
+        if key in self._streams:
+            return self._streams[key].origin
+        if key and (origin := self._read(key)) is not None:
+            return origin
+        if len(pools) != 1 or RESPONSES_PER_STREAM * longest_s > STREAM_LIFETIME_S:
+            return None
+        pool = next(iter(pools))
+        versions = self._versions.read(pool)
+        if isinstance(versions, Done) and len(versions.value) == 1:
+            return StreamOrigin(pool, next(iter(versions.value)))
+        return None
+
+    def run_once(self) -> None:
+        """Write the origins of streams of pools with several versions to the store."""
+        self._versions.refresh()
+        due = {
+            key: stream
+            for key, stream in self._unwritten.items()
+            if self._is_mixed(stream.origin.pool)
+        }
+        keys = list(due)
+        starts = range(0, len(keys), MAX_PUTS)
+        for start in starts[:MAX_TRANSACTIONS_PER_RUN]:
+            group = keys[start : start + MAX_PUTS]
+            if not self._write({key: due[key].origin for key in group}):
+                return
+            for key in group:
+                self._unwritten.pop(key, None)
+
+    def _is_mixed(self, pool: str) -> bool:
+        listed = {view.software for view in self.directory.views(pool)}
+        return len(listed) > 1 or self._versions.is_mixed(pool)
+
+    def _write(self, origins: dict[str, StreamOrigin]) -> bool:
+        if boottime() - self._lease_granted_at > LEASE_ROTATION_S:
+            granted_at, granted = boottime(), self.store.grant_lease(LEASE_TTL_S)
+            if not isinstance(granted, Done):
+                log(ORIGINS_UNWRITTEN, streams=len(origins), reason=str(granted))
+                return False
+            self._lease, self._lease_granted_at = granted.value, granted_at
+        puts = tuple(
+            Put(
+                ORIGINS_PREFIX + key,
+                orjson.dumps([origin.pool, origin.software]),
+                self._lease,
+            )
+            for key, origin in origins.items()
+        )
+        outcome = self.store.commit(Transaction(puts=puts))
+        if isinstance(outcome, Done) and isinstance(outcome.value, Committed):
+            return True
+        log(ORIGINS_UNWRITTEN, streams=len(origins), reason=str(outcome))
+        # The lease may have ended.
+        self._lease_granted_at = float("-inf")
+        return False
+
+    def _read(self, key: str) -> StreamOrigin | None:
+        outcome = self.store.read(ORIGINS_PREFIX + key)
+        if not isinstance(outcome, Done) or outcome.value is None:
+            return None
+        try:
+            pool, software = orjson.loads(outcome.value.value)
+            return StreamOrigin(str(pool), str(software))
+        except (TypeError, ValueError) as error:
+            log(ORIGIN_MALFORMED, error=str(error))
+            return None
+
+    def _remove_outdated(self) -> None:
+        oldest = boottime() - STREAM_LIFETIME_S
+        while self._streams:
+            key, stream = next(iter(self._streams.items()))
+            if stream.begun_at > oldest and len(self._streams) <= MAX_STREAMS:
+                return
+            self.end(key)
--- /dev/null
+++ b/mulberryport/streams/tests/test_origins.py
@@ -0,0 +1,177 @@
+"""Tests of where streams of callers began."""
+
+import eventlet
+import pytest
+
+from ...coordination import Put, Transaction
+from ...coordination.tests.builders import MemoryStore
+from ...runtime.clock import boottime
+from ...tables import Pool, Snapshot, Tables
+from ...targets import TargetDirectory
+from ...targets.vm_list import ListedVm
+from .. import versions
+from ..origins import StreamOrigin, StreamOrigins, stream_key
+
+OLD, NEW = StreamOrigin("p", "old"), StreamOrigin("p", "new")
+
+
+class Daemon:
+    """The origins of one daemon, whose targets have the given software versions."""
+
+    def __init__(self, store, *software):
+        self.now = 1000.0
+        self.directory = TargetDirectory()
+        pool = Pool(name="p", kind="model-engine", concurrency=4, queue=4)
+        self.directory.apply_snapshot(Snapshot(1, "c", Tables(pools={"p": pool})))
+        self.list(*software)
+        self.origins = StreamOrigins(store, lambda: self.now, self.directory)
+
+    def list(self, *software):
+        """List one target of each version."""
+        self.directory.apply_vm_list(
+            ListedVm(f"t-{v}", "127.0.0.1:1", "a", "p", False, False, software=v)
+            for v in software
+        )
+
+    def find(self, request_id, longest_s=10.0):
+        """Return where a stream began."""
+        key = stream_key("w", request_id) if request_id else ""
+        return self.origins.find(key, {"p"}, longest_s)
+
+    def begin(self, request_id, origin):
+        """Begin a stream."""
+        self.origins.begin(stream_key("w", request_id), origin)
+
+
+def test_streams_of_a_single_version_are_known_after_all_daemons_were_killed():
+    # Guards against streams that are refused although there is only one version, and
+    # against a write of the store for each of them.
+    store = MemoryStore()
+    daemon = Daemon(store, "old")
+    for number in range(50):
+        daemon.begin(f"r{number}", OLD)
+    daemon.origins.run_once()
+    written = len(store.items)
+    assert written == 1
+    assert Daemon(store, "old").find("r7") == OLD
+
+
+def test_streams_of_two_versions_are_known_after_all_daemons_were_killed():
+    # Guards against take-ups at a version that is guessed: the part that callers had
+    # came from another version.
+    store = MemoryStore()
+    daemon = Daemon(store, "old", "new")
+    daemon.begin("r1", OLD)
+    daemon.begin("r2", NEW)
+    daemon.origins.run_once()
+    restarted = Daemon(store, "old", "new")
+    assert (restarted.find("r1"), restarted.find("r2")) == (OLD, NEW)
+
+
+def test_a_stream_whose_origin_was_not_written_is_not_guessed():
+    # Guards against a guess when a daemon was killed before it wrote where its streams
+    # began, also if only one of the versions is still in service.
+    store = MemoryStore()
+    daemon = Daemon(store, "old", "new")
+    daemon.begin("r1", OLD)
+    daemon.begin("r2", NEW)
+    assert Daemon(store, "old", "new").find("r1") is None
+    assert Daemon(store, "new").find("r1") is None
+    assert Daemon(store, "new").find("") is None
+
+
+def test_streams_that_run_when_a_second_version_appears_become_known():
+    # Guards against streams that began while there was one version and are refused, or
+    # continued at the other one, once there are two.
+    store = MemoryStore()
+    daemon = Daemon(store, "old")
+    daemon.begin("r1", OLD)
+    daemon.origins.run_once()
+    daemon.list("old", "new")
+    daemon.origins.run_once()
+    other = Daemon(store, "old", "new")
+    other.begin("r2", NEW)
+    assert Daemon(store, "new").find("r1") == OLD
+
+
+def test_a_version_at_which_no_stream_began_lately_is_left_out():
+    # Guards against streams that are refused for ever after a change of version.
+    store = MemoryStore()
+    daemon = Daemon(store, "old", "new")
+    daemon.begin("r1", OLD)
+    daemon.now += versions.STREAM_LIFETIME_S + 3 * versions.CONFIRMATION_INTERVAL_S
+    daemon.list("new")
+    daemon.begin("r2", NEW)
+    restarted = Daemon(store, "new")
+    restarted.now = daemon.now
+    assert restarted.find("r3") == NEW
+
+
+def test_streams_that_may_outlast_the_record_are_not_resolved_by_it():
+    # Guards against a version that left the record while a long stream of it runs.
+    store = MemoryStore()
+    Daemon(store, "old").begin("r1", OLD)
+    assert Daemon(store, "old").find("r1", longest_s=3600.0) is None
+
+
+def test_nothing_is_guessed_while_the_store_is_away():
+    # Guards against a daemon that resolves streams by what it knew before an outage,
+    # and one that forgets its own streams in an outage.
+    store = MemoryStore()
+    daemon, other = Daemon(store, "old"), Daemon(store, "old")
+    daemon.begin("r1", OLD)
+    store.down = True
+    assert daemon.find("r1") == OLD
+    assert other.find("r1") is None
+
+
+def test_first_events_do_not_wait_for_a_store_that_is_away():
+    # Guards against streams that begin late in an outage, one after another.
+    class HangingStore(MemoryStore):
+        def read(self, key):
+            eventlet.sleep(60)
+
+    daemon = Daemon(HangingStore(), "old")
+    started_at = boottime()
+    for number in range(20):
+        daemon.begin(f"r{number}", OLD)
+    assert boottime() - started_at < 2 * versions.MAX_CONFIRMATION_WAIT_S
+
+
+def test_a_malformed_record_resolves_nothing():
+    # Guards against a version that is read from bytes that another program wrote.
+    store = MemoryStore()
+    daemon = Daemon(store, "old")
+    daemon.begin("r1", OLD)
+    key = next(iter(store.items))
+    for content in (b"[]", b"\xff", b'{"old": "x"}', b"null"):
+        store.commit(Transaction(puts=(Put(key, content),)))
+        assert Daemon(store, "old").find("r1") is None
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_daemons_that_begin_at_different_versions_at_once_record_both(lost):
+    # Guards against a version that is lost when two daemons change the record together,
+    # or when the answer of the store is lost.
+    store = MemoryStore()
+    daemons = [Daemon(store, "old", "new") for _ in range(6)]
+    store.losing = lost
+    threads = [
+        eventlet.spawn(daemon.begin, f"r{number}", OLD if number % 2 else NEW)
+        for number, daemon in enumerate(daemons)
+    ]
+    for thread in threads:
+        thread.wait()
+    store.losing = False
+    assert Daemon(store, "old").find("unknown") is None
+
+
+def test_a_stream_that_was_passed_on_whole_is_forgotten():
+    # Guards against memory and writes for streams that nobody takes up.
+    store = MemoryStore()
+    daemon = Daemon(store, "old", "new")
+    daemon.begin("r1", OLD)
+    daemon.origins.end(stream_key("w", "r1"))
+    written = len(store.items)
+    daemon.origins.run_once()
+    assert len(store.items) == written
--- /dev/null
+++ b/mulberryport/streams/versions.py
@@ -0,0 +1,194 @@
+"""Record, in the store, of the software versions that streams of a pool are of.
+
+A version is in the record before the first event of a stream that it began is passed
+on, and for as long as such a stream may be taken up. If there is only one, every stream
+of the pool is of it, and nothing has to be kept for single streams.
+"""
+
+from collections.abc import Callable, Mapping
+
+import eventlet
+import orjson
+from attrs import define, field
+
+from ..coordination import Committed, KeyValueStore, Put, Transaction
+from ..outcomes import Done, NotDone, Outcome
+from ..runtime.clock import boottime
+from ..telemetry import define as define_event
+from ..telemetry import log
+
+__all__ = ["STREAM_LIFETIME_S", "SoftwareVersions", "decode_versions"]
+
+VERSIONS_UNCONFIRMED = define_event(
+    650,
+    "software_version_unconfirmed",
+    "warning",
+    "The software version of a stream could not be recorded in the store.",
+)
+VERSIONS_MALFORMED = define_event(
+    651,
+    "software_versions_malformed",
+    "error",
+    "The store's record of a pool's software versions is malformed.",
+)
+
+VERSIONS_PREFIX = "mulberryport/software/"
+# Streams last no longer than this, with all attempts of their callers.
+STREAM_LIFETIME_S = 150.0
+# A version is confirmed again after this time while streams begin at it.
+CONFIRMATION_INTERVAL_S = 30.0
+# A confirmation of another daemon that is younger than this is not written again.
+SHARED_CONFIRMATION_S = CONFIRMATION_INTERVAL_S / 2
+# Daemons that begin streams at a new version at the same time change one record.
+MAX_ATTEMPTS = 8
+# A stream's first event waits no longer than this for the store.
+MAX_CONFIRMATION_WAIT_S = 0.3
+# Time after a failure in which no stream waits for the store.
+FAILURE_PAUSE_S = 2.0
+
+
+def decode_versions(content: bytes, now: float) -> dict[str, float]:
+    """Return the versions that streams may be of, with their last confirmation.
+
+    Parameters
+    ----------
+    content : bytes
+        Value of the record.
+    now : float
+        Seconds since 1970 by the fleet's clock.
+
+    Raises
+    ------
+    ValueError
+        The record is malformed.
+
+    Examples
+    --------
+    >>> decode_versions(b'{"1": 1000.0, "2": 1150.0}', now=1250.0)
+    {'2': 1150.0}
+    """
+    values = orjson.loads(content)
+    if not isinstance(values, dict):
+        raise ValueError("not a mapping of versions")
+    # The last confirmation may be older than the last stream by up to two intervals.
+    oldest = now - STREAM_LIFETIME_S - 2 * CONFIRMATION_INTERVAL_S
+    return {version: float(at) for version, at in values.items() if float(at) >= oldest}
+
+
+@define(eq=False)
+class SoftwareVersions:
+    """Reads and extends the record of each pool.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The store.
+    now : callable
+        Returns seconds since 1970 by the fleet's clock.
+    """
+
+    store: KeyValueStore
+    now: Callable[[], float]
+    # Boot time of this daemon's last confirmation, by pool and version.
+    _confirmed_at: dict[tuple[str, str], float] = field(factory=dict)
+    _known: dict[str, Mapping[str, float]] = field(factory=dict)
+    # Pools and versions at which streams began since their last confirmation.
+    _used: set[tuple[str, str]] = field(factory=set)
+    _failed_at: float = float("-inf")
+
+    def is_mixed(self, pool: str) -> bool:
+        """Return whether the last record that was read has several versions."""
+        return len(self._known.get(pool, ())) > 1
+
+    def read(self, pool: str) -> Outcome[dict[str, float]]:
+        """Return the versions that streams of a pool may be of now."""
+        outcome = self.store.read(_key(pool))
+        if not isinstance(outcome, Done):
+            return outcome
+        item = outcome.value
+        versions = self._decode(pool, item.value) if item is not None else {}
+        self._known[pool] = versions
+        return Done(versions)
+
+    def confirm(self, pool: str, version: str) -> bool:
+        """Ensure that a version is in the record; return whether it is.
+
+        Parameters
+        ----------
+        pool, version : str
+            Pool, and the software version at which a stream of it has begun.
+        """
+        self._used.add((pool, version))
+        confirmed_at = self._confirmed_at.get((pool, version), float("-inf"))
+        started_at = boottime()
+        if started_at - confirmed_at < CONFIRMATION_INTERVAL_S:
+            return True
+        reason = "the store did not answer shortly before"
+        if started_at - self._failed_at > FAILURE_PAUSE_S:
+            reason = "the store did not answer in time"
+            with eventlet.Timeout(MAX_CONFIRMATION_WAIT_S, False):
+                outcome = self._write_repeatedly(pool, version)
+                if isinstance(outcome, Done):
+                    self._confirmed_at[pool, version] = started_at
+                    return True
+                reason = str(outcome)
+            self._failed_at = boottime()
+        log(VERSIONS_UNCONFIRMED, pool=pool, software=version, reason=reason)
+        return False
+
+    def refresh(self) -> None:
+        """Confirm the versions that were confirmed lately, before streams wait for it.
+
+        Versions at which no stream has begun since their confirmation are left out.
+        """
+        due = boottime() - SHARED_CONFIRMATION_S
+        for (pool, version), at in list(self._confirmed_at.items()):
+            if at < due and (pool, version) in self._used:
+                self._used.discard((pool, version))
+                started_at = boottime()
+                if isinstance(self._write_repeatedly(pool, version), Done):
+                    self._confirmed_at[pool, version] = started_at
+
+    def _write_repeatedly(self, pool: str, version: str) -> Outcome[bool]:
+        """Write until the record has the version; also after an answer was lost."""
+        outcome: Outcome[bool] = NotDone("not tried")
+        for _ in range(MAX_ATTEMPTS):
+            outcome = self._write(pool, version)
+            if isinstance(outcome, Done) and outcome.value:
+                return outcome
+        return NotDone(f"the record could not be changed: {outcome}")
+
+    def _write(self, pool: str, version: str) -> Outcome[bool]:
+        """Add a version to the record; false if another daemon changed it meanwhile."""
+        key = _key(pool)
+        outcome = self.store.read(key)
+        if not isinstance(outcome, Done):
+            return outcome
+        item, now = outcome.value, self.now()
+        versions = self._decode(pool, item.value) if item is not None else {}
+        if now - versions.get(version, float("-inf")) < SHARED_CONFIRMATION_S:
+            self._known[pool] = versions
+            return Done(True)
+        versions[version] = now
+        committed = self.store.commit(
+            Transaction(
+                expected={key: item.revision if item is not None else 0},
+                puts=(Put(key, orjson.dumps(versions)),),
+            )
+        )
+        if not isinstance(committed, Done):
+            return committed
+        self._known[pool] = versions
+        return Done(isinstance(committed.value, Committed))
+
+    def _decode(self, pool: str, content: bytes) -> dict[str, float]:
+        try:
+            return decode_versions(content, self.now())
+        except (TypeError, ValueError) as error:
+            # Two versions that no target has: no stream is resolved by the record.
+            log(VERSIONS_MALFORMED, pool=pool, error=str(error))
+            return {"\0malformed": self.now(), "\0record": self.now()}
+
+
+def _key(pool: str) -> str:
+    return VERSIONS_PREFIX + pool
