Leave a text at a leaving or slow engine that is the last of its version

A text is bound to the software version that began it. One that moved away from a leaving engine without another engine of its version had to start over, although the engine still serves what it runs.

The test fails on the code before.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -265,7 +265,7 @@
                         self.job,
                         self.item,
                         self.transcript,
-                        self._make_event_callback(assignment.id),
+                        self._make_event_callback(assignment),
                     )
                 self._require_single_version(route)
             except (NotStartedError, StaleWeightsError, EngineSwitchError):
@@ -336,23 +336,31 @@
             self.transcript.restart()
             raise StaleWeightsError("the text has several weight versions")
 
-    def _make_event_callback(self, engine: str) -> Callable[[], None]:
-        """Return a callback that measures events and raises if the item should move."""
+    def _make_event_callback(self, assignment: Assignment) -> Callable[[], None]:
+        """Return a callback that measures events and raises if the item should move.
+
+        An item stays where it is while no other target can go on with its text.
+        """
+        engine = assignment.id
         engine_latencies, directory = (
             self.context.engine_latencies,
             self.context.dispatcher.directory,
         )
         last_event_at: float | None = None
 
+        def can_move() -> bool:
+            pool, software = assignment.pool, assignment.software
+            return directory.serves_software(pool, software, excluded=engine)
+
         def on_event() -> None:
             nonlocal last_event_at
             now = boottime()
             if last_event_at is not None:
                 engine_latencies.record(engine, now - last_event_at, now)
-                if engine_latencies.is_slow(engine, now):
+                if engine_latencies.is_slow(engine, now) and can_move():
                     raise EngineSwitchError(f"{engine} is slow")
             last_event_at = now
-            if directory.is_leaving(engine):
+            if directory.is_leaving(engine) and can_move():
                 raise EngineSwitchError(f"{engine} is leaving")
 
         return on_event
--- a/mulberryport/jobs/tests/test_software_versions.py
+++ b/mulberryport/jobs/tests/test_software_versions.py
@@ -49,6 +49,17 @@
             on_event()
 
 
+class LeavingEngine(Engine):
+    """Engines that say that they are leaving while they run a request."""
+
+    on_call = staticmethod(lambda view: None)
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate the rest of a text."""
+        eventlet.spawn_after(self.pause, self.on_call, view)
+        super().generate(view, job, item, transcript, on_event)
+
+
 def run_job(engine, prepare):
     """Return the results of a job at engines that ``prepare`` lists."""
     daemon = JobDaemon(MemoryStore(), engine=engine)
@@ -108,6 +119,24 @@
     assert all(len(versions_of(result)) == 1 for result in results)
 
 
+def test_a_text_stays_at_a_leaving_engine_that_is_the_last_of_its_version():
+    # Guards against texts that move away from a leaving engine, which still serves what
+    # it runs, only to start over at another version.
+    daemons = []
+
+    def prepare(daemon):
+        daemons.append(daemon)
+        list_engines(daemon, e1="old", e2="new")
+
+    def leave(view):
+        daemons[0].directory.mark_leaving(view.id, view.born)
+
+    engine = LeavingEngine(length=4, pause=0.02)
+    engine.on_call = leave
+    run_job(engine, prepare)
+    assert len(engine.calls) == ITEMS
+
+
 def test_a_text_is_discarded_if_its_engine_was_replaced_under_its_id():
     # Guards against a text that goes on at an engine that started again with the same
     # id and other software, when the list says so only afterwards.
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -218,10 +218,19 @@
             view.software,
         )
 
-    def serves_software(self, pool: str, software: str) -> bool:
-        """Return whether a target of a pool that may get requests runs a version."""
+    def serves_software(self, pool: str, software: str, excluded: str = "") -> bool:
+        """Return whether a target of a pool that may get requests runs a version.
+
+        Parameters
+        ----------
+        pool, software : str
+            The pool and the version.
+        excluded : str
+            Id of a target that does not count.
+        """
         return any(
-            view.selectable and view.software == software for view in self.views(pool)
+            view.selectable and view.software == software and view.id != excluded
+            for view in self.views(pool)
         )
 
     def suspend_model(self, target: str, model: str, seconds: float) -> None:
