--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -66,6 +66,8 @@
         Seconds for which a job is retained after its submission.
     persist : callable or None
         Writes a job to the journal while the store is unreachable.
+    has_store_relays : callable
+        Returns whether other daemons reported lately that the store serves them.
     recovery_grace_s : float
         Seconds after the store recovers during which a job that is missing from it may
         still be in the journal.
@@ -82,6 +84,7 @@
     now: Callable[[], float]
     retention: float = RETENTION_S
     persist: Callable[[Job], Outcome[bool]] | None = None
+    has_store_relays: Callable[[], bool] = lambda: False
     recovery_grace_s: float = RECOVERY_GRACE_S
     registry: JobRegistry = field(init=False)
     _repository: JobRepository = field(init=False)
@@ -113,6 +116,7 @@
                 job, head, ownership, lease, [], {}
             ),
             self.persist,
+            self.has_store_relays,
         )
         self._context = JobContext(
             repository=self._repository,
--- a/mulberryport/jobs/submission.py
+++ b/mulberryport/jobs/submission.py
@@ -43,6 +43,9 @@
 # its reply. After that the daemon that received the job submits it itself.
 FORWARD_STORE_WAIT_S = 0.4
 FORWARD_TIMEOUT_MARGIN_S = 0.3
+# How long a job waits for a store that this daemon lost, but others may have, before it
+# goes into the journal.
+RELAYED_CREATION_TIMEOUT_S = 0.6
 
 
 class StartJob(Protocol):
@@ -66,12 +69,15 @@
         Starts executing a job.
     persist : callable or None
         Writes a job to the journal while the store is unreachable.
+    has_store_relays : callable
+        Returns whether other daemons reported lately that the store serves them.
     """
 
     registry: JobRegistry
     peers: Peers
     start_job: StartJob
     persist: Callable[[Job], Outcome[bool]] | None = None
+    has_store_relays: Callable[[], bool] = lambda: False
     _stopping: bool = False
 
     def stop(self) -> None:
@@ -176,6 +182,11 @@
             return Done(True)
         uncertain: Unknown | None = None
         if not self.registry.mirror.connected:
+            if self.has_store_relays():
+                # Daemons that the store serves know nothing of a job in the journal.
+                relayed = self._create_through_relays(job)
+                if isinstance(relayed, Done):
+                    return relayed
             journaled = self._accept_into_journal(job)
             if isinstance(journaled, Done):
                 return journaled
@@ -185,6 +196,12 @@
             return uncertain
         return outcome
 
+    def _create_through_relays(self, job: Job) -> Outcome[bool]:
+        """Create a job in the store, if other daemons can still reach it."""
+        with eventlet.Timeout(RELAYED_CREATION_TIMEOUT_S, False):
+            return self._create_in_store(job)
+        return Unknown("the store did not answer in time")
+
     def _create_in_store(self, job: Job) -> Outcome[bool]:
         """Create a job in the store."""
         # A stopping daemon creates the job without an owner, for others to claim.
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -230,6 +230,8 @@
         peers=None,
         persist=None,
         configured=True,
+        mirrored=None,
+        has_store_relays=lambda: False,
     ):
         self.store, self.engine = store, engine or Engine()
         self.now = 1000.0
@@ -247,7 +249,7 @@
             ]
         )
         self.session = Session(store)
-        self.mirror = Mirror(store, LIVE_PREFIX)
+        self.mirror = Mirror(mirrored or store, LIVE_PREFIX)
         self.jobs = JobService(
             store,
             self.mirror,
@@ -259,6 +261,7 @@
             self.engine.engine_client(),
             lambda: self.now,
             persist=persist,
+            has_store_relays=has_store_relays,
             recovery_grace_s=0.1,
         )
         self.session.start()
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -350,6 +350,7 @@
                 self.peers,
                 self.settings.platform.disk_losses + 1,
             ).persist,
+            has_store_relays=lambda: bool(self.store.relays()),
         )
         self.jobs.register(self.peer_server)
         batches = BatchInterface(
