Record where streams began by their route, and bound what is kept of targets

A route may be moved to another pool, whose only software version did not begin a stream that is taken up there. The record of versions is now kept for the route and names the pool as well; a stream is refused if its route does not lead to its pool any more.

Streams without a request id shared one key; they are recorded as of unknown origin. Software versions that are decimal numbers were taken for malformed registrations. Permits and their delays are forgotten for targets that have left.

--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -345,9 +345,10 @@
                     )
                 yield from self._stream_response(call, assignment, response)
                 return
-            key = stream_key(workspace, call.active.id)
+            request_id = call.active.id
+            key = stream_key(workspace, request_id) if request_id else ""
             if response.status in SUCCESS_STATUSES:
-                self._record_origin(key, assignment, is_replaced)
+                self._record_origin(key, call, assignment, is_replaced)
             yield from self._stream_response(call, assignment, response)
             self.origins.end(key)
 
@@ -364,10 +365,13 @@
         """
         assert self.origins is not None
         route = call.access.route
-        pools = {share.pool for share in route.split} or {route.pool}
-        origin = self.origins.find(key, pools, route.timeout)
+        origin = self.origins.find(key, route.name, route.timeout)
         if origin is None:
             raise RefusalError(503, "it is not known which software began the stream")
+        if origin.pool not in {route.pool, *(share.pool for share in route.split)}:
+            raise RefusalError(
+                503, f"the route no longer leads to pool {origin.pool}, where it began"
+            )
         directory = self.dispatcher.directory
         if not directory.serves_software(origin.pool, origin.software):
             raise RefusalError(
@@ -378,15 +382,20 @@
         return evolve(work, pool=origin.pool, software=origin.software)
 
     def _record_origin(
-        self, key: str, assignment: Assignment, is_replaced: bool
+        self, key: str, call: CallerRequest, assignment: Assignment, is_replaced: bool
     ) -> None:
         assert self.origins is not None
-        pool = assignment.pool
-        if is_replaced:
-            listed = {view.software for view in self.dispatcher.directory.views(pool)}
-            self.origins.begin_unknown(pool, {assignment.software, *listed})
+        route, pool = call.access.route.name, assignment.pool
+        origin = StreamOrigin(pool, assignment.software)
+        if not key:
+            # Nobody can name this stream, but it may be of another version than others.
+            self.origins.begin_unknown(route, {origin})
+        elif is_replaced:
+            views = self.dispatcher.directory.views(pool)
+            listed = {StreamOrigin(pool, view.software) for view in views}
+            self.origins.begin_unknown(route, {origin, *listed})
         else:
-            self.origins.begin(key, StreamOrigin(pool, assignment.software))
+            self.origins.begin(key, route, origin)
 
     def _stream_opened(
         self, call: CallerRequest, open_target_response: ResponseOpener
--- a/mulberryport/platform/registrations.py
+++ b/mulberryport/platform/registrations.py
@@ -86,7 +86,7 @@
 def _decode_software(value: object) -> str:
     if value is None:
         return ""
-    if type(value) not in (int, str):
+    if type(value) not in (int, float, str):
         raise ValueError(f"invalid version of the software {value!r}")
     return str(value)
 
--- a/mulberryport/routing/permits.py
+++ b/mulberryport/routing/permits.py
@@ -14,6 +14,8 @@
 MAX_PERMIT_WAIT_S = 0.5
 # Permits that a target without requests accumulates, for requests that come together.
 BURST_PERMITS = 3
+# Targets above which those without recent requests are forgotten.
+MAX_TARGETS = 4096
 # A target that takes no requests at all still gets one now and then, since only a
 # response shows that the limit has ended.
 MIN_REQUESTS_PER_S = 0.2
@@ -69,6 +71,8 @@
         now : float
             Boot time.
         """
+        if len(self._theoretical_slots) > MAX_TARGETS:
+            self._forget_idle(now)
         interval_s = 1.0 / max(MIN_REQUESTS_PER_S, requests_per_s)
         burst_s = (BURST_PERMITS - 1) * interval_s
         first_slot = now + burst_s + interval_s
@@ -83,6 +87,13 @@
         self._theoretical_slots[target] = theoretical_slot + interval_s
         return Reservation(True, wait_s)
 
+    def _forget_idle(self, now: float) -> None:
+        self._theoretical_slots = {
+            target: slot
+            for target, slot in self._theoretical_slots.items()
+            if slot > now
+        }
+
     def forget(self, target: str) -> None:
         """Remove a target whose limit has ended."""
         self._theoretical_slots.pop(target, None)
--- a/mulberryport/streams/origins.py
+++ b/mulberryport/streams/origins.py
@@ -2,9 +2,9 @@
 
 What two software versions of a target write does not fit together, and targets do not
 check it. A caller may take up a stream at any daemon, also after all daemons were
-restarted. While streams of a pool are all of one version, the record of versions tells
-it. Otherwise each daemon writes the origins of its streams to the store, several at
-once. A stream whose origin is not known is not continued.
+restarted. While streams of a route all begin at one version, the record of versions
+tells it. Otherwise each daemon writes the origins of its streams to the store, several
+at once. A stream whose origin is not known is not continued.
 """
 
 from collections import OrderedDict
@@ -64,14 +64,41 @@
     pool: str
     software: str
 
+    @property
+    def label(self) -> str:
+        """Text that names the origin in the record of its route."""
+        return orjson.dumps([self.pool, self.software]).decode()
+
+    @classmethod
+    def from_label(cls, label: str) -> "StreamOrigin":
+        """Return the origin that a text names.
+
+        Raises
+        ------
+        ValueError
+            The text names no origin.
+
+        Examples
+        --------
+        >>> StreamOrigin.from_label(StreamOrigin("p", "1").label)
+        StreamOrigin(pool='p', software='1')
+        """
+        try:
+            pool, software = orjson.loads(label)
+        except TypeError as error:
+            raise ValueError(f"no origin: {label!r}") from error
+        if not isinstance(pool, str) or not isinstance(software, str):
+            raise ValueError(f"no origin: {label!r}")
+        return cls(pool, software)
+
 
 @define(eq=False)
 class BegunStream:
-    """A stream that this daemon passed on, and whether the store has its origin."""
+    """A stream that this daemon passed on."""
 
+    route: str
     origin: StreamOrigin
     begun_at: float
-    is_written: bool = False
 
 
 def stream_key(workspace: str, request_id: str) -> str:
@@ -119,40 +146,42 @@
         """Create the record of versions."""
         self._versions = SoftwareVersions(self.store, self.now)
 
-    def begin(self, key: str, origin: StreamOrigin) -> None:
+    def begin(self, key: str, route: str, origin: StreamOrigin) -> None:
         """Record where a stream began; call it before its first event is passed on.
 
         Parameters
         ----------
         key : str
             Key of the stream, see ``stream_key``.
+        route : str
+            Name of its route.
         origin : StreamOrigin
             Where it began.
         """
-        self._versions.confirm(origin.pool, origin.software)
-        stream = BegunStream(origin, boottime())
+        self._versions.confirm(route, origin.label)
+        stream = BegunStream(route, origin, boottime())
         self._streams[key] = self._unwritten[key] = stream
         self._remove_outdated()
 
-    def begin_unknown(self, pool: str, candidates: set[str]) -> None:
-        """Record that a stream began at one of several versions, nobody knows which."""
-        for software in candidates:
-            self._versions.confirm(pool, software)
+    def begin_unknown(self, route: str, candidates: set[StreamOrigin]) -> None:
+        """Record that a stream began at one of several origins, nobody knows which."""
+        for origin in candidates:
+            self._versions.confirm(route, origin.label)
 
     def end(self, key: str) -> None:
         """Forget a stream that was passed on whole."""
         self._streams.pop(key, None)
         self._unwritten.pop(key, None)
 
-    def find(self, key: str, pools: set[str], longest_s: float) -> StreamOrigin | None:
+    def find(self, key: str, route: str, longest_s: float) -> StreamOrigin | None:
         """Return where a stream began; None if that is not known for certain.
 
         Parameters
         ----------
         key : str
             Key of the stream; empty if the caller did not name it.
-        pools : set of str
-            Pools that may have served it.
+        route : str
+            Name of its route.
         longest_s : float
             Seconds that one response of the stream may last.
         """
@@ -160,21 +189,20 @@
             return self._streams[key].origin
         if key and (origin := self._read(key)) is not None:
             return origin
-        if len(pools) != 1 or RESPONSES_PER_STREAM * longest_s > STREAM_LIFETIME_S:
+        if RESPONSES_PER_STREAM * longest_s > STREAM_LIFETIME_S:
             return None
-        pool = next(iter(pools))
-        versions = self._versions.read(pool)
+        versions = self._versions.read(route)
         if isinstance(versions, Done) and len(versions.value) == 1:
-            return StreamOrigin(pool, next(iter(versions.value)))
+            return self._decode(next(iter(versions.value)))
         return None
 
     def run_once(self) -> None:
-        """Write the origins of streams of pools with several versions to the store."""
+        """Write the origins of streams of routes with several of them to the store."""
         self._versions.refresh()
         due = {
             key: stream
             for key, stream in self._unwritten.items()
-            if self._is_mixed(stream.origin.pool)
+            if self._is_mixed(stream)
         }
         keys = list(due)
         starts = range(0, len(keys), MAX_PUTS)
@@ -185,9 +213,9 @@
             for key in group:
                 self._unwritten.pop(key, None)
 
-    def _is_mixed(self, pool: str) -> bool:
-        listed = {view.software for view in self.directory.views(pool)}
-        return len(listed) > 1 or self._versions.is_mixed(pool)
+    def _is_mixed(self, stream: BegunStream) -> bool:
+        listed = {view.software for view in self.directory.views(stream.origin.pool)}
+        return len(listed) > 1 or self._versions.is_mixed(stream.route)
 
     def _write(self, origins: dict[str, StreamOrigin]) -> bool:
         if boottime() - self._lease_granted_at > LEASE_ROTATION_S:
@@ -199,7 +227,7 @@
         puts = tuple(
             Put(
                 ORIGINS_PREFIX + key,
-                orjson.dumps([origin.pool, origin.software]),
+                origin.label.encode(),
                 self._lease,
             )
             for key, origin in origins.items()
@@ -216,10 +244,12 @@
         outcome = self.store.read(ORIGINS_PREFIX + key)
         if not isinstance(outcome, Done) or outcome.value is None:
             return None
+        return self._decode(outcome.value.value.decode(errors="replace"))
+
+    def _decode(self, label: str) -> StreamOrigin | None:
         try:
-            pool, software = orjson.loads(outcome.value.value)
-            return StreamOrigin(str(pool), str(software))
-        except (TypeError, ValueError) as error:
+            return StreamOrigin.from_label(label)
+        except ValueError as error:
             log(ORIGIN_MALFORMED, error=str(error))
             return None
 
--- a/mulberryport/streams/tests/test_origins.py
+++ b/mulberryport/streams/tests/test_origins.py
@@ -33,14 +33,14 @@
             for v in software
         )
 
-    def find(self, request_id, longest_s=10.0):
+    def find(self, request_id, longest_s=10.0, route="notes"):
         """Return where a stream began."""
         key = stream_key("w", request_id) if request_id else ""
-        return self.origins.find(key, {"p"}, longest_s)
+        return self.origins.find(key, route, longest_s)
 
     def begin(self, request_id, origin):
         """Begin a stream."""
-        self.origins.begin(stream_key("w", request_id), origin)
+        self.origins.begin(stream_key("w", request_id), "notes", origin)
 
 
 def test_streams_of_a_single_version_are_known_after_all_daemons_were_killed():
@@ -175,3 +175,15 @@
     written = len(store.items)
     daemon.origins.run_once()
     assert len(store.items) == written
+
+
+def test_a_route_that_was_moved_to_another_pool_resolves_nothing_by_its_record():
+    # Guards against a stream that goes on at the pool to which its route was moved, and
+    # whose only version did not begin it.
+    store = MemoryStore()
+    daemon = Daemon(store, "old")
+    daemon.begin("r1", OLD)
+    assert Daemon(store, "old").find("r1") == OLD
+    daemon.begin("r2", StreamOrigin("q", "old"))
+    assert Daemon(store, "old").find("r1") is None
+    assert Daemon(store, "old").find("r1", route="other") is None
--- a/mulberryport/streams/versions.py
+++ b/mulberryport/streams/versions.py
@@ -1,8 +1,9 @@
-"""Record, in the store, of the software versions that streams of a pool are of.
+"""Record, in the store, of where streams of a route began lately.
 
-A version is in the record before the first event of a stream that it began is passed
-on, and for as long as such a stream may be taken up. If there is only one, every stream
-of the pool is of it, and nothing has to be kept for single streams.
+The pool and the software version of a target are in the record of its route before the
+first event of a stream that began there is passed on, and for as long as such a stream
+may be taken up. If the record has only one, every stream of the route began there, and
+nothing has to be kept for single streams.
 """
 
 from collections.abc import Callable, Mapping
@@ -29,7 +30,7 @@
     651,
     "software_versions_malformed",
     "error",
-    "The store's record of a pool's software versions is malformed.",
+    "The store's record of where streams of a route began is malformed.",
 )
 
 VERSIONS_PREFIX = "mulberryport/software/"
@@ -77,7 +78,7 @@
 
 @define(eq=False)
 class SoftwareVersions:
-    """Reads and extends the record of each pool.
+    """Reads and extends the record of each route.
 
     Parameters
     ----------
@@ -89,37 +90,37 @@
 
     store: KeyValueStore
     now: Callable[[], float]
-    # Boot time of this daemon's last confirmation, by pool and version.
+    # Boot time of this daemon's last confirmation, by route and version.
     _confirmed_at: dict[tuple[str, str], float] = field(factory=dict)
     _known: dict[str, Mapping[str, float]] = field(factory=dict)
-    # Pools and versions at which streams began since their last confirmation.
+    # Routes and versions at which streams began since their last confirmation.
     _used: set[tuple[str, str]] = field(factory=set)
     _failed_at: float = float("-inf")
 
-    def is_mixed(self, pool: str) -> bool:
+    def is_mixed(self, route: str) -> bool:
         """Return whether the last record that was read has several versions."""
-        return len(self._known.get(pool, ())) > 1
+        return len(self._known.get(route, ())) > 1
 
-    def read(self, pool: str) -> Outcome[dict[str, float]]:
-        """Return the versions that streams of a pool may be of now."""
-        outcome = self.store.read(_key(pool))
+    def read(self, route: str) -> Outcome[dict[str, float]]:
+        """Return the versions that streams of a route may be of now."""
+        outcome = self.store.read(_key(route))
         if not isinstance(outcome, Done):
             return outcome
         item = outcome.value
-        versions = self._decode(pool, item.value) if item is not None else {}
-        self._known[pool] = versions
+        versions = self._decode(route, item.value) if item is not None else {}
+        self._known[route] = versions
         return Done(versions)
 
-    def confirm(self, pool: str, version: str) -> bool:
+    def confirm(self, route: str, version: str) -> bool:
         """Ensure that a version is in the record; return whether it is.
 
         Parameters
         ----------
-        pool, version : str
-            Pool, and the software version at which a stream of it has begun.
+        route, version : str
+            Name of the route, and where a stream of it has begun.
         """
-        self._used.add((pool, version))
-        confirmed_at = self._confirmed_at.get((pool, version), float("-inf"))
+        self._used.add((route, version))
+        confirmed_at = self._confirmed_at.get((route, version), float("-inf"))
         started_at = boottime()
         if started_at - confirmed_at < CONFIRMATION_INTERVAL_S:
             return True
@@ -127,13 +128,13 @@
         if started_at - self._failed_at > FAILURE_PAUSE_S:
             reason = "the store did not answer in time"
             with eventlet.Timeout(MAX_CONFIRMATION_WAIT_S, False):
-                outcome = self._write_repeatedly(pool, version)
+                outcome = self._write_repeatedly(route, version)
                 if isinstance(outcome, Done):
-                    self._confirmed_at[pool, version] = started_at
+                    self._confirmed_at[route, version] = started_at
                     return True
                 reason = str(outcome)
             self._failed_at = boottime()
-        log(VERSIONS_UNCONFIRMED, pool=pool, software=version, reason=reason)
+        log(VERSIONS_UNCONFIRMED, route=route, software=version, reason=reason)
         return False
 
     def refresh(self) -> None:
@@ -142,32 +143,32 @@
         Versions at which no stream has begun since their confirmation are left out.
         """
         due = boottime() - SHARED_CONFIRMATION_S
-        for (pool, version), at in list(self._confirmed_at.items()):
-            if at < due and (pool, version) in self._used:
-                self._used.discard((pool, version))
+        for (route, version), at in list(self._confirmed_at.items()):
+            if at < due and (route, version) in self._used:
+                self._used.discard((route, version))
                 started_at = boottime()
-                if isinstance(self._write_repeatedly(pool, version), Done):
-                    self._confirmed_at[pool, version] = started_at
+                if isinstance(self._write_repeatedly(route, version), Done):
+                    self._confirmed_at[route, version] = started_at
 
-    def _write_repeatedly(self, pool: str, version: str) -> Outcome[bool]:
+    def _write_repeatedly(self, route: str, version: str) -> Outcome[bool]:
         """Write until the record has the version; also after an answer was lost."""
         outcome: Outcome[bool] = NotDone("not tried")
         for _ in range(MAX_ATTEMPTS):
-            outcome = self._write(pool, version)
+            outcome = self._write(route, version)
             if isinstance(outcome, Done) and outcome.value:
                 return outcome
         return NotDone(f"the record could not be changed: {outcome}")
 
-    def _write(self, pool: str, version: str) -> Outcome[bool]:
+    def _write(self, route: str, version: str) -> Outcome[bool]:
         """Add a version to the record; false if another daemon changed it meanwhile."""
-        key = _key(pool)
+        key = _key(route)
         outcome = self.store.read(key)
         if not isinstance(outcome, Done):
             return outcome
         item, now = outcome.value, self.now()
-        versions = self._decode(pool, item.value) if item is not None else {}
+        versions = self._decode(route, item.value) if item is not None else {}
         if now - versions.get(version, float("-inf")) < SHARED_CONFIRMATION_S:
-            self._known[pool] = versions
+            self._known[route] = versions
             return Done(True)
         versions[version] = now
         committed = self.store.commit(
@@ -178,17 +179,17 @@
         )
         if not isinstance(committed, Done):
             return committed
-        self._known[pool] = versions
+        self._known[route] = versions
         return Done(isinstance(committed.value, Committed))
 
-    def _decode(self, pool: str, content: bytes) -> dict[str, float]:
+    def _decode(self, route: str, content: bytes) -> dict[str, float]:
         try:
             return decode_versions(content, self.now())
         except (TypeError, ValueError) as error:
             # Two versions that no target has: no stream is resolved by the record.
-            log(VERSIONS_MALFORMED, pool=pool, error=str(error))
+            log(VERSIONS_MALFORMED, route=route, error=str(error))
             return {"\0malformed": self.now(), "\0record": self.now()}
 
 
-def _key(pool: str) -> str:
-    return VERSIONS_PREFIX + pool
+def _key(route: str) -> str:
+    return VERSIONS_PREFIX + route
--- a/mulberryport/targets/permits.py
+++ b/mulberryport/targets/permits.py
@@ -35,6 +35,8 @@
 # Time for which the second daemon is asked after the first one did not answer.
 SILENT_ISSUER_AVOIDANCE_S = 2.0
 DEPUTY_RATE_FRACTION = 0.5
+# Targets that have left are not removed one by one.
+MAX_DELAYED_TARGETS = 4096
 # Delay after a reply that says nothing about when to ask again.
 RETRY_DELAY_S = 0.2
 # Shorter than the time for which a slot can be reserved, so that no slot is missed.
@@ -135,6 +137,8 @@
             self._not_before.pop(target, None)
         else:
             # Daemons that were turned away at the same time do not come back together.
+            if len(self._not_before) > MAX_DELAYED_TARGETS:
+                self._not_before.clear()
             delay_s = retry_delay_s + random.random() * MAX_RETRY_JITTER_S
             self._not_before[target] = boottime() + delay_s
         return is_granted
