Keep the mark of a leaving target through an outdated entry

An entry of an earlier target with the same id, written late, ended the mark of the present one, so that it got requests again. Only an entry of a later target ends it now. The test fails on the code before.

--- a/mulberryport/platform/tests/test_target_reports.py
+++ b/mulberryport/platform/tests/test_target_reports.py
@@ -122,6 +122,16 @@
     assert not is_selectable(directory)
 
 
+def test_an_outdated_entry_does_not_bring_a_leaving_target_back():
+    # Guards against an entry of an earlier target with the same id, which is written
+    # late, that ends the mark of the present one.
+    directory = listed_directory()
+    answer_leaving(directory, directory.views("p")[0])
+    list_target(directory, 5)
+    list_target(directory, 7)
+    assert not is_selectable(directory)
+
+
 def test_a_new_target_with_the_id_of_one_that_left_gets_requests():
     # Guards against a mark that outlives its target, also if the last answer of the old
     # target arrives after the new one was listed.
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -101,7 +101,7 @@
         self._leaving_by_own_account = {
             target: born
             for target, born in self._leaving_by_own_account.items()
-            if self._born.get(target, born) == born
+            if self._born.get(target, born) <= born
         }
         self._remove_stale_states()
 
@@ -186,7 +186,7 @@
             Time of the start of the target that said so. Another target that starts
             with the same id later is not affected.
         """
-        if self._born.get(target, born) != born:
+        if self._born.get(target, born) > born:
             return
         if target not in self._leaving_by_own_account:
             log(TARGET_LEAVING, target=target)
