Bound the search for requests that need permits

With many limited targets that no queued request fits, each submission searched the whole queue once for each of them. The search now looks at the requests that are next in turn, stops when enough targets are found, and runs at most every 20 ms for a pool.

--- a/mulberryport/routing/queue.py
+++ b/mulberryport/routing/queue.py
@@ -15,6 +15,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Iterator
+from itertools import islice
 
 from attrs import define, field
 
@@ -178,8 +179,12 @@
         return evicted
 
     def any_fits(self, fits: Callable[[WorkRequest], bool]) -> bool:
-        """Return whether a queued request fits a target."""
-        return any(fits(queued.work) for flow in self._all_flows() for queued in flow)
+        """Return whether one of the requests that are next in turn fits a target."""
+        return any(
+            fits(queued.work)
+            for flow in self._all_flows()
+            for queued in islice(flow, LOOK_AHEAD)
+        )
 
     def remove(self, queued: QueuedRequest) -> bool:
         """Remove a request; return whether it was queued."""
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -9,6 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
+from itertools import islice
 
 from attrs import define, field
 
@@ -196,17 +197,20 @@
         requested : collection of str
             Targets for which permits were requested already.
         """
+        if not self._limited:
+            return []
         limited = [c for c in self._limited if c.view.selectable]
         without = [c for c in limited if not c.permits and c.id not in requested]
         wanted = [c for c in without if self._needs_confirmation(c, now)]
         spare = len(self.queue) - (len(limited) - len(without)) - len(wanted)
-        others = [
+        others = [c for c in without if c not in wanted]
+        self.generator.shuffle(others)
+        fitting = (
             c
-            for c in without
-            if c not in wanted
-            and self.queue.any_fits(lambda work, c=c: self.targets.admits(c, work))
-        ]
-        chosen = self.generator.sample(others, max(0, min(len(others), spare)))
+            for c in others
+            if self.queue.any_fits(lambda work, c=c: self.targets.admits(c, work))
+        )
+        chosen = islice(fitting, max(0, spare))
         return [candidate.id for candidate in (*wanted, *chosen)]
 
     def add_permit(self, target: str, now: float) -> None:
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -59,6 +59,8 @@
 # Target views older than this are rebuilt. Load reports arrive once a second, so
 # rebuilding more often would only add CPU cost in large pools.
 VIEW_MAX_AGE_S = 0.1
+# The queue is searched for requests that need permits no more often than this.
+PERMIT_REQUEST_INTERVAL_S = 0.02
 
 
 @define(eq=False)
@@ -159,6 +161,7 @@
     _workspace_weights: dict[str, float] = field(factory=dict)
     _schedulers: dict[str, PoolScheduler] = field(factory=dict)
     _refreshed_at: dict[str, float] = field(factory=dict)
+    _permits_requested_at: dict[str, float] = field(factory=dict)
     _requested_permits: set[str] = field(factory=set)
 
     @contextmanager
@@ -316,8 +319,11 @@
 
     def _request_permits(self, pool: str) -> None:
         """Request the permits that the queued requests of a pool need."""
-        scheduler = self._schedulers[pool]
-        for target in scheduler.wanted_permits(boottime(), self._requested_permits):
+        scheduler, now = self._schedulers[pool], boottime()
+        if now - self._permits_requested_at.get(pool, 0.0) < PERMIT_REQUEST_INTERVAL_S:
+            return
+        self._permits_requested_at[pool] = now
+        for target in scheduler.wanted_permits(now, self._requested_permits):
             self._requested_permits.add(target)
             eventlet.spawn_n(self._await_permit, pool, target)
 
