Note the results to hand over after a job was closed

What readers saw: an item of a job at two positions after a planned stop of its owner.

Cause: the stop noted the results to commit, and then closed the job, which kills its green threads one by one. A commit that got its answer meanwhile ended, and the stop committed the same results again behind them. Ruled out: a late commit of the interrupted committer, which pages that are written once refuse.

The test forces the order of events; on the code before two results are listed twice.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -170,10 +170,11 @@
         """Stop, and release the job with its partial transcripts to another daemon."""
         if self._closed:
             return
-        pending = list(self._pending)
         self.close("planned stop")
         if self.is_provisional:
             return
+        # Only now: a commit may have ended while the job was closed.
+        pending = list(self._pending)
         if pending:
             # Has no effect if a commit that the stop interrupted still takes effect.
             self._commit_batch(pending)
--- a/mulberryport/jobs/tests/test_ordering.py
+++ b/mulberryport/jobs/tests/test_ordering.py
@@ -1,6 +1,7 @@
 """Tests of guarded writes whose condition outlives what they were computed from."""
 
 import eventlet
+import greenlet
 
 from ...outcomes import Done
 from ...runtime.clock import boottime
@@ -12,8 +13,10 @@
     LateStore,
     MemoryStore,
     make_job,
+    puts_results,
     until,
 )
+from .test_service import deadline_in, read_all
 
 
 def test_nothing_is_listed_after_the_end_of_a_job():
@@ -101,3 +104,51 @@
     assert protected == [True]
     assert not registry.is_in_transition("job1")
     daemon.die()
+
+
+class HeldStore(LateStore):
+    """Connection to a store whose first answer to results comes when it is released."""
+
+    def __init__(self, store):
+        super().__init__(store)
+        self.is_asked, self.released = eventlet.event.Event(), eventlet.event.Event()
+
+    def commit(self, transaction):
+        """Apply a transaction, and hold back the first answer to results."""
+        outcome = self.store.commit(transaction)
+        if puts_results(transaction) and not self.is_asked.ready():
+            self.is_asked.send()
+            self.released.wait()
+        return outcome
+
+
+class ReleasingEngine(Engine):
+    """Engine that releases an answer of the store when a text is cancelled."""
+
+    released = None
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate a text; that of a cancelled item releases the answer."""
+        try:
+            super().generate(view, job, item, transcript, on_event)
+        except greenlet.GreenletExit:
+            if not self.released.ready():
+                self.released.send()
+            raise
+
+
+def test_a_commit_that_ends_while_the_job_is_handed_over_lists_nothing_twice():
+    # Guards against results that a planned stop commits again, behind themselves: the
+    # committer ended its commit after the stop had noted what was to be committed.
+    store = HeldStore(MemoryStore())
+    engine = ReleasingEngine(pauses={f"job1-{n}": 60.0 for n in range(2, 8)})
+    engine.released = store.released
+    daemon = JobDaemon(store, engine=engine)
+    assert daemon.jobs.submit(make_job(items=8, scored=False), deadline_in()) == Done(
+        True
+    )
+    store.is_asked.wait()
+    daemon.jobs.registry.owned["job1"].hand_over()
+    listed = read_all(daemon)
+    assert sorted(result[0] for result in listed) == ["job1-0", "job1-1"]
+    daemon.die()
