End all items of a closed job, also if the call that closes it is cancelled

What callers saw: an item of a job that had been ended reached an engine more than 3 s after the acknowledgement, and again later.

Cause: a job is closed in the green thread that serves a peer's call, by killing the green threads of its items one by one, each of which lets others run. When the call was cancelled meanwhile, the rest of them went on, and the job counted as closed.

The kills run in a green thread of their own. The test fails on the code before.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -160,10 +160,12 @@
             pending=len(self._pending),
             is_committing=self._commit_in_progress,
         )
-        for thread in self._threads:
-            if thread is not eventlet.getcurrent():
-                thread.kill()
+        current = eventlet.getcurrent()
+        threads = [thread for thread in self._threads if thread is not current]
         self._threads.clear()
+        # The caller may be cancelled between two kills, for example with the call of a
+        # peer; all threads have to end nevertheless.
+        eventlet.spawn(_kill_threads, threads).wait()
         self.progress.notify_all()
 
     def hand_over(self) -> None:
@@ -308,3 +310,8 @@
         log(OWNERSHIP_LOST, job=self.job.id, ownership=self.ownership)
         self.close("ownership lost")
         return True
+
+
+def _kill_threads(threads: list[Any]) -> None:
+    for thread in threads:
+        thread.kill()
--- a/mulberryport/jobs/tests/test_ordering.py
+++ b/mulberryport/jobs/tests/test_ordering.py
@@ -152,3 +152,34 @@
     listed = read_all(daemon)
     assert sorted(result[0] for result in listed) == ["job1-0", "job1-1"]
     daemon.die()
+
+
+class CancellingEngine(Engine):
+    """Engine that kills a green thread when the first of its texts is cancelled."""
+
+    def __init__(self):
+        super().__init__(pause=60.0)
+        self.ended, self.closer = [], None
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate a text, and record that it ended."""
+        try:
+            super().generate(view, job, item, transcript, on_event)
+        finally:
+            self.ended.append(item.id)
+            if len(self.ended) == 1:
+                self.closer.kill()
+
+
+def test_all_items_of_a_closed_job_end_if_the_call_that_closes_it_is_cancelled():
+    # Guards against items that go on after the end of their job, for as long as they
+    # last: the call of the peer that stopped the job ended after some were cancelled.
+    engine = CancellingEngine()
+    daemon = JobDaemon(MemoryStore(), engine=engine)
+    job = make_job(items=8, scored=False)
+    assert daemon.jobs.submit(job, deadline_in()) == Done(True)
+    assert until(lambda: len(engine.calls) == 8)
+    owned = daemon.jobs.registry.owned["job1"]
+    engine.closer = eventlet.spawn(owned.close, "stopped by a peer")
+    assert until(lambda: len(engine.ended) == 8)
+    daemon.die()
