Review: empty lines without end at one model server hang entry daemons

One of four model servers answers with a sound head and then empty lines without end, for 5.5 s. The daemons that have items there answer nobody for 2.5 s to 10 s, also on routes of other services.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,250 @@
+"""Bytes without end in the bodies of a model server, and daemons that hang on them."""
+
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from harness.fleet import HOST_NAME, Fleet, Record, has_trouble, main, make_item
+from harness.targets import Engine, Service
+
+ZONES = {
+    "front-cartagena-1": "cartagena",
+    "front-cartagena-2": "cartagena",
+    "front-barranquilla-1": "barranquilla",
+    "front-barranquilla-2": "barranquilla",
+    "front-santa-marta-1": "santa-marta",
+    "front-santa-marta-2": "santa-marta",
+}
+ENGINE_ZONES = ["cartagena", "cartagena", "barranquilla", "santa-marta"]
+SERVICE_ZONES = [*ENGINE_ZONES, "barranquilla", "santa-marta"]
+TENANTS = {f"tenant{number}": f"key{number}" * 4 for number in range(3)}
+PREFIX, LOOKUP_PREFIX = "/pule252/", "/lohu930/"
+SCORE_PREFIX, SCORE_PATH = "/pufi791/", "/pufi791/5e07"
+# Seconds for which one server is in trouble.
+TROUBLE_S, WATCH_S = 5.5, 30.0
+JOB_PERIOD_S = 4.0
+ENDLESS = b"\n" * 16384
+TIMEOUT_S, SLACK_S = 2.0, 0.5
+MIN_UNANSWERED = 8
+LOOKUP_PERIOD_S = 0.5
+
+
+class FaultyEngine(Engine):
+    """Model server whose bodies are empty lines without end while it is in trouble."""
+
+    is_in_trouble = False
+
+    def _stream(self, handler: BaseHTTPRequestHandler) -> None:
+        if not self.is_in_trouble:
+            super()._stream(handler)
+            return
+        request = handler.headers.get("X-Request-Id", "")
+        self.record("endless", server=self.id, request=request)
+        handler.close_connection = True
+        handler.send_response(200)
+        for name, value in self.answer_headers(handler).items():
+            handler.send_header(name, value)
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("X-Server-Stamp", self.make_stamp())
+        handler.send_header("X-Weight-Versions", str(self.version))
+        handler.end_headers()
+        sent = 0
+        try:
+            while True:
+                handler.wfile.write(ENDLESS)
+                sent += len(ENDLESS)
+        except OSError:
+            self.record(
+                "closed-by-caller", server=self.id, request=request, sent_bytes=sent
+            )
+
+
+def make_configuration() -> dict:
+    """Return the operator's configuration."""
+    route = {
+        "host": HOST_NAME,
+        "timeout-ms": 10_000,
+        "latency-target-ms": 400,
+        "priority": 1,
+        "public": False,
+    }
+    return {
+        "version": 1,
+        "routes": [
+            {
+                **route,
+                "name": "drafts",
+                "prefix": PREFIX,
+                "kind": "rollout",
+                "service": "engines",
+                "max-attempts": 3,
+                "run-target-ms": 7500,
+                "queue-ttl-s": 40,
+            },
+            {
+                **route,
+                "name": "score",
+                "prefix": SCORE_PREFIX,
+                "kind": "idempotent",
+                "service": "booking",
+                "max-attempts": 4,
+                "public": True,
+                "timeout-ms": 3000,
+            },
+            {
+                **route,
+                "name": "lookup",
+                "prefix": LOOKUP_PREFIX,
+                "kind": "idempotent",
+                "service": "booking",
+                "max-attempts": 2,
+                "timeout-ms": 2000,
+                "latency-target-ms": 150,
+            },
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "health-path": "/health",
+                "max-conns": 180,
+                "protocol": "h1",
+                "tls": False,
+                "engine": {"slots": 16, "models": [{"name": "m"}]},
+            },
+            {"name": "booking", "health-path": "/health", "max-conns": 110},
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 33554432,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [
+            {"name": name, "api-keys": [key], "priority": 1}
+            for name, key in TENANTS.items()
+        ],
+    }
+
+
+class Lookups:
+    """Requests of clients at each daemon, and when they were answered."""
+
+    def __init__(self, fleet: Fleet, record: Record) -> None:
+        self.fleet, self.record = fleet, record
+        self.unanswered_at_timeout = 0
+        self.unanswered_after = 0
+        self.count = 0
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._send_all, args=(vm,)) for vm in ZONES
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Send no further requests and wait for the answers."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send_all(self, vm: str) -> None:
+        calls = []
+        number = 0
+        while not self._stop.is_set():
+            request = f"q{vm}x{number}"
+            calls.append(threading.Thread(target=self._send, args=(vm, request)))
+            calls[-1].start()
+            number += 1
+            self._stop.wait(LOOKUP_PERIOD_S)
+        for call in calls:
+            call.join()
+
+    def _send(self, vm: str, request: str) -> None:
+        sent_at = self.record.now
+        reply = self.fleet.call(
+            vm,
+            "POST",
+            f"{LOOKUP_PREFIX}2f",
+            TENANTS["tenant0"],
+            request,
+            b"lookup",
+            timeout=60.0,
+            X_Deadline_Ms="2000",
+        )
+        took_s = self.record.now - sent_at
+        with self._lock:
+            self.count += 1
+            if took_s > TIMEOUT_S:
+                self.unanswered_at_timeout += 1
+            if took_s > TIMEOUT_S + SLACK_S:
+                self.unanswered_after += 1
+                self.record(
+                    "UNANSWERED",
+                    vm=vm,
+                    request=request,
+                    took_s=round(took_s, 3),
+                    status=reply.status,
+                )
+
+
+def submit_jobs(
+    fleet: Fleet, record: Record, tenant: str, stop: threading.Event
+) -> None:
+    """Submit a job every few seconds."""
+    number = 0
+    while not stop.is_set():
+        started_at = record.now
+        job = f"{tenant}lot{number}"
+        items = [
+            make_item(f"{job}i{n}", f"{PREFIX}3/91c4", f"{job}g{n // 4}", SCORE_PATH)
+            for n in range(36)
+        ]
+        vm = list(ZONES)[number % len(ZONES)]
+        fleet.submit(vm, job, TENANTS[tenant], PREFIX, items)
+        number += 1
+        stop.wait(max(0.0, started_at + JOB_PERIOD_S - record.now))
+
+
+def run(fleet: Fleet, record: Record) -> bool:
+    """Play the case."""
+    fleet.store.put("op/config", make_configuration())
+    engines = [
+        FaultyEngine(fleet.store, f"e{n}", "engines", zone, record, slots=16, events=22)
+        for n, zone in enumerate(ENGINE_ZONES)
+    ]
+    for n, zone in enumerate(SERVICE_ZONES):
+        Service(fleet.store, f"b{n}", "booking", zone, record)
+    fleet.add_entries(ZONES)
+    fleet.start_all()
+    time.sleep(4.0)
+    stop = threading.Event()
+    lookups = Lookups(fleet, record)
+    for tenant in TENANTS:
+        arguments = (fleet, record, tenant, stop)
+        threading.Thread(target=submit_jobs, args=arguments, daemon=True).start()
+    time.sleep(JOB_PERIOD_S - 1.0)
+    engines[0].is_in_trouble = has_trouble()
+    record("trouble", begins=has_trouble(), server=engines[0].id)
+    time.sleep(TROUBLE_S)
+    engines[0].is_in_trouble = False
+    record("trouble-ends")
+    time.sleep(WATCH_S - TROUBLE_S)
+    stop.set()
+    lookups.stop()
+    record(
+        "lookups",
+        count=lookups.count,
+        unanswered_at_timeout=lookups.unanswered_at_timeout,
+        unanswered_half_a_second_later=lookups.unanswered_after,
+    )
+    is_most = 2 * lookups.unanswered_after > lookups.unanswered_at_timeout
+    return is_most and lookups.unanswered_after >= MIN_UNANSWERED
+
+
+if __name__ == "__main__":
+    main(str(Path(__file__).parent), run)
--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import random
 import socket
 import threading
 import time
@@ -14,7 +15,10 @@
 HOST = "127.0.0.1"
 READ_BYTES = 64 * 1024
 
-_reserved: list[socket.socket] = []
+PORTS = (12_000, 32_000)
+
+_given: set[int] = set()
+_lock = threading.Lock()
 
 
 class Reply:
@@ -29,11 +33,21 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    """Return a loopback address with a free port that no other call returns.
+
+    The ports are below the range from which the system chooses those of clients.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with _lock, socket.socket() as probe:
+            if port in _given:
+                continue
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            _given.add(port)
+            return f"{HOST}:{port}"
 
 
 def call(
