Review: one endless answer of a plain service stops a daemon

A body of one-byte chunks without end stops the daemon that forwards it for seconds; the time-out of the route does not end it. Clients of the stand-ins now leave at their deadline, also within an answer, and the route's time-out is shorter than that.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,7 +28,8 @@
 TROUBLE_S, WATCH_S = 5.5, 30.0
 JOB_PERIOD_S = 4.0
 ENDLESS = b"\n" * 16384
-TIMEOUT_S, SLACK_S = 2.0, 0.5
+# The timeout of the route is shorter than the time that clients wait.
+TIMEOUT_S, SLACK_S, DEADLINE_S = 1.0, 0.5, 2.0
 MIN_UNANSWERED = 8
 LOOKUP_PERIOD_S = 0.5
 
@@ -102,7 +103,7 @@
                 "kind": "idempotent",
                 "service": "booking",
                 "max-attempts": 2,
-                "timeout-ms": 2000,
+                "timeout-ms": int(TIMEOUT_S * 1000),
                 "latency-target-ms": 150,
             },
         ],
@@ -173,8 +174,8 @@
             TENANTS["tenant0"],
             request,
             b"lookup",
-            timeout=60.0,
-            X_Deadline_Ms="2000",
+            timeout=DEADLINE_S,
+            X_Deadline_Ms=str(int(DEADLINE_S * 1000)),
         )
         took_s = self.record.now - sent_at
         with self._lock:
--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -58,14 +58,27 @@
     body: bytes = b"",
     timeout: float = 15.0,
 ) -> Reply:
-    """Send a request on a new connection; the status is 0 without an answer."""
+    """Send a request on a new connection; the status is 0 without a whole answer.
+
+    The client leaves after ``timeout`` seconds, also within an answer.
+    """
+    deadline = time.monotonic() + timeout
     host, _, port = address.rpartition(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
     try:
         connection.request(method, path, body or None, headers or {})
         response = connection.getresponse()
-        content = response.read()
-        return Reply(response.status, dict(response.headers), content)
+        parts: list[bytes] = []
+        while part := response.read1(READ_BYTES):
+            parts.append(part)
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                return Reply(0, {}, b"the client left within the answer")
+            if connection.sock is not None:
+                connection.sock.settimeout(remaining_s)
+        if response.length:
+            return Reply(0, {}, b"the answer ended early")
+        return Reply(response.status, dict(response.headers), b"".join(parts))
     except (OSError, http.client.HTTPException) as error:
         return Reply(0, {}, repr(error).encode())
     finally:
--- a/review/harness/targets.py
+++ b/review/harness/targets.py
@@ -121,6 +121,8 @@
     ----------
     work_s : callable
         Returns the seconds of work of a request, given its id.
+    fails : callable
+        Returns whether a request, given its id, always fails with 500.
     """
 
     def __init__(
@@ -128,8 +130,9 @@
         *arguments: Any,
         slots: int = 6,
         work_s: Callable[[str], float] = lambda request: 0.03,
+        fails: Callable[[str], bool] = lambda request: False,
     ) -> None:
-        self.work_s = work_s
+        self.work_s, self.fails = work_s, fails
         super().__init__(*arguments, slots=slots)
 
     def run(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
@@ -145,6 +148,10 @@
             reply_json(handler, 504, {}, headers)
             return
         time.sleep(work_s)
+        if self.fails(request):
+            self.record("answer", server=self.id, request=request, status=500)
+            reply_json(handler, 500, {}, headers)
+            return
         headers["X-Server-Stamp"] = stamp = self.make_stamp()
         self.record("answer", server=self.id, request=request, status=200, stamp=stamp)
         reply_json(handler, 200, {"body": len(body)}, headers)
