--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,122 +1,80 @@
-"""Bytes without end from a plain service, and daemons that hang on them."""
+"""Streams joined from two software versions after an outage and a kill."""
 
+import http.client
+import signal
 import sys
 import threading
 import time
-from http.server import BaseHTTPRequestHandler
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from harness.fleet import HOST_NAME, Fleet, Record, has_trouble, main
-from harness.targets import Service
+from harness.targets import Engine
 
 ZONES = {
-    "front-cartagena-1": "cartagena",
-    "front-cartagena-2": "cartagena",
-    "front-barranquilla-1": "barranquilla",
-    "front-barranquilla-2": "barranquilla",
-    "front-santa-marta-1": "santa-marta",
-    "front-santa-marta-2": "santa-marta",
+    "front-rosario-1": "rosario",
+    "front-rosario-2": "rosario",
+    "front-parana-1": "parana",
+    "front-santa-fe-1": "santa-fe",
 }
-ENGINE_ZONES = ["cartagena", "cartagena", "barranquilla", "santa-marta"]
-SERVICE_ZONES = [*ENGINE_ZONES, "barranquilla", "santa-marta"]
-TENANTS = {f"tenant{number}": f"key{number}" * 4 for number in range(3)}
-PREFIX, LOOKUP_PREFIX = "/pule252/", "/lohu930/"
-SCORE_PREFIX, SCORE_PATH = "/pufi791/", "/pufi791/5e07"
-# Seconds for which one server is in trouble.
-TROUBLE_S, WATCH_S = 5.5, 30.0
-JOB_PERIOD_S = 4.0
-ENDLESS = b"1\r\nx\r\n" * 4096
-# The timeout of the route is shorter than the time that clients wait.
-TIMEOUT_S, SLACK_S, DEADLINE_S = 1.0, 0.5, 2.0
-MIN_UNANSWERED = 8
-LOOKUP_PERIOD_S = 0.5
-
-
-class FaultyService(Service):
-    """Plain service whose bodies do not end while it is in trouble."""
-
-    is_in_trouble = False
-
-    def run(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
-        """Run one request."""
-        if not self.is_in_trouble:
-            super().run(handler, body)
-            return
-        request = handler.headers.get("X-Request-Id", "")
-        self.record("endless", server=self.id, request=request)
-        handler.close_connection = True
-        handler.send_response(200)
-        for name, value in self.answer_headers(handler).items():
-            handler.send_header(name, value)
-        handler.send_header("Transfer-Encoding", "chunked")
-        handler.send_header("X-Server-Stamp", self.make_stamp())
-        handler.end_headers()
-        sent = 0
-        try:
-            while True:
-                handler.wfile.write(ENDLESS)
-                sent += len(ENDLESS)
-        except OSError:
-            self.record(
-                "closed-by-caller", server=self.id, request=request, sent_bytes=sent
-            )
+FIRST, SECOND = "front-rosario-1", "front-parana-1"
+KEY = "key0" * 5
+PREFIX = "/lohu930/"
+EVENTS, EVENT_S = 60, 0.12
+STREAMS, DEADLINE_S = 12, 12.0
+# Seconds for which the store is down, and after which the daemon is killed.
+DOWN_S, KILL_AFTER_S = 4.0, 2.5
+# The platform starts a killed process again after a short delay.
+RESTART_S = 0.5
+# More than two streams of two software versions break the rule.
+MAX_JOINED = 2
+
+
+class VersionedEngine(Engine):
+    """Model server whose events name the version of its software."""
+
+    def __init__(self, *arguments: Any, software: str, **options: Any) -> None:
+        self.software = software
+        super().__init__(*arguments, **options)
+
+    def entry(self) -> dict[str, Any]:
+        """Return the registration."""
+        return {**super().entry(), "version": self.software}
+
+    def make_event(self, item: str, number: int) -> bytes:
+        """Return one event of a stream."""
+        return f"id: {number}\ndata: {self.software}\n\n".encode()
 
 
 def make_configuration() -> dict:
     """Return the operator's configuration."""
-    route = {
-        "host": HOST_NAME,
-        "timeout-ms": 10_000,
-        "latency-target-ms": 400,
-        "priority": 1,
-        "public": False,
-    }
     return {
-        "version": 1,
+        "version": 2,
         "routes": [
             {
-                **route,
                 "name": "drafts",
+                "host": HOST_NAME,
                 "prefix": PREFIX,
-                "kind": "rollout",
+                "kind": "idempotent",
+                "streaming": True,
+                "resumable": True,
+                "timeout-ms": 12_000,
+                "latency-target-ms": 500,
+                "priority": 1,
                 "service": "engines",
                 "max-attempts": 3,
-                "run-target-ms": 7500,
-                "queue-ttl-s": 40,
-            },
-            {
-                **route,
-                "name": "score",
-                "prefix": SCORE_PREFIX,
-                "kind": "idempotent",
-                "service": "booking",
-                "max-attempts": 4,
-                "public": True,
-                "timeout-ms": 3000,
-            },
-            {
-                **route,
-                "name": "lookup",
-                "prefix": LOOKUP_PREFIX,
-                "kind": "idempotent",
-                "service": "booking",
-                "max-attempts": 2,
-                "timeout-ms": int(TIMEOUT_S * 1000),
-                "latency-target-ms": 150,
+                "public": False,
             },
         ],
         "services": [
             {
                 "name": "engines",
                 "health-path": "/health",
-                "max-conns": 180,
-                "protocol": "h1",
-                "tls": False,
-                "engine": {"slots": 16, "models": [{"name": "m"}]},
+                "max-conns": 150,
+                "engine": {"slots": 12, "models": [{"name": "m"}]},
             },
-            {"name": "booking", "health-path": "/health", "max-conns": 110},
         ],
         "limits": {
             "max-header-bytes": 16384,
@@ -124,102 +82,138 @@
             "header-timeout-ms": 3000,
             "idle-timeout-ms": 15000,
         },
-        "tenants": [
-            {"name": name, "api-keys": [key], "priority": 1}
-            for name, key in TENANTS.items()
-        ],
+        "tenants": [{"name": "tenant0", "api-keys": [KEY], "priority": 1}],
     }
 
 
-class Lookups:
-    """Requests of clients at each daemon, and when they were answered."""
-
-    def __init__(self, fleet: Fleet, record: Record) -> None:
-        self.fleet, self.record = fleet, record
-        self.unanswered_at_timeout = 0
-        self.unanswered_after = 0
-        self.count = 0
-        self._lock = threading.Lock()
-        self._stop = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._send_all, args=(vm,)) for vm in ZONES
-        ]
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Send no further requests and wait for the answers."""
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _send_all(self, vm: str) -> None:
-        calls = []
-        number = 0
-        while not self._stop.is_set():
-            request = f"q{vm}x{number}"
-            calls.append(threading.Thread(target=self._send, args=(vm, request)))
-            calls[-1].start()
-            number += 1
-            self._stop.wait(LOOKUP_PERIOD_S)
-        for call in calls:
-            call.join()
-
-    def _send(self, vm: str, request: str) -> None:
-        sent_at = self.record.now
-        reply = self.fleet.call(
-            vm,
-            "POST",
-            f"{LOOKUP_PREFIX}2f",
-            TENANTS["tenant0"],
-            request,
-            b"lookup",
-            timeout=DEADLINE_S,
-            X_Deadline_Ms=str(int(DEADLINE_S * 1000)),
+class Stream:
+    """A client's stream over all its attempts."""
+
+    def __init__(self, fleet: Fleet, record: Record, name: str) -> None:
+        self.fleet, self.record, self.name = fleet, record, name
+        self.versions: list[str] = []
+        self.first_attempt = ""
+        self.is_complete = False
+
+    def run(self) -> None:
+        """Ask for the stream, and take it up until the deadline."""
+        deadline = time.monotonic() + DEADLINE_S
+        attempt = 0
+        while not self.is_complete and time.monotonic() < deadline:
+            vm = FIRST if attempt == 0 else SECOND
+            request = f"{self.name}a{attempt}"
+            self._attempt(vm, request, deadline)
+            attempt += 1
+            if not self.is_complete:
+                time.sleep(0.25)
+        joined = sorted(set(self.versions))
+        self.record(
+            "stream",
+            name=self.name,
+            attempts=attempt,
+            events=len(self.versions),
+            complete=self.is_complete,
+            versions="+".join(joined),
+        )
+
+    def _attempt(self, vm: str, request: str, deadline: float) -> None:
+        left_s = max(0.1, deadline - time.monotonic())
+        headers = {
+            "Host": HOST_NAME,
+            "X-Api-Key": KEY,
+            "X-Request-Id": request,
+            "X-Deadline-Ms": str(int(left_s * 1000)),
+            "X-Model": "m",
+            "X-Token-Counts": "271,84",
+        }
+        if self.first_attempt:
+            headers["Resumes"] = self.first_attempt
+            headers["Last-Event-Id"] = str(len(self.versions))
+        host, _, port = self.fleet.entries[vm].caller.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=left_s)
+        status, before = 0, len(self.versions)
+        try:
+            connection.request("POST", f"{PREFIX}2f", b"prompt", headers)
+            response = connection.getresponse()
+            status = response.status
+            if status == 200:
+                self._read(response, request)
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            connection.close()
+        self.record(
+            "attempt",
+            vm=vm,
+            request=request,
+            status=status,
+            events=len(self.versions) - before,
         )
-        took_s = self.record.now - sent_at
-        with self._lock:
-            self.count += 1
-            if took_s > TIMEOUT_S:
-                self.unanswered_at_timeout += 1
-            if took_s > TIMEOUT_S + SLACK_S:
-                self.unanswered_after += 1
-                self.record(
-                    "UNANSWERED",
-                    vm=vm,
-                    request=request,
-                    took_s=round(took_s, 3),
-                    status=reply.status,
+
+    def _read(self, response: http.client.HTTPResponse, request: str) -> None:
+        buffer = b""
+        while part := response.read1(4096):
+            *blocks, buffer = (buffer + part).split(b"\n\n")
+            for block in blocks:
+                lines = dict(
+                    line.split(": ", 1) for line in block.decode().split("\n") if line
                 )
+                if int(lines["id"]) == len(self.versions) + 1:
+                    self.first_attempt = self.first_attempt or request
+                    self.versions.append(lines["data"])
+        self.is_complete = len(self.versions) >= EVENTS
 
 
 def run(fleet: Fleet, record: Record) -> bool:
     """Play the case."""
     fleet.store.put("op/config", make_configuration())
-    services = [
-        FaultyService(fleet.store, f"b{n}", "booking", zone, record)
-        for n, zone in enumerate(SERVICE_ZONES)
-    ]
+    options = {"events": EVENTS, "event_s": EVENT_S}
+    for n, zone in enumerate(["rosario", "parana"]):
+        VersionedEngine(
+            fleet.store, f"e{n}", "engines", zone, record, software="v1", **options
+        )
     fleet.add_entries(ZONES)
     fleet.start_all()
     time.sleep(4.0)
-    lookups = Lookups(fleet, record)
-    time.sleep(3.0)
-    services[0].is_in_trouble = has_trouble()
-    record("trouble", begins=has_trouble(), server=services[0].id)
-    time.sleep(TROUBLE_S)
-    services[0].is_in_trouble = False
-    record("trouble-ends")
-    time.sleep(WATCH_S - TROUBLE_S)
-    lookups.stop()
-    record(
-        "lookups",
-        count=lookups.count,
-        unanswered_at_timeout=lookups.unanswered_at_timeout,
-        unanswered_half_a_second_later=lookups.unanswered_after,
-    )
-    is_most = 2 * lookups.unanswered_after > lookups.unanswered_at_timeout
-    return is_most and lookups.unanswered_after >= MIN_UNANSWERED
+    warm = [Stream(fleet, record, f"warm{n}") for n in range(3)]
+    play(warm)
+    for n, zone in enumerate(["rosario", "rosario"]):
+        VersionedEngine(
+            fleet.store, f"f{n}", "engines", zone, record, software="v2", **options
+        )
+    time.sleep(0.5)
+    proxies = [program.store for program in fleet.entries.values()]
+    for proxy in proxies if has_trouble() else []:
+        proxy.refuses = True
+        proxy.reset_connections()
+    record("store-down", trouble=has_trouble())
+    time.sleep(0.5)
+    streams = [Stream(fleet, record, f"s{n}") for n in range(STREAMS)]
+    threads = [threading.Thread(target=stream.run) for stream in streams]
+    for thread in threads:
+        thread.start()
+    time.sleep(KILL_AFTER_S)
+    if has_trouble():
+        fleet.signal(fleet.entries[FIRST], signal.SIGKILL)
+        threading.Timer(RESTART_S, fleet.start, (fleet.entries[FIRST],)).start()
+    time.sleep(DOWN_S - KILL_AFTER_S - 0.5)
+    for proxy in proxies:
+        proxy.refuses = False
+    record("store-up")
+    for thread in threads:
+        thread.join()
+    joined = [stream for stream in streams if len(set(stream.versions)) > 1]
+    record("joined", streams=len(joined))
+    return len(joined) > MAX_JOINED
+
+
+def play(streams: list[Stream]) -> None:
+    """Run streams side by side."""
+    threads = [threading.Thread(target=stream.run) for stream in streams]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
 
 
 if __name__ == "__main__":
--- a/review/harness/targets.py
+++ b/review/harness/targets.py
@@ -195,6 +195,10 @@
     def _describe_model(self) -> dict[str, Any]:
         return {"name": self.model, "version": self.version, "adapters": []}
 
+    def make_event(self, item: str, number: int) -> bytes:
+        """Return one event of a stream."""
+        return f"id: {number}\ndata: {item}.{number}\n\n".encode()
+
     def run(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
         """Run one request, or serve a report or an order."""
         if handler.path == "/mulberryport/report":
@@ -235,7 +239,7 @@
         try:
             for number in range(after + 1, self.events + 1):
                 time.sleep(self.event_s * self.slowdown)
-                event = f"id: {number}\ndata: {item}.{number}\n\n".encode()
+                event = self.make_event(item, number)
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             handler.wfile.write(b"0\r\n\r\n")
         except OSError:
