Refuse jobs that the store cannot hold before anything keeps them

Cause: only the last step, the write to the store, knew how large a record may be; the submitter and the journals accepted more. An id of over 160 bytes and a text of over 700 kB met the same class of fault: the store refuses their keys and values.

Ruled out: a commit that is too slow. The store never saw a call; create() returned NotDone by the size. On a link of 100 Mbit/s the time limit would not have been enough either, so that it grows with the size now.

Change: check_record is the one bound, asked before anything is sent or kept (413), by peers, journals and the repository. Uploads go on after a job that fails; such a job stays on the disk for its retention. A text that no value of the store holds is generated anew.

--- a/mulberryport/jobs/__init__.py
+++ b/mulberryport/jobs/__init__.py
@@ -19,7 +19,7 @@
 )
 from .model import Job, JobItem, JobResult, ScoringCall
 from .reading import ResultPage
-from .repository import JobHead, JobRepository
+from .repository import JobHead, JobRepository, RecordTooLargeError, check_record
 from .service import JobService
 
 __all__ = [
@@ -35,8 +35,10 @@
     "JobResult",
     "JobService",
     "NotStartedError",
+    "RecordTooLargeError",
     "ResultPage",
     "EngineClient",
     "ScoringCall",
     "Transcript",
+    "check_record",
 ]
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -16,6 +16,7 @@
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
 from ..telemetry import log
+from .codec import encode_result
 from .engine_latency import EngineLatencyTracker
 from .generation import (
     EngineClient,
@@ -28,7 +29,7 @@
     Transcript,
 )
 from .model import COMPLETED, ERRORED, Job, JobItem, JobResult, ScoringCall
-from .repository import JobRepository
+from .repository import CHUNK_BYTES, JobRepository
 
 __all__ = ["ItemTask", "JobContext"]
 
@@ -177,13 +178,18 @@
         except ItemFailedError:
             self.transcript.failures += 1
             raise
-        return JobResult(
+        result = JobResult(
             self.item.id,
             COMPLETED,
             "\n".join(self.transcript.events),
             tuple(sorted(set(self.transcript.versions))),
             score,
         )
+        # The store would refuse it each time, and with it all later results.
+        if len(encode_result(result)) > CHUNK_BYTES:
+            self._restart("the text is too long for the store")
+            raise StreamInterruptedError("the text is too long for the store")
+        return result
 
     def _find_route(self, path: str, host: str, *, batch: bool = False) -> Route:
         """Return the route of a request.
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -229,7 +229,7 @@
         batch: list[JobResult] = []
         size = 0
         for result in self._pending:
-            size += len(result.text)
+            size += len(encode_result(result))
             if batch and size > MAX_COMMIT_BYTES:
                 break
             batch.append(result)
--- a/mulberryport/jobs/repository.py
+++ b/mulberryport/jobs/repository.py
@@ -41,6 +41,8 @@
     "OWNER_PREFIX",
     "JobRepository",
     "JobHead",
+    "RecordTooLargeError",
+    "check_record",
     "decode_head",
 ]
 
@@ -54,10 +56,47 @@
 CHUNK_BYTES = 700_000
 # The store limits transactions to 32 entries; up to three of them are not chunks.
 MAX_CHUNKS = 28
+MAX_RECORD_BYTES = MAX_CHUNKS * CHUNK_BYTES
+# The store limits keys to 200 bytes; the longest key of a job adds 30 to its id.
+MAX_ID_BYTES = 160
 
 OPEN, ENDED, FINISHED = "open", "ended", "finished"
 
 
+class RecordTooLargeError(ValueError):
+    """A job whose record does not fit the store."""
+
+
+def check_record(job_id: str, size_bytes: int) -> None:
+    """Check that the store can hold a job.
+
+    A job that any other place accepts, such as a journal, has to fit the store later.
+
+    Parameters
+    ----------
+    job_id : str
+        Id of the job.
+    size_bytes : int
+        Size of the encoded job in bytes.
+
+    Raises
+    ------
+    RecordTooLargeError
+        The job does not fit.
+
+    Examples
+    --------
+    >>> check_record("job1", 30_000_000)
+    Traceback (most recent call last):
+        ...
+    mulberryport.jobs.repository.RecordTooLargeError: a job has 19600000 bytes at most
+    """
+    if len(job_id.encode(errors="replace")) > MAX_ID_BYTES:
+        raise RecordTooLargeError(f"the id of a job has {MAX_ID_BYTES} bytes at most")
+    if size_bytes > MAX_RECORD_BYTES:
+        raise RecordTooLargeError(f"a job has {MAX_RECORD_BYTES} bytes at most")
+
+
 @frozen(kw_only=True)
 class JobHead:
     """Summary record of a job, mirrored by every daemon.
@@ -154,12 +193,14 @@
             oldest_version=job.oldest_version,
         )
         content = encode_job(job)
+        try:
+            check_record(job.id, len(content))
+        except RecordTooLargeError as error:
+            return NotDone(str(error))
         chunks = [
             content[start : start + CHUNK_BYTES]
             for start in range(0, len(content), CHUNK_BYTES)
         ]
-        if len(chunks) > MAX_CHUNKS:
-            return NotDone(f"job {job.id} has {len(content)} bytes")
         head_key = HEAD_PREFIX + job.id
         puts = (
             Put(head_key, _encode_head(head)),
--- a/mulberryport/jobs/submission.py
+++ b/mulberryport/jobs/submission.py
@@ -15,7 +15,7 @@
 from .codec import decode_job, encode_job
 from .model import Job
 from .registry import JobRegistry
-from .repository import JobHead
+from .repository import JobHead, RecordTooLargeError, check_record
 
 __all__ = ["StartJob", "JobSubmitter"]
 
@@ -99,10 +99,19 @@
         Done of bool, NotDone or Unknown
             Whether the job is accepted; false if its id is taken by another
             workspace. ``NotDone`` if no part of it has run or will run.
+
+        Raises
+        ------
+        RecordTooLargeError
+            The store cannot hold the job; nothing of it was sent anywhere.
         """
+        content = encode_job(job)
+        check_record(job.id, len(content))
         if self._is_owned(job):
             return Done(True)
-        forwarded = self._forward_to_preferred_owner(job)
+        forwarded = self._forward_to_preferred_owner(job, content)
+        # A large job takes much memory in each form.
+        del content
         if isinstance(forwarded, Done):
             return forwarded
         uncertain = forwarded if isinstance(forwarded, Unknown) else None
@@ -116,6 +125,11 @@
         A daemon that cannot serve yet declines at once, so that the sender keeps it.
         """
         job = decode_job(request.job)
+        try:
+            check_record(job.id, len(request.job))
+        except RecordTooLargeError as error:
+            log(JOB_NOT_ACCEPTED, job=job.id[:80], reason=str(error))
+            return peer_pb2.SubmitJobReply(result=peer_pb2.SubmitJobReply.NOT_ACCEPTED)
         if not self.registry.can_serve and not self._is_owned(job):
             log(JOB_DECLINED, job=job.id, sender=request.sender.vm)
             return peer_pb2.SubmitJobReply(result=peer_pb2.SubmitJobReply.NOT_ACCEPTED)
@@ -131,7 +145,7 @@
             )
         return peer_pb2.SubmitJobReply(result=result)
 
-    def _forward_to_preferred_owner(self, job: Job) -> Outcome[bool]:
+    def _forward_to_preferred_owner(self, job: Job, content: bytes) -> Outcome[bool]:
         """Forward a job to its preferred owner if that is another daemon.
 
         All jobs of a workspace's route share a preferred owner, which can reuse its
@@ -140,9 +154,7 @@
         vm = self.registry.preferred_owner(f"{job.workspace}/{job.route}")
         if vm in ("", self.registry.vm):
             return NotDone("this daemon is the preferred owner, or none can serve")
-        request = peer_pb2.SubmitJobRequest(
-            job=encode_job(job), patience=FORWARD_STORE_WAIT_S
-        )
+        request = peer_pb2.SubmitJobRequest(job=content, patience=FORWARD_STORE_WAIT_S)
         timeout = FORWARD_STORE_WAIT_S + FORWARD_TIMEOUT_MARGIN_S
         outcome = self.peers.call(vm, "SubmitJob", request, timeout)
         if not isinstance(outcome, Done):
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -24,7 +24,7 @@
 from ...targets.vm_list import ListedVm
 from ..generation import EngineClient
 from ..model import Job, JobItem, ScoringCall
-from ..repository import LIVE_PREFIX
+from ..repository import CHUNK_BYTES, LIVE_PREFIX
 from ..service import JobService
 
 __all__ = [
@@ -34,6 +34,7 @@
     "LateStore",
     "MemoryStore",
     "make_job",
+    "make_large_job",
     "puts_results",
     "until",
 ]
@@ -65,6 +66,13 @@
     )
 
 
+def make_large_job(size_bytes, job_id="job1"):
+    """Return a job of one item whose record has about this many bytes, not fewer."""
+    job = make_job(job_id, items=1)
+    body = bytes(size_bytes * 3 // 4 + 3)
+    return evolve(job, items=(evolve(job.items[0], body=body),))
+
+
 @define(eq=False)
 class Engine:
     """Fake engine that generates events, after raising any injected faults.
@@ -79,6 +87,8 @@
         Seconds before each event of some items, by item id.
     faults, score_faults : list of Exception
         Exceptions raised by the next calls.
+    long_texts : dict
+        Number of texts of some items that no value of the store can hold, by item id.
     """
 
     length: int = 3
@@ -87,6 +97,7 @@
     pauses: dict = field(factory=dict)
     faults: list = field(factory=list)
     score_faults: list = field(factory=list)
+    long_texts: dict = field(factory=dict)
     calls: list = field(factory=list)
     scored: list = field(factory=list)
 
@@ -99,6 +110,9 @@
         self.calls.append((item.id, len(transcript.events), view.id))
         if self.faults:
             raise self.faults.pop(0)
+        if self.long_texts.get(item.id, 0):
+            self.long_texts[item.id] -= 1
+            transcript.add("\x01" * CHUNK_BYTES, self.version)
         while len(transcript.events) < self.length:
             eventlet.sleep(self.pauses.get(item.id, self.pause))
             transcript.add(f"{item.id}.{len(transcript.events) + 1}", self.version)
--- a/mulberryport/jobs/tests/test_service.py
+++ b/mulberryport/jobs/tests/test_service.py
@@ -550,3 +550,14 @@
     assert not registry.record_head("job1", opened).open
     assert not registry.heads["job1"].open
     daemon.die()
+
+
+def test_a_text_that_the_store_cannot_hold_keeps_back_no_other_result():
+    # Guards against a job none of whose results can be committed, because one engine
+    # sent a text that is longer than a value of the store.
+    daemon = JobDaemon(MemoryStore())
+    daemon.engine.long_texts = {"job1-1": 2}
+    daemon.jobs.submit(make_job(), deadline_in())
+    assert wait_for_results(daemon)
+    assert sum(item == "job1-1" for item, _, _ in daemon.engine.calls) == 3
+    daemon.die()
--- a/mulberryport/jobs/tests/test_submission.py
+++ b/mulberryport/jobs/tests/test_submission.py
@@ -4,8 +4,11 @@
 from attrs import define
 
 from ...outcomes import Done, NotDone
+from ...peering import peer_pb2
 from ...runtime.clock import boottime
-from .builders import JobDaemon, MemoryStore, make_job, until
+from ..codec import encode_job
+from ..repository import MAX_ID_BYTES, MAX_RECORD_BYTES, RecordTooLargeError
+from .builders import JobDaemon, MemoryStore, make_job, make_large_job, until
 from .test_service import deadline_in
 
 
@@ -64,3 +67,39 @@
     assert journal == ["job1"]
     assert boottime() - started_at < 1.0
     daemon.die()
+
+
+@pytest.mark.parametrize("is_down", [False, True])
+@pytest.mark.parametrize(
+    "job",
+    [make_large_job(MAX_RECORD_BYTES), make_job("j" * (MAX_ID_BYTES + 1))],
+    ids=["size", "id"],
+)
+def test_a_job_that_the_store_cannot_hold_is_rejected_at_once(job, is_down):
+    # Guards against a job that is accepted into the journal in an outage and can never
+    # be uploaded: only its owner knew it, and all other daemons answered 404.
+    store, journal = MemoryStore(), []
+    daemon = cut_daemon(store, journal)
+    store.down = is_down
+    started_at = boottime()
+    with pytest.raises(RecordTooLargeError):
+        daemon.jobs.submit(job, deadline_in())
+    assert boottime() - started_at < 1.0
+    request = peer_pb2.SubmitJobRequest(job=encode_job(job), patience=0.4)
+    reply = daemon.jobs._submitter.serve_submit(request)
+    assert reply.result == peer_pb2.SubmitJobReply.NOT_ACCEPTED
+    assert not journal and not daemon.jobs.registry.owned
+    daemon.die()
+
+
+def test_the_largest_job_that_is_accepted_fits_the_store():
+    # Guards against bounds at the acceptance and at the store that differ.
+    store, journal = MemoryStore(), []
+    daemon = cut_daemon(store, journal)
+    job = make_large_job(MAX_RECORD_BYTES - 1000)
+    assert daemon.jobs.submit(job, deadline_in()) == Done(True)
+    assert journal == ["job1"]
+    created = daemon.jobs.registry.repository.create(job, "", 0)
+    assert isinstance(created, Done)
+    assert daemon.jobs.registry.repository.read_job("job1") == Done(job)
+    daemon.die()
--- a/mulberryport/journal/client.py
+++ b/mulberryport/journal/client.py
@@ -22,6 +22,8 @@
 # Below the prefix of live keys, which every daemon mirrors.
 JOURNAL_PREFIX = "mulberryport/live/journal/"
 KEEP_JOB_TIMEOUT_S = 0.8
+# Lets a large job pass over a slow link to the disks.
+MIN_TRANSFER_BYTES_PER_S = 4_000_000
 
 
 @frozen
@@ -83,11 +85,9 @@
             return NotDone(
                 f"{len(nodes)} disks are known, {self.required_copies} are required"
             )
-        content = encode_job(job)
+        request = peer_pb2.KeepJobRequest(id=job.id, job=encode_job(job))
         pool = eventlet.GreenPool()
-        replies = list(
-            pool.imap(lambda node: self._write_to(node, job.id, content), nodes)
-        )
+        replies = list(pool.imap(lambda node: self._write_to(node, request), nodes))
         copies = sum(isinstance(reply, Done) and reply.value for reply in replies)
         if copies >= self.required_copies:
             return Done(True)
@@ -97,11 +97,11 @@
         return NotDone(reason)
 
     def _write_to(
-        self, node: JournalNode, job_id: str, content: bytes
+        self, node: JournalNode, request: peer_pb2.KeepJobRequest
     ) -> Outcome[bool]:
-        request = peer_pb2.KeepJobRequest(id=job_id, job=content)
         member = Member(node.vm, node.zone, node.address)
-        outcome = self.peers.call_member(member, "KeepJob", request, KEEP_JOB_TIMEOUT_S)
+        timeout = KEEP_JOB_TIMEOUT_S + len(request.job) / MIN_TRANSFER_BYTES_PER_S
+        outcome = self.peers.call_member(member, "KeepJob", request, timeout)
         return Done(outcome.value.kept) if isinstance(outcome, Done) else outcome
 
     def _known_nodes(self) -> list[JournalNode]:
--- a/mulberryport/journal/file_store.py
+++ b/mulberryport/journal/file_store.py
@@ -5,7 +5,7 @@
 """
 
 import os
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import xxhash
@@ -70,9 +70,14 @@
         """Delete a job."""
         self._file_path(job_id).unlink(missing_ok=True)
 
-    def jobs(self) -> Iterator[tuple[Path, bytes]]:
-        """Yield the path and content of each job, deleting torn files."""
-        for file in sorted(self.path.glob(f"*{SUFFIX}")):
+    def jobs(
+        self, is_wanted: Callable[[Path], bool] = lambda file: True
+    ) -> Iterator[tuple[Path, bytes]]:
+        """Yield the path and content of each wanted job, deleting torn files.
+
+        Only one job is in memory at a time.
+        """
+        for file in filter(is_wanted, sorted(self.path.glob(f"*{SUFFIX}"))):
             stored = file.read_bytes()
             content = stored[DIGEST_BYTES:]
             if stored[:DIGEST_BYTES] == xxhash.xxh3_128_digest(content):
--- a/mulberryport/journal/service.py
+++ b/mulberryport/journal/service.py
@@ -1,11 +1,13 @@
 """Journal service of one disk: accepts jobs and uploads them to the store."""
 
 from collections.abc import Callable
+from enum import Enum, auto
+from pathlib import Path
 
 from attrs import define, field
 
 from ..coordination import Conflict
-from ..jobs import JobRepository
+from ..jobs import JobRepository, RecordTooLargeError, check_record
 from ..jobs.codec import decode_job
 from ..outcomes import Done
 from ..peering import PeerServer, peer_pb2
@@ -34,6 +36,12 @@
     "error",
     "A journaled job was dropped: malformed or expired.",
 )
+JOB_NOT_BROUGHT = define_event(
+    966,
+    "journal_job_not_brought",
+    "warning",
+    "A journaled job could not be uploaded; it stays on the disk.",
+)
 
 # Lets the daemon that accepted a job write it to the store first once it recovers.
 UPLOAD_DELAY_S = 1.0
@@ -41,6 +49,14 @@
 MAX_JOBS = 512
 
 
+class Upload(Enum):
+    """Result of an attempt to upload a job."""
+
+    DONE = auto()
+    FAILED = auto()
+    STORE_SILENT = auto()
+
+
 @define(eq=False)
 class JournalService:
     """Stores jobs on a disk until the store has them.
@@ -62,6 +78,8 @@
     now: Callable[[], float]
     retention: float
     _first_seen_at: dict[str, float] = field(factory=dict)
+    # Why the last attempt to upload a job failed, by file name.
+    _failures: dict[str, str] = field(factory=dict)
     _closed: bool = False
 
     @property
@@ -78,44 +96,70 @@
         self._closed = True
 
     def upload_jobs(self) -> None:
-        """Upload journaled jobs to the store, stopping at the first failure."""
-        for file, content in list(self.file_store.jobs()):
-            first_seen_at = self._first_seen_at.setdefault(file.name, boottime())
-            if boottime() - first_seen_at >= UPLOAD_DELAY_S or self._closed:
-                if not self._upload(content):
+        """Upload journaled jobs to the store, until it does not answer.
+
+        A job that cannot be uploaded keeps back none of the others.
+        """
+        for file, content in self.file_store.jobs(self._is_due):
+            match self._upload(file.name, content):
+                case Upload.DONE:
+                    file.unlink(missing_ok=True)
+                    self._first_seen_at.pop(file.name, None)
+                    self._failures.pop(file.name, None)
+                case Upload.STORE_SILENT:
                     return
-                file.unlink(missing_ok=True)
-                self._first_seen_at.pop(file.name, None)
 
-    def _upload(self, content: bytes) -> bool:
-        """Ensure that the store has a job; return false if that is uncertain."""
+    def _is_due(self, file: Path) -> bool:
+        """Whether to try to upload a job now."""
+        first_seen_at = self._first_seen_at.setdefault(file.name, boottime())
+        return boottime() - first_seen_at >= UPLOAD_DELAY_S or self._closed
+
+    def _upload(self, name: str, content: bytes) -> "Upload":
+        """Ensure that the store has a job."""
         try:
             job = decode_job(content)
         except ValueError as error:
-            log(JOB_DROPPED, error=str(error))
-            return True
+            # A later build may read it.
+            return self._keep_failed(name, "", str(error))
         head = self.repository.read_head(job.id)
         if not isinstance(head, Done):
-            return False
+            return self._keep_failed(name, job.id, head.reason, Upload.STORE_SILENT)
         if head.value is not None:
-            return True
+            return Upload.DONE
         if self.now() - job.submitted_at > self.retention:
             log(JOB_DROPPED, job=job.id, error="older than the retention period")
-            return True
+            return Upload.DONE
         outcome = self.repository.create(job, "", 0)
         if not isinstance(outcome, Done):
-            return False
+            return self._keep_failed(name, job.id, outcome.reason)
         if not isinstance(outcome.value, Conflict):
             log(JOB_BROUGHT, job=job.id)
-        return True
+        return Upload.DONE
+
+    def _keep_failed(
+        self,
+        name: str,
+        job_id: str,
+        reason: str,
+        result: "Upload | None" = None,
+    ) -> "Upload":
+        """Keep a job that could not be uploaded, until the end of its retention."""
+        if self._failures.get(name) != reason:
+            log(JOB_NOT_BROUGHT, job=job_id, file=name, reason=reason)
+            self._failures[name] = reason
+        if result is None and boottime() - self._first_seen_at[name] > self.retention:
+            log(JOB_DROPPED, job=job_id, file=name, error=reason)
+            return Upload.DONE
+        return result or Upload.FAILED
 
     def _serve_keep(self, request: peer_pb2.KeepJobRequest) -> peer_pb2.KeepJobReply:
         if self._closed or len(self.file_store) >= MAX_JOBS:
             log(JOB_REFUSED, job=request.id, reason="journal is closed or full")
             return peer_pb2.KeepJobReply(kept=False)
         try:
+            check_record(request.id, len(request.job))
             self.file_store.persist(request.id, request.job)
-        except OSError as error:
+        except (OSError, RecordTooLargeError) as error:
             log(JOB_REFUSED, job=request.id, reason=repr(error))
             return peer_pb2.KeepJobReply(kept=False)
         log(JOB_KEPT, job=request.id, bytes=len(request.job))
--- a/mulberryport/journal/tests/test_journal.py
+++ b/mulberryport/journal/tests/test_journal.py
@@ -1,14 +1,21 @@
 """Tests of the on-disk journal of accepted jobs."""
 
+from pathlib import Path
+
 import eventlet
 import pytest
 
 from ...coordination import Mirror
 from ...coordination.tests.builders import MemoryStore, until
 from ...jobs import JobRepository
-from ...jobs.codec import encode_job
-from ...jobs.repository import LIVE_PREFIX
-from ...jobs.tests.builders import JobDaemon, make_job
+from ...jobs.codec import decode_job, encode_job
+from ...jobs.repository import (
+    HEAD_PREFIX,
+    LIVE_PREFIX,
+    MAX_ID_BYTES,
+    MAX_RECORD_BYTES,
+)
+from ...jobs.tests.builders import JobDaemon, make_job, make_large_job
 from ...jobs.tests.test_service import deadline_in, wait_for_results
 from ...outcomes import Done, NotDone, Unknown
 from ...peering import peer_pb2
@@ -172,3 +179,88 @@
     other = JobDaemon(store, "vm2")
     assert wait_for_results(other)
     other.die()
+
+
+def keep(service, job):
+    """Write a job to a journal."""
+    request = peer_pb2.KeepJobRequest(id=job.id, job=encode_job(job))
+    return service._serve_keep(request).kept
+
+
+def test_journal_refuses_a_job_that_the_store_cannot_hold(tmp_path):
+    # Guards against a job on disk that can never be uploaded.
+    service = Disks(MemoryStore(), tmp_path, 1).services["disk0"]
+    assert not keep(service, make_large_job(MAX_RECORD_BYTES))
+    assert not keep(service, make_job("j" * (MAX_ID_BYTES + 1)))
+    assert service.is_empty
+
+
+@pytest.mark.parametrize(
+    "stuck",
+    [encode_job(make_large_job(MAX_RECORD_BYTES, "stuck")), b"\xff of a later build"],
+    ids=["too large", "not readable"],
+)
+def test_a_job_that_cannot_be_uploaded_keeps_back_no_other(tmp_path, stuck):
+    # Guards against jobs that stay on the disk behind one that the store refuses, and
+    # against a job that is deleted because this build cannot read it.
+    store = MemoryStore()
+    service = Disks(store, tmp_path, 1).services["disk0"]
+    service.file_store.persist("stuck", stuck)
+    jobs = [make_job(f"job{n}") for n in range(8)]
+    assert all(keep(service, job) for job in jobs)
+    service.close()
+    service.upload_jobs()
+    uploaded = [key for key in store.items if key.startswith(HEAD_PREFIX)]
+    assert len(uploaded) == len(jobs)
+    assert [content for _, content in service.file_store.jobs()] == [stuck]
+
+
+def test_a_job_that_cannot_be_uploaded_is_dropped_after_its_retention(tmp_path):
+    # Guards against a disk that can never be emptied.
+    service = Disks(MemoryStore(), tmp_path, 1).services["disk0"]
+    service.retention = 0.1
+    service.file_store.persist("stuck", b"\xff of a later build")
+    service.close()
+    service.upload_jobs()
+    assert not service.is_empty
+    eventlet.sleep(0.2)
+    service.upload_jobs()
+    assert service.is_empty
+
+
+def test_journal_reads_one_job_at_a_time(tmp_path, monkeypatch):
+    # Guards against a storage daemon that reads all large jobs into memory at once.
+    store = MemoryStore()
+    service = Disks(store, tmp_path, 1).services["disk0"]
+    for n in range(4):
+        assert keep(service, make_job(f"job{n}"))
+    service.close()
+    calls, read_bytes, decode = [], Path.read_bytes, decode_job
+    monkeypatch.setattr(
+        Path, "read_bytes", lambda file: calls.append("read") or read_bytes(file)
+    )
+    monkeypatch.setattr(
+        "mulberryport.journal.service.decode_job",
+        lambda content: calls.append("upload") or decode(content),
+    )
+    service.upload_jobs()
+    assert calls == ["read", "upload"] * 4
+
+
+def test_a_large_job_has_more_time_on_its_way_to_the_disks(tmp_path):
+    # Guards against a large job that is never accepted over a slow link.
+    store = MemoryStore()
+    disks, timeouts = Disks(store, tmp_path), []
+    mirror = Mirror(store, LIVE_PREFIX)
+    mirror.start()
+    assert until(lambda: mirror.loaded)
+
+    def call_member(member, method, request, timeout):
+        timeouts.append(timeout)
+        return Disks.call_member(disks, member, method, request, timeout)
+
+    disks.call_member = call_member
+    disks.client(mirror).persist(make_job("small"))
+    disks.client(mirror).persist(make_large_job(8_000_000, "large"))
+    assert min(timeouts[3:]) >= max(timeouts[:3]) + 1.9
+    mirror.stop()
--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -11,7 +11,14 @@
 from ..gateway import OutcomeUnknownError, RefusalError
 from ..gateway.active import ActiveRequest
 from ..gateway.calls import CallerRequest
-from ..jobs import Job, JobItem, JobService, ResultPage, ScoringCall
+from ..jobs import (
+    Job,
+    JobItem,
+    JobService,
+    RecordTooLargeError,
+    ResultPage,
+    ScoringCall,
+)
 from ..outcomes import Done, NotDone
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse, query_values, respond
@@ -127,7 +134,11 @@
             raise RefusalError(400, str(error)) from error
         # From here on the job may have been created, even if this request fails.
         call.active.changes_state = True
-        outcome = self.jobs.submit(job, boottime() + _store_timeout_s(environ))
+        del content
+        try:
+            outcome = self.jobs.submit(job, boottime() + _store_timeout_s(environ))
+        except RecordTooLargeError as error:
+            raise RefusalError(413, str(error)) from error
         if isinstance(outcome, Done):
             if not outcome.value:
                 raise RefusalError(409, f"batch job {job_id} is not this workspace's")
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -56,6 +56,8 @@
 
 # The store normally responds within milliseconds, and within 300 ms when it is slow.
 CALL_TIMEOUT_S = 1.0
+# Lets a large transaction pass over a slow link.
+MIN_TRANSFER_BYTES_PER_S = 4_000_000
 # Delay after a failed direct call before the next attempt; meanwhile calls are relayed.
 DIRECT_RETRY_S = 1.0
 # Maximum number of peers that are asked to relay a call.
@@ -283,7 +285,8 @@
         self, method: str, path: str, content: bytes, timeout: float
     ) -> Outcome[tuple[int, bytes]]:
         try:
-            with time_limit(CALL_TIMEOUT_S + timeout, f"{method} {path}"):
+            limit_s = CALL_TIMEOUT_S + timeout + len(content) / MIN_TRANSFER_BYTES_PER_S
+            with time_limit(limit_s, f"{method} {path}"):
                 response = self._pool.request(
                     method,
                     f"http://{self.address}{path}",
--- /dev/null
+++ b/mulberryport/platform/tests/test_batches.py
@@ -0,0 +1,90 @@
+"""Tests of batch jobs in the platform's protocol."""
+
+import base64
+import io
+
+import orjson
+import pytest
+from attrs import define
+
+from ...coordination.tests.builders import MemoryStore
+from ...gateway import RefusalError
+from ...jobs.repository import MAX_RECORD_BYTES
+from ...jobs.tests.builders import JobDaemon, make_tables
+from ...tables import Snapshot, SnapshotHolder
+from ..batches import BatchInterface
+
+
+@define
+class Access:
+    """What an admitted request may use."""
+
+    workspace: str
+    route: object
+
+
+@define
+class Active:
+    """State of a request that is served."""
+
+    changes_state: bool = False
+
+
+@define
+class Call:
+    """An admitted request of a caller."""
+
+    environ: dict
+    access: Access
+    active: Active
+    start_response: object
+    method: str = "POST"
+
+
+def make_call(body, responses):
+    """Return a call that submits a job."""
+    environ = {
+        "HTTP_X_REQUEST_ID": "job1",
+        "HTTP_HOST": "h.example",
+        "HTTP_X_DEADLINE_MS": "2000",
+        "wsgi.input": io.BytesIO(body),
+    }
+    access = Access("roads", make_tables().routes["drafts"])
+    return Call(
+        environ, access, Active(), lambda status, headers: responses.append(status)
+    )
+
+
+def make_submission(body_bytes):
+    """Return the body of a submission with an item of some size."""
+    body = base64.b64encode(bytes(body_bytes)).decode()
+    item = {"id": "i1", "path": "/drafts/1", "headers": {}, "body": body}
+    return orjson.dumps({"items": [item]})
+
+
+@pytest.mark.parametrize("is_down", [False, True])
+@pytest.mark.parametrize("body_bytes", [MAX_RECORD_BYTES * 3 // 4, 24_000_000])
+def test_a_job_that_the_store_cannot_hold_is_refused_with_413(body_bytes, is_down):
+    # Guards against a job within the limits of the configuration that is accepted in
+    # an outage though the store cannot hold it, or refused only at its deadline.
+    store = MemoryStore()
+    daemon = JobDaemon(store)
+    holder = SnapshotHolder()
+    holder.adopt(Snapshot(1, "first", make_tables()), {})
+    batches = BatchInterface(holder, daemon.jobs, lambda: 1000.0)
+    store.down = is_down
+    with pytest.raises(RefusalError) as refusal:
+        batches.submit(make_call(make_submission(body_bytes), []))
+    assert refusal.value.status == 413
+    daemon.die()
+
+
+def test_a_job_within_the_limit_is_accepted():
+    store, responses = MemoryStore(), []
+    daemon = JobDaemon(store)
+    holder = SnapshotHolder()
+    holder.adopt(Snapshot(1, "first", make_tables()), {})
+    batches = BatchInterface(holder, daemon.jobs, lambda: 1000.0)
+    batches.submit(make_call(make_submission(1_000_000), responses))
+    assert responses[0].startswith("202")
+    daemon.die()
