Let other green threads run while one has data to read without end

Cause: a green socket with data returns without switching, so that a loop over reads keeps the process; the bounds on such a loop were times of up to 2.5 s for each stream, one stream after the other. Parsing empty lines took most of it. The same held for bodies that are forwarded or skipped, for refusals, replies of the store, heads, and for bodies of callers in small chunks.

Ruled out: waiting for the faulty engine. The daemons answered no probe and sent no heartbeat.

Change: reads from green sockets yield once their green thread has run for 2 ms, and loops over buffered data call yield_if_due. Streams without events are cut by bytes and parts, heads at 64 kB. Turns of the hub are measured (metric from 20 ms on, event 103 from 0.25 s on).

--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from urllib3.util import SKIP_HEADER
 
 from ..runtime.clock import boottime
+from ..runtime.fairness import yield_if_due
 from ..runtime.http import BoundedConnection
 from ..targets import TargetView
 from ..targets.connections import ConnectionPool, drain_refusal, has_peer_ended
@@ -293,6 +294,7 @@
                 complete = True
                 return
             yield part
+            yield_if_due()
     except (HTTPError, HTTPException, OSError) as error:
         raise _failure(error, "the target's answer broke off") from error
     finally:
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -24,6 +24,8 @@
 )
 from ..routing import TargetView
 from ..runtime.clock import boottime
+from ..runtime.fairness import yield_if_due
+from ..runtime.http import read_parts
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool, drain_refusal
 from . import names
@@ -34,12 +36,15 @@
 # A stream sends an event every few tens of milliseconds. Loading new weights pauses it
 # for a second, or longer while several engines load.
 EVENT_TIMEOUT_S = 2.5
-READ_SIZE_BYTES = 64 * 1024
 # An engine that refuses a request is full or loading the model, which takes a second.
 MODEL_SUSPENSION_S = 0.3
+# Events are small; the parser handles a part without letting others run.
+READ_SIZE_BYTES = 8 * 1024
 # Bounds on what a faulty target may send. An event holds a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
-MAX_TEXT_BYTES = 16 * 1024 * 1024
+MAX_TEXT_BYTES = 1024 * 1024
+# Parts between two events; an event comes in a few.
+MAX_PARTS_PER_EVENT = 4096
 MAX_SCORE_BODY_BYTES = 1024 * 1024
 NO_VERSION_REASON = "the response has no weight version"
 # Fields of event streams that texts do not need; a comment has an empty name (HTML
@@ -85,7 +90,7 @@
         *blocks, self._buffer = (self._buffer + content).split(b"\n\n")
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError("an event is too long")
-        for block in blocks:
+        for block in filter(None, blocks):
             number, data = 0, []
             for line in block.decode().split("\n"):
                 name, _, value = line.partition(":")
@@ -102,6 +107,47 @@
                 yield number, "\n".join(data), self.version
 
 
+@define(eq=False)
+class StreamProgress:
+    """Bounds on what a stream sends, in all and between two complete events."""
+
+    _size: int = 0
+    _unused_bytes: int = 0
+    _unused_parts: int = 0
+    _event_at: float = field(factory=boottime)
+
+    def add(self, part: bytes) -> None:
+        """Count a part that was received."""
+        self._size += len(part)
+        self._unused_bytes += len(part)
+        self._unused_parts += 1
+
+    def add_event(self) -> None:
+        """Count a complete event."""
+        self._unused_bytes = self._unused_parts = 0
+        self._event_at = boottime()
+
+    def check(self) -> None:
+        """Check the bounds.
+
+        Raises
+        ------
+        StreamInterruptedError
+            The stream is too long, or makes no progress.
+        """
+        if boottime() - self._event_at > EVENT_TIMEOUT_S:
+            raise StreamInterruptedError(
+                f"no complete event within {EVENT_TIMEOUT_S} s"
+            )
+        if (
+            self._unused_bytes > MAX_EVENT_BYTES
+            or self._unused_parts > MAX_PARTS_PER_EVENT
+        ):
+            raise StreamInterruptedError("no event in what the stream sends")
+        if self._size > MAX_TEXT_BYTES:
+            raise StreamInterruptedError("the stream is too long")
+
+
 @define(eq=False)
 class EngineCalls:
     """Sends requests to engines and scoring services.
@@ -290,10 +336,10 @@
         )
         parser = EventParser(version)
         # Progress is a complete event; single bytes and empty lines are none.
-        progress_at, size = boottime(), 0
+        progress = StreamProgress()
         try:
-            while part := response.read1(READ_SIZE_BYTES):
-                size += len(part)
+            for part in read_parts(response, READ_SIZE_BYTES):
+                progress.add(part)
                 for number, data, version in parser.feed(part):
                     if not version:
                         raise StreamInterruptedError(NO_VERSION_REASON)
@@ -302,13 +348,9 @@
                         raise StreamInterruptedError(f"event {number} is out of order")
                     transcript.add(data, version)
                     on_event()
-                    progress_at = boottime()
-                if boottime() - progress_at > EVENT_TIMEOUT_S:
-                    raise StreamInterruptedError(
-                        f"no complete event within {EVENT_TIMEOUT_S} s"
-                    )
-                if size > MAX_TEXT_BYTES:
-                    raise StreamInterruptedError("the stream is too long")
+                    progress.add_event()
+                    yield_if_due()
+                progress.check()
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise StreamInterruptedError(repr(error)) from error
         if not is_framed:
@@ -352,7 +394,7 @@
 def _skip_body(response: urllib3.BaseHTTPResponse, deadline: float) -> None:
     """Read a body that is not used, until a deadline in boot time."""
     size = 0
-    while part := response.read1(READ_SIZE_BYTES):
+    for part in read_parts(response):
         size += len(part)
         if size > MAX_SCORE_BODY_BYTES or boottime() > deadline:
             raise StreamInterruptedError("the body of the score does not end")
--- a/mulberryport/platform/tests/test_endless_bytes.py
+++ b/mulberryport/platform/tests/test_endless_bytes.py
@@ -5,11 +5,17 @@
 end, fast or one byte at a time.
 """
 
-from contextlib import contextmanager
+import subprocess
+import sys
+from contextlib import contextmanager, nullcontext
 
 import eventlet
 import pytest
 
+from ...gateway import OutcomeUnknownError
+from ...gateway.bodies import RequestBody
+from ...gateway.forwarding import buffer_body, forward
+from ...gateway.target_protocol import OutgoingRequest
 from ...jobs import ScoringCall, StreamInterruptedError, Transcript
 from ...jobs.tests.builders import make_job
 from ...outcomes import Unknown
@@ -17,12 +23,14 @@
 from ...runtime.clock import boottime
 from ...runtime.guarded import call_json_guarded
 from ...runtime.http import call_json
+from ...runtime.tests.builders import longest_gap
 from ...runtime.wsgi import listen
 from ...targets import TargetDirectory
 from ...targets.connections import ConnectionPool
 from .. import engines
 from ..engines import EngineCalls
 from ..store import PlatformStore
+from . import flooding as flooding_program
 
 PATIENCE_S = 0.6
 BYTE_PAUSE_S = 0.05
@@ -162,6 +170,113 @@
         assert boottime() - started_at < 6.0
 
 
+STREAMS = 6
+# Far below the time for which the streams last together.
+MAX_GAP_S = 0.3
+TINY_CHUNKS = {
+    "tiny chunks": (CHUNKED, chunk(b"x") * 1000),
+    "empty lines in tiny chunks": (CHUNKED, chunk(b"\n") * 1000),
+    "refusal in tiny chunks": (REFUSED, chunk(b"x") * 1000),
+}
+
+
+@contextmanager
+def flooding(first, again):
+    """Run a process that sends bytes without end on each connection."""
+    command = [sys.executable, flooding_program.__file__, first.hex(), again.hex()]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            yield process.stdout.readline().strip()
+        finally:
+            process.kill()
+
+
+@pytest.mark.parametrize("name", [*ENDLESS, *TINY_CHUNKS])
+def test_streams_without_end_let_others_run(name, monkeypatch):
+    # Guards against a daemon that answers nobody while one engine sends without end.
+    monkeypatch.setattr(engines, "EVENT_TIMEOUT_S", PATIENCE_S)
+    with flooding(*(ENDLESS | TINY_CHUNKS)[name]) as address:
+        job, calls = make_job(), EngineCalls(TargetDirectory())
+        item = job.items[0]
+
+        def generate(number):
+            with pytest.raises(Exception) as error:
+                calls.generate(view_of(address), job, item, Transcript(), lambda: None)
+            assert not isinstance(error.value, AssertionError)
+
+        with longest_gap() as gap, eventlet.Timeout(15.0):
+            list(eventlet.GreenPool().imap(generate, range(STREAMS)))
+        assert gap() < MAX_GAP_S
+
+
+def test_valid_events_without_end_are_bounded_and_let_others_run():
+    # Guards against a text that takes the memory of a daemon.
+    events = b"".join(chunk(b"id: %d\ndata: x\n\n" % n) for n in range(1, 200_000))
+    with sending(CHUNKED, events, 0.0) as (address, _):
+        job, calls = make_job(), EngineCalls(TargetDirectory())
+        transcript = Transcript()
+        with (
+            longest_gap() as gap,
+            eventlet.Timeout(15.0),
+            pytest.raises(StreamInterruptedError, match="too long"),
+        ):
+            calls.generate(
+                view_of(address), job, job.items[0], transcript, lambda: None
+            )
+        assert len(transcript.events) < 100_000
+        assert gap() < MAX_GAP_S
+
+
+def make_request():
+    """Return a plain request of a caller that may be repeated."""
+    return OutgoingRequest(
+        method="GET",
+        target="/a",
+        headers=[],
+        body=RequestBody(0, b"", True),
+        may_reuse_connection=True,
+    )
+
+
+@pytest.mark.parametrize("name", ["body", "tiny chunks", "headers", "chunk size"])
+def test_forwarded_responses_without_end_let_others_run(name):
+    # Guards against a daemon that answers nobody while one plain service sends without
+    # end, and that does not notice the time-out of the request.
+    bodies = ENDLESS | TINY_CHUNKS | {"body": (CHUNKED, chunk(BLOCK))}
+    with flooding(*bodies[name]) as address:
+
+        def receive(number):
+            with eventlet.Timeout(PATIENCE_S, OSError("the deadline passed")):
+                try:
+                    response = forward(
+                        view_of(address), make_request(), nullcontext, lambda: None
+                    )
+                    buffer_body(response, 2**40)
+                except (OSError, OutcomeUnknownError):
+                    return
+
+        started_at = boottime()
+        with longest_gap() as gap, eventlet.Timeout(15.0):
+            list(eventlet.GreenPool().imap(receive, range(STREAMS)))
+        assert gap() < MAX_GAP_S
+        assert boottime() - started_at < 3 * PATIENCE_S
+
+
+@pytest.mark.parametrize("name", ["tiny chunks", "headers", "body"])
+def test_control_calls_without_end_let_others_run(name):
+    # Guards against a faulty store or target that stops a daemon with its replies.
+    bodies = ENDLESS | TINY_CHUNKS | {"body": (CHUNKED, chunk(BLOCK))}
+    with flooding(*bodies[name]) as address:
+
+        def call(number):
+            outcome = call_json("GET", f"http://{address}/", timeout=PATIENCE_S)
+            assert isinstance(outcome, Unknown)
+
+        with longest_gap() as gap, eventlet.Timeout(15.0):
+            list(eventlet.GreenPool().imap(call, range(STREAMS)))
+        assert gap() < MAX_GAP_S
+
+
 def test_pooled_connections_bound_what_precedes_a_response():
     # Plain requests of callers use the same pool.
     with sending(*ENDLESS["interim responses"], 0.0) as (address, _):
--- a/mulberryport/runtime/event_hub.py
+++ b/mulberryport/runtime/event_hub.py
@@ -9,12 +9,28 @@
 """
 
 import asyncio
+import time
 from typing import Any
 
 import eventlet.hubs.asyncio
 
+from ..telemetry import LONG_TURN_SECONDS, log
+from ..telemetry import define as define_event
+
 __all__ = ["Hub", "is_available"]
 
+TURN_TOO_LONG = define_event(
+    103,
+    "turn_too_long",
+    "warning",
+    "Green threads kept the event loop from running; nothing else was served.",
+)
+
+# Shorter turns are not measured.
+MEASURED_TURN_S = 0.02
+# Turns that are logged; a few of them in a row delay requests noticeably.
+LOGGED_TURN_S = 0.25
+
 
 def is_available() -> bool:
     """Return whether eventlet may use this hub, which is the case everywhere."""
@@ -33,6 +49,15 @@
         super().__init__()
         self._turn_handle: asyncio.Handle | None = None
         self._is_turn_immediate = False
+        # Steady clock when the current green thread was resumed last.
+        self.resumed_at = 0.0
+
+    def switch(self) -> Any:
+        """Suspend the current green thread until the hub resumes it."""
+        try:
+            return super().switch()
+        finally:
+            self.resumed_at = time.monotonic()
 
     def add_timer(self, timer: Any) -> None:
         """Register a timer."""
@@ -52,10 +77,17 @@
             self.running = self.stopping = False
 
     def _file_cb(self, callback: Any, fileno: int) -> None:
+        started_at = time.monotonic()
         super()._file_cb(callback, fileno)
+        _measure_turn(started_at)
         self._schedule_immediate_turn()
 
     def _run_turn(self) -> None:
+        started_at = time.monotonic()
+        self._resume_due()
+        _measure_turn(started_at)
+
+    def _resume_due(self) -> None:
         self._turn_handle, self._is_turn_immediate = None, False
         while self.closed:
             self.close_one()
@@ -87,3 +119,12 @@
         if self._turn_handle is not None:
             self._turn_handle.cancel()
         self._turn_handle, self._is_turn_immediate = None, False
+
+
+def _measure_turn(started_at: float) -> None:
+    """Record a turn that kept the event loop from running for long."""
+    duration_s = time.monotonic() - started_at
+    if duration_s >= MEASURED_TURN_S:
+        LONG_TURN_SECONDS.observe({}, duration_s)
+    if duration_s >= LOGGED_TURN_S:
+        log(TURN_TOO_LONG, duration_s=round(duration_s, 3))
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -1,7 +1,7 @@
 """JSON calls over HTTP to external systems, with typed outcomes."""
 
 import http.client
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import eventlet
@@ -13,6 +13,7 @@
 
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from .clock import boottime
+from .fairness import yield_if_due
 
 __all__ = [
     "BoundedConnection",
@@ -23,6 +24,7 @@
     "connection_pool",
     "make_connection_pool",
     "read_and_release",
+    "read_parts",
     "read_reply",
     "time_limit",
 ]
@@ -34,6 +36,8 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 READ_SIZE_BYTES = 64 * 1024
 
+# The headers of a response, with those of the interim responses before it.
+MAX_HEAD_BYTES = 64 * 1024
 # Interim responses before the final one; servers send one at most.
 MAX_INTERIM_RESPONSES = 4
 MAX_TRAILER_LINES = 32
@@ -49,6 +53,7 @@
     def __init__(self, stream: Any) -> None:
         self.stream = stream
         self._in_head = False
+        self._size = 0
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line; empty if the connection ends before a head."""
@@ -57,6 +62,10 @@
         if is_cut and (line or self._in_head):
             raise http.client.IncompleteRead(line)
         self._in_head = line not in (b"\r\n", b"\n")
+        self._size += len(line)
+        if self._size > MAX_HEAD_BYTES:
+            raise http.client.LineTooLong("head")
+        yield_if_due()
         return line
 
     def close(self) -> None:
@@ -168,6 +177,21 @@
     return _connection_pool
 
 
+def read_parts(response: Any, size: int = READ_SIZE_BYTES) -> Iterator[bytes]:
+    """Yield the parts of a body as they arrive, and let other green threads run.
+
+    Parameters
+    ----------
+    response : response
+        Response of ``urllib3`` or ``http.client`` whose body was not read.
+    size : int
+        Largest part in bytes.
+    """
+    while part := response.read1(size):
+        yield part
+        yield_if_due()
+
+
 def read_reply(reply: Any, timeout: float) -> bytes:
     """Read the whole body of a reply, within bounds on its size and time.
 
@@ -184,7 +208,7 @@
         The body does not end within the bounds.
     """
     deadline, parts, size = boottime() + timeout, [], 0
-    while part := reply.read1(READ_SIZE_BYTES):
+    for part in read_parts(reply):
         parts.append(part)
         size += len(part)
         if size > MAX_REPLY_BYTES or boottime() > deadline:
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -4,7 +4,7 @@
 that belong to no request. Both are checked before reuse; such a connection is closed.
 
 A faulty target may send without end. What is read and thrown away is bounded in bytes
-and in time, since a green thread whose socket always has data never yields to others.
+and in time.
 """
 
 import http.client
@@ -17,7 +17,7 @@
 from urllib3.exceptions import HTTPError
 
 from ..runtime.clock import boottime
-from ..runtime.http import BoundedConnection
+from ..runtime.http import BoundedConnection, read_parts
 from ..runtime.sockets import TCP_SOCKET_OPTIONS
 from ..runtime.wsgi import split_address
 
@@ -49,7 +49,7 @@
     """
     deadline, size = boottime() + MAX_REFUSAL_READ_S, 0
     try:
-        while part := response.read1(MAX_REFUSAL_BYTES):
+        for part in read_parts(response, MAX_REFUSAL_BYTES):
             size += len(part)
             if size > MAX_REFUSAL_BYTES or boottime() > deadline:
                 return False
--- a/mulberryport/targets/engine_client.py
+++ b/mulberryport/targets/engine_client.py
@@ -18,6 +18,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from ..outcomes import Done, NotDone, Outcome
+from ..runtime.fairness import yield_if_due
 from ..runtime.http import BoundedConnectionPool, call_json, make_connection_pool
 from ..telemetry import process_clock
 from .connections import has_peer_ended
@@ -222,7 +223,9 @@
             return
         pending += part
         *lines, pending = pending.split(b"\n")
-        yield from lines
+        for line in lines:
+            yield line
+            yield_if_due()
         if len(pending) > MAX_LINE_BYTES:
             raise StreamError("stream line exceeds the maximum length")
 
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -13,6 +13,7 @@
     "ANSWER_SECONDS",
     "EVENTS",
     "LIMITED_TARGET_REQUESTS",
+    "LONG_TURN_SECONDS",
     "RATE_LIMIT_REFUSALS",
     "SAMPLE_STALENESS",
     "Counter",
@@ -27,6 +28,11 @@
     "Seconds from a request to the end of its answer, by route and outcome.",
     buckets=[0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100],
 )
+LONG_TURN_SECONDS = Histogram(
+    "mulberryport_long_turn_seconds",
+    "Seconds for which green threads kept the event loop from running, from 20 ms.",
+    buckets=[0.05, 0.1, 0.25, 0.5, 1, 2.5, 5],
+)
 LIMITED_TARGET_REQUESTS = Counter(
     "mulberryport_limited_target_requests_total",
     "Requests to targets that name a rate limit, by target and purpose.",
