End waits and not threads, and restart loops that fail

Cause: the check for a stalled watch threw an exception into the green thread of the mirror one pass of the hub later. If the loss of the path to the store ended the watch in the same pass, the exception met the sleep between two attempts and ended the mirror for good.

Ruled out: following a provider that is behind (no change of provider in the log), and a silent watch (the traceback names the sleep).

Change: an exception is raised in a wait, and void once the wait is over (mirror, store, providers, silent reads). A daemon that lacks a configuration that others have is not ready after 3 s.

--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -17,15 +17,14 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import Any
 
 import eventlet
-import eventlet.hubs
 from attrs import define, field
 
 from ..outcomes import Done, Outcome
 from ..peering import Peers, PeerServer, peer_pb2
 from ..runtime.clock import boottime
+from ..runtime.waits import Wait, interruptible_wait
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .mirror import Mirror
@@ -57,7 +56,7 @@
 
 
 class ProviderSilentError(BaseException):
-    """Thrown into the green thread of a call to a provider that stays silent.
+    """Ends the wait for a provider that stays silent.
 
     It derives from ``BaseException`` so that no ``except Exception`` swallows it.
     """
@@ -224,8 +223,8 @@
     _created_at: float = field(factory=boottime)
     _backoff_until: dict[str, float] = field(factory=dict)
     _newest_revision: int = -1
-    # The provider that a call waits for, and the green thread that waits.
-    _waiting: tuple[str, Any] | None = None
+    # The provider that a call waits for, and the wait.
+    _waiting: tuple[str, Wait] | None = None
 
     @property
     def distance(self) -> int:
@@ -286,14 +285,7 @@
         Call it a few times a second.
         """
         if self._waiting is not None and self.is_silent(self._waiting[0]):
-            eventlet.hubs.get_hub().schedule_call_global(
-                0, self._end_call, self._waiting
-            )
-
-    def _end_call(self, waiting: tuple[str, Any]) -> None:
-        # The call may have ended since the check.
-        if self._waiting is waiting:
-            waiting[1].throw(ProviderSilentError())
+            self._waiting[1].end(ProviderSilentError())
 
     def _await_provider(self) -> None:
         """Wait until a provider is heard, if this daemon has just started."""
@@ -320,9 +312,10 @@
             prefix=prefix, after=after, wait=wait, max_distance=self.max_distance()
         )
         margin = LARGE_FLEET_MARGIN_S if wait > PROVIDER_WAIT_S else REPLY_MARGIN_S
-        self._waiting = (vm, eventlet.getcurrent())
         try:
-            outcome = self.peers.call(vm, "FollowKeys", request, wait + margin)
+            with interruptible_wait() as waiting:
+                self._waiting = (vm, waiting)
+                outcome = self.peers.call(vm, "FollowKeys", request, wait + margin)
         except ProviderSilentError:
             self._back_off(vm, prefix, "its heartbeats are overdue")
             return None
--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -6,15 +6,15 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import eventlet
-import eventlet.hubs
 from attrs import define, field
 
 from ..outcomes import Done, Outcome
 from ..runtime.clock import boottime
 from ..runtime.notifier import Notifier
+from ..runtime.waits import Wait, interruptible_wait, supervise
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .model import Change, Changes, HistoryLost, Item, Listing
@@ -66,7 +66,7 @@
 
 
 class WatchStalledError(BaseException):
-    """Thrown into the greenlet of a stalled watch to abort it.
+    """Ends a stalled watch.
 
     It derives from ``BaseException`` so that no ``except Exception`` swallows it.
     """
@@ -104,8 +104,10 @@
     _expected_revision: int = 0
     # Whether changes may have been missed, so that the prefix must be listed.
     _needs_relist: bool = True
-    _watch_greenlet: Any = None
+    _watch_wait: Wait | None = None
     _subscribers: list[Subscriber] = field(factory=list)
+    _behind_since: float = float("-inf")
+    _polled_at: float = field(factory=boottime)
     _connected: bool = False
     _disconnected_at: float = float("-inf")
     _connected_at: float = float("-inf")
@@ -141,6 +143,16 @@
         """Whether another daemon has seen a change that this mirror lacks."""
         return self._lacks(self._expected_revision)
 
+    @property
+    def behind_for_s(self) -> float:
+        """Seconds for which the mirror has lacked what another daemon has seen."""
+        return boottime() - self._behind_since if self.is_behind else 0.0
+
+    @property
+    def silent_for_s(self) -> float:
+        """Seconds since the last request to the store succeeded or failed."""
+        return boottime() - self._polled_at
+
     @property
     def connected_for_s(self) -> float:
         """Seconds since the store answered again after a failure."""
@@ -159,13 +171,15 @@
 
         If it does not arrive within ``STALL_TIMEOUT_S``, the watch is aborted.
         """
+        if not self.is_behind:
+            self._behind_since = boottime()
         self._expected_revision = max(self._expected_revision, revision)
         if self._lacks(revision):
             eventlet.spawn_after(STALL_TIMEOUT_S, self._check_stalled, revision)
 
     def start(self) -> None:
         """Start watching the prefix, until ``stop`` is called."""
-        eventlet.spawn_n(self._run)
+        supervise(f"mirror {self.prefix}", self._run)
 
     def stop(self) -> None:
         """Stop watching the prefix when the current request returns."""
@@ -194,6 +208,8 @@
                 log(SUBSCRIBER_FAILED, key=change.key, error=repr(error))
 
     def _run(self) -> None:
+        # After a failure, changes may have been applied only in part.
+        self._needs_relist = True
         while not self._stopped:
             if not (self._relist() if self._needs_relist else self._watch()):
                 eventlet.sleep(RETRY_DELAY_S)
@@ -217,14 +233,12 @@
 
     def _watch(self) -> bool:
         wait = WATCH_WAIT_S if self._connected else RECONNECT_WATCH_WAIT_S
-        self._watch_greenlet = eventlet.getcurrent()
         try:
-            outcome = self.store.watch(self.prefix, self._revision, wait)
+            with interruptible_wait() as self._watch_wait:
+                outcome = self.store.watch(self.prefix, self._revision, wait)
         except WatchStalledError:
             self._needs_relist = True
             return True
-        finally:
-            self._watch_greenlet = None
         if not isinstance(outcome, Done):
             self._mark_disconnected(outcome.reason)
             return False
@@ -246,7 +260,8 @@
 
     def _check_stalled(self, revision: int) -> None:
         """Abort the watch if it has not delivered a revision."""
-        if not self._lacks(revision) or self._watch_greenlet is None:
+        wait = self._watch_wait
+        if not self._lacks(revision) or wait is None or wait.is_over:
             return
         log(
             MIRROR_STALLED,
@@ -254,20 +269,14 @@
             has=self._newest_revision,
             lacks=revision,
         )
-        greenlet, self._watch_greenlet = self._watch_greenlet, None
-        eventlet.hubs.get_hub().schedule_call_global(
-            0, self._abort_watch, greenlet, WatchStalledError()
-        )
-
-    def _abort_watch(self, greenlet: Any, error: BaseException) -> None:
-        if not greenlet.dead:
-            greenlet.throw(error)
+        wait.end(WatchStalledError())
 
     def _mark_disconnected(self, reason: str) -> None:
         if self._connected or self._disconnected_at == float("-inf"):
             log(MIRROR_INTERRUPTED, prefix=self.prefix, reason=reason)
             self._disconnected_at = boottime()
         self._connected = False
+        self._polled_at = boottime()
         self.polled.notify_all()
 
     def _mark_connected(self) -> None:
@@ -275,3 +284,4 @@
             log(MIRROR_REGAINED, prefix=self.prefix, revision=self._revision)
             self._connected_at = boottime()
         self._connected = True
+        self._polled_at = boottime()
--- a/mulberryport/coordination/session.py
+++ b/mulberryport/coordination/session.py
@@ -16,6 +16,7 @@
 from ..outcomes import Done
 from ..runtime.clock import boottime
 from ..runtime.notifier import Notifier
+from ..runtime.waits import supervise
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .model import KeyValueStore
@@ -111,7 +112,7 @@
 
     def start(self) -> None:
         """Open a session and renew it until ``close`` is called."""
-        eventlet.spawn_n(self._run)
+        supervise("session", self._run)
 
     def close(self) -> None:
         """Revoke the lease, so that other daemons take over without waiting for it."""
--- a/mulberryport/coordination/tests/test_mirror.py
+++ b/mulberryport/coordination/tests/test_mirror.py
@@ -2,6 +2,11 @@
 
 from contextlib import contextmanager
 
+import eventlet
+from attrs import define
+from eventlet.event import Event
+
+from ...outcomes import NotDone
 from ..mirror import Mirror
 from .builders import MemoryStore, until
 
@@ -119,3 +124,60 @@
         calls = store.calls
         mirror.expect_revision(removed)
         assert not until(lambda: store.calls > calls + 1, 1.0)
+
+
+@define(eq=False)
+class HeldSource:
+    """A source whose watches return what a test sends, or wait."""
+
+    store: MemoryStore
+    reply: Event | None = None
+
+    def list(self, prefix):
+        """List a prefix of the store."""
+        return self.store.list(prefix)
+
+    def watch(self, prefix, after, wait):
+        """Wait for a reply of the test."""
+        self.reply = Event()
+        return self.reply.wait()
+
+
+def test_mirror_survives_a_watch_that_fails_as_it_is_found_to_be_stalled():
+    # Guards against a daemon that follows the configuration no more, for good: the
+    # abort of a stalled watch reached the mirror after its watch had ended.
+    store = MemoryStore()
+    source = HeldSource(store)
+    with running_mirror(source) as (mirror, _):
+        assert until(lambda: source.reply is not None)
+        mirror._expected_revision = store.write("a/1", b"x").revision
+        # Both reach the mirror in one pass of the hub, the end of the watch first.
+        source.reply.send(NotDone("the path to the store was lost"))
+        mirror._check_stalled(store.revision)
+        source.reply = None
+        assert until(lambda: source.reply is not None or mirror.get("a/1"), 2.0)
+        mirror._check_stalled(store.revision)
+        assert until(lambda: mirror.get("a/1") is not None, 2.0)
+        assert not mirror.is_behind and mirror.silent_for_s < 3.0
+
+
+def test_mirror_goes_on_after_an_unexpected_error():
+    # Guards against a mirror that ends by an error that nothing foresaw.
+    store = MemoryStore()
+    source = HeldSource(store)
+    with running_mirror(source) as (mirror, _):
+        assert until(lambda: source.reply is not None)
+        store.write("a/1", b"x")
+        source.reply.send_exception(RuntimeError("unexpected"))
+        assert until(lambda: mirror.get("a/1") is not None, 2.0)
+
+
+def test_mirror_tells_for_how_long_it_lacks_what_others_have_seen():
+    # Guards against a daemon that counts as ready while it accepts withdrawn keys.
+    store = MemoryStore()
+    with running_mirror(HeldSource(store)) as (mirror, _):
+        assert mirror.behind_for_s == 0.0
+        mirror.expect_revision(store.revision + 5)
+        eventlet.sleep(0.1)
+        mirror.expect_revision(store.revision + 6)
+        assert mirror.behind_for_s >= 0.1
--- a/mulberryport/gateway/active.py
+++ b/mulberryport/gateway/active.py
@@ -15,6 +15,7 @@
 from attrs import define, field
 
 from ..runtime.clock import boottime
+from ..runtime.waits import Wait, interruptible_wait
 from ..tables import SnapshotHolder, Tables
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -71,6 +72,7 @@
     address: str
     max_silence_s: float
     may_be_queued: bool
+    wait: Wait
     silent_since: float = field(factory=boottime)
     is_probing: bool = False
 
@@ -139,7 +141,7 @@
             return
         self._is_aborted = True
         log(REQUEST_ENDED, request=self.id, status=error.status, reason=str(error))
-        self._throw(error, lambda: not self._is_finished)
+        self._throw(error)
 
     @contextmanager
     def watch_read(
@@ -156,16 +158,19 @@
         may_be_queued : bool
             Whether the request may still be in the target's own queue.
         """
-        self._pending_read = PendingRead(address, max_silence_s, may_be_queued)
         try:
-            yield
+            with interruptible_wait() as wait:
+                self._pending_read = PendingRead(
+                    address, max_silence_s, may_be_queued, wait
+                )
+                yield
         finally:
             self._pending_read = None
 
     def abort_read(self, read: PendingRead) -> None:
         """Interrupt a silent read, if it is still pending."""
-        error = SilentConnectionError(f"target {read.address} is silent")
-        self._throw(error, lambda: self._pending_read is read and not self._is_aborted)
+        if not self._is_aborted:
+            read.wait.end(SilentConnectionError(f"target {read.address} is silent"))
 
     def is_caller_disconnected(self) -> bool:
         """Return whether the caller has closed its connection."""
@@ -179,11 +184,11 @@
         except OSError:
             return True
 
-    def _throw(self, error: BaseException, is_relevant: Callable[[], bool]) -> None:
+    def _throw(self, error: BaseException) -> None:
         # The hub calls this while all green threads are blocked, so the condition
         # still holds when the exception is raised in the request's thread.
         def throw() -> None:
-            if is_relevant() and not self._greenlet.dead:
+            if not self._is_finished and not self._greenlet.dead:
                 self._greenlet.throw(error)
 
         eventlet.hubs.get_hub().schedule_call_global(0, throw)
--- a/mulberryport/gateway/server.py
+++ b/mulberryport/gateway/server.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from ..runtime.clock import boottime
+from ..runtime.waits import supervise
 from ..runtime.wsgi import Application
 from ..tables import CallerLimits
 from ..telemetry import define as define_event
@@ -114,7 +115,7 @@
             socket_timeout=self.limits().idle_time,
         )
         self._server.caller_limits = self.limits
-        self._accept_thread = eventlet.spawn(self._accept_connections)
+        self._accept_thread = supervise("accept callers", self._accept_connections)
 
     @property
     def busy(self) -> int:
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -14,6 +14,7 @@
 from ..outcomes import Done
 from ..runtime.clock import boottime
 from ..runtime.notifier import Notifier
+from ..runtime.waits import supervise
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .codec import encode_result
@@ -130,7 +131,8 @@
         # The longest items determine when a step completes, so they start first.
         for item in sorted(remaining, key=lambda item: -item.length_hint):
             self._threads.append(eventlet.spawn(self._run_item, item))
-        self._threads.append(eventlet.spawn(self._commit_results))
+        name = f"commits of job {self.job.id}"
+        self._threads.append(supervise(name, self._commit_results))
 
     def wait_for_position(self, position: int, deadline: float) -> None:
         """Wait until a position is committed, the job closes or the deadline passes."""
--- a/mulberryport/peering/peers.py
+++ b/mulberryport/peering/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from typing import Any
 
 import eventlet
@@ -13,6 +14,7 @@
 from ..membership import Member, Members
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from ..runtime import boottime, run_coroutine
+from ..runtime.waits import supervise
 from ..runtime.wakeup import Wakeup
 from ..runtime.wsgi import split_address
 from ..telemetry import define as define_event
@@ -155,7 +157,7 @@
         """Start the missing heartbeat tasks and end those that are no longer needed."""
         wanted = {vm for vm in self.members.heartbeat_peers() if self._should_dial(vm)}
         for vm in wanted - self._tasks.keys():
-            self._tasks[vm] = eventlet.spawn(self._run, vm)
+            self._tasks[vm] = supervise(f"heartbeats {vm}", partial(self._run, vm))
         for vm in self._tasks.keys() - wanted:
             self._tasks.pop(vm).kill()
             peer_channel = self._channels.pop(vm, None)
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -85,6 +85,11 @@
 
 CONTROL_PERIOD_S = 0.2
 JOBS_PERIOD_S = 0.2
+# How long a daemon counts as ready while it lacks a configuration that others have. The
+# platform's bound is 2 s; a stalled watch is replaced within one.
+MAX_BEHIND_S = 3.0
+# A watch of the configuration ends within half of this time.
+MAX_WATCH_SILENCE_S = 60.0
 SERVING_POLL_INTERVAL_S = 0.1
 QUEUES_PERIOD_S = 0.1
 REQUESTS_PERIOD_S = 0.1
@@ -209,6 +214,11 @@
         reasons = []
         if self._stopping:
             reasons.append("the daemon is stopping")
+        configuration = self.mirrors.configuration
+        if configuration.behind_for_s > MAX_BEHIND_S:
+            reasons.append("another daemon has a newer configuration")
+        if configuration.silent_for_s > MAX_WATCH_SILENCE_S:
+            reasons.append("the configuration is not followed")
         return reasons + self._unread()
 
     def _wait_until_serving(self) -> None:
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -8,12 +8,11 @@
 """
 
 import base64
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 from urllib.parse import urlencode
 
-import eventlet
-import eventlet.hubs
 import orjson
 import urllib3
 from attrs import define, field
@@ -39,6 +38,7 @@
     time_limit,
 )
 from ..runtime.sockets import TCP_SOCKET_OPTIONS
+from ..runtime.waits import Wait, interruptible_wait
 from ..telemetry import define as define_event
 from ..telemetry import log
 
@@ -98,7 +98,7 @@
     _pool: urllib3.PoolManager = field(init=False)
     _is_directly_reachable: bool = True
     _failed_at: float = float("-inf")
-    _watch_threads: set[Any] = field(factory=set)
+    _watch_waits: set[Wait] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Create the connection pool."""
@@ -160,15 +160,12 @@
             wait = min(wait, MAX_INDIRECT_WAIT_S)
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait * 1000)}
         path = f"/mulberryport/kv-watch?{urlencode(query)}"
-        watch_thread = eventlet.getcurrent()
-        self._watch_threads.add(watch_thread)
+        timeout = wait + WATCH_MARGIN_S
         try:
-            timeout = wait + WATCH_MARGIN_S
-            outcome = self._call("GET", path, timeout=timeout, may_relay=may_relay)
+            with self._abortable_watch():
+                outcome = self._call("GET", path, timeout=timeout, may_relay=may_relay)
         except DirectPathLostError as error:
             outcome = NotDone(str(error))
-        finally:
-            self._watch_threads.discard(watch_thread)
 
         def changes(status: int, body: Any) -> Changes | HistoryLost:
             if status == 410:
@@ -273,13 +270,19 @@
 
     def _abort_watches(self, reason: str) -> None:
         """Abort the waiting watches, which may never get a response."""
-        hub, current = eventlet.hubs.get_hub(), eventlet.getcurrent()
-        for watch_thread in self._watch_threads - {current}:
-            hub.schedule_call_global(0, self._abort_watch, watch_thread, reason)
-
-    def _abort_watch(self, watch_thread: Any, reason: str) -> None:
-        if watch_thread in self._watch_threads:
-            watch_thread.throw(DirectPathLostError(reason))
+        for wait in self._watch_waits:
+            if not wait.is_own:
+                wait.end(DirectPathLostError(reason))
+
+    @contextmanager
+    def _abortable_watch(self) -> Iterator[None]:
+        """Let the loss of the path to the store end a watch."""
+        with interruptible_wait() as wait:
+            self._watch_waits.add(wait)
+            try:
+                yield
+            finally:
+                self._watch_waits.discard(wait)
 
     def _send(
         self, method: str, path: str, content: bytes, timeout: float
--- a/mulberryport/platform/tests/test_daemon.py
+++ b/mulberryport/platform/tests/test_daemon.py
@@ -8,7 +8,7 @@
     make_crash,
 )
 from ...runtime import boottime
-from ..daemon import EntryDaemon
+from ..daemon import MAX_BEHIND_S, MAX_WATCH_SILENCE_S, EntryDaemon
 from ..settings import parse_entry_settings
 from .builders import SETTINGS
 
@@ -49,3 +49,19 @@
     (content,) = daemon._serve_metrics({}, lambda status, headers: None)
     assert b"mulberryport_blocked_requests 1" in content
     assert b"mulberryport_suspect_requests 1" in content
+
+
+def test_a_daemon_that_does_not_follow_the_configuration_is_not_ready():
+    # Guards against callers that are sent to a daemon with withdrawn keys.
+    daemon = make_daemon()
+    daemon._unread = list
+    mirror = daemon.mirrors.configuration
+    assert not daemon.not_ready_reasons()
+    mirror.expect_revision(5)
+    assert not daemon.not_ready_reasons()
+    mirror._behind_since -= MAX_BEHIND_S
+    assert daemon.not_ready_reasons() == ["another daemon has a newer configuration"]
+    mirror._revision = 5
+    assert not daemon.not_ready_reasons()
+    mirror._polled_at -= MAX_WATCH_SILENCE_S
+    assert daemon.not_ready_reasons() == ["the configuration is not followed"]
--- a/mulberryport/runtime/timers.py
+++ b/mulberryport/runtime/timers.py
@@ -20,6 +20,7 @@
 from ..telemetry.events import define
 from ..telemetry.logs import log
 from .clock import boottime
+from .waits import supervise
 
 __all__ = ["Subscription", "TimerService"]
 
@@ -113,7 +114,7 @@
         subscription = Subscription(name, period_s, callback, self._origin)
         self._subscriptions = [s for s in self._subscriptions if s.is_active]
         self._subscriptions.append(subscription)
-        eventlet.spawn_n(subscription.run)
+        supervise(f"timer {name}", subscription.run)
         return subscription
 
     def stop(self) -> None:
