Keep copies of the origins of streams that the store does not record

Cause: a stream was passed on although its version could not be recorded, and the daemon that took it up trusted the only version of the record.

Ruled out: a choice by load. The take-up was bound to the origin found.

Change: while several versions are listed or a version is not confirmed, two other daemons keep the origin before the first event is passed on. The only version of a record counts only if no other one was listed lately.

The tests of unrecorded versions, of a daemon out of step and of versions that come in an outage failed before.

--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -94,6 +94,14 @@
     async def AcquirePermit(self, stream: 'grpclib.server.Stream[peer_pb2.AcquirePermitRequest, peer_pb2.AcquirePermitReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def KeepStreamOrigins(self, stream: 'grpclib.server.Stream[peer_pb2.KeepStreamOriginsRequest, peer_pb2.Ack]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def FindStreamOrigin(self, stream: 'grpclib.server.Stream[peer_pb2.FindStreamOriginRequest, peer_pb2.FindStreamOriginReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def HandOverIdempotency(self, stream: 'grpclib.server.Stream[peer_pb2.HandOverIdempotencyRequest, peer_pb2.Ack]') -> None:
         pass
@@ -220,6 +228,18 @@
                 peer_pb2.AcquirePermitRequest,
                 peer_pb2.AcquirePermitReply,
             ),
+            '/mulberryport.peer.Peer/KeepStreamOrigins': grpclib.const.Handler(
+                self.KeepStreamOrigins,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.KeepStreamOriginsRequest,
+                peer_pb2.Ack,
+            ),
+            '/mulberryport.peer.Peer/FindStreamOrigin': grpclib.const.Handler(
+                self.FindStreamOrigin,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.FindStreamOriginRequest,
+                peer_pb2.FindStreamOriginReply,
+            ),
             '/mulberryport.peer.Peer/HandOverIdempotency': grpclib.const.Handler(
                 self.HandOverIdempotency,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -352,6 +372,18 @@
             peer_pb2.AcquirePermitRequest,
             peer_pb2.AcquirePermitReply,
         )
+        self.KeepStreamOrigins = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/KeepStreamOrigins',
+            peer_pb2.KeepStreamOriginsRequest,
+            peer_pb2.Ack,
+        )
+        self.FindStreamOrigin = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/FindStreamOrigin',
+            peer_pb2.FindStreamOriginRequest,
+            peer_pb2.FindStreamOriginReply,
+        )
         self.HandOverIdempotency = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/HandOverIdempotency',
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -172,6 +172,8 @@
     ListCrashes = _unary_method("ListCrashes")
     LiftBlock = _unary_method("LiftBlock")
     AcquirePermit = _unary_method("AcquirePermit")
+    KeepStreamOrigins = _unary_method("KeepStreamOrigins")
+    FindStreamOrigin = _unary_method("FindStreamOrigin")
 
 
 def _sender_member(sender: peer_pb2.Sender) -> Member:
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -30,7 +30,7 @@
 from ..runtime.clock import boottime, wall_time
 from ..runtime.signals import exit_process, on_stop_signal
 from ..runtime.wsgi import StartResponse, listen, respond, serve
-from ..streams import StreamOrigins
+from ..streams import OriginCopies, StreamOrigins
 from ..tables import SnapshotHolder
 from ..targets import Dispatcher, TargetDirectory
 from ..targets.connections import ConnectionPool
@@ -369,7 +369,9 @@
             self.clock.now,
             lambda: self.mirrors.configuration.is_behind,
         )
-        self.origins = StreamOrigins(self.store, self.clock.now, self.directory)
+        copies = OriginCopies(self.members, self.peers)
+        copies.register(self.peer_server)
+        self.origins = StreamOrigins(self.store, self.clock.now, self.directory, copies)
         self.gateway = Gateway(
             self.snapshot_holder,
             self.dispatcher,
--- a/mulberryport/platform/tests/test_daemon.py
+++ b/mulberryport/platform/tests/test_daemon.py
@@ -8,6 +8,7 @@
     make_crash,
 )
 from ...runtime import boottime
+from ...tables import Snapshot, Tables
 from ..daemon import MAX_BEHIND_S, MAX_WATCH_SILENCE_S, EntryDaemon
 from ..settings import parse_entry_settings
 from .builders import SETTINGS
@@ -54,7 +55,8 @@
 def test_a_daemon_that_does_not_follow_the_configuration_is_not_ready():
     # Guards against callers that are sent to a daemon with withdrawn keys.
     daemon = make_daemon()
-    daemon._unread = list
+    daemon.snapshot_holder.adopt(Snapshot(1, "first", Tables()), {})
+    daemon.mirrors.registrations.mirror._revision = 1
     mirror = daemon.mirrors.configuration
     assert not daemon.not_ready_reasons()
     mirror.expect_revision(5)
--- a/mulberryport/streams/origins.py
+++ b/mulberryport/streams/origins.py
@@ -4,7 +4,8 @@
 check it. A caller may take up a stream at any daemon, also after all daemons were
 restarted. While streams of a route all begin at one version, the record of versions
 tells it. Otherwise each daemon writes the origins of its streams to the store, several
-at once. A stream whose origin is not known is not continued.
+at once. Before that, and while the store cannot record a version, other daemons keep
+copies of the origins. A stream whose origin is not known is not continued.
 """
 
 from collections import OrderedDict
@@ -20,6 +21,7 @@
 from ..targets import TargetDirectory
 from ..telemetry import define as define_event
 from ..telemetry import log
+from .copies import OriginCopies
 from .versions import STREAM_LIFETIME_S, SoftwareVersions
 
 __all__ = ["StreamOrigin", "StreamOrigins", "stream_key"]
@@ -41,6 +43,7 @@
 # Puts of one transaction; the store accepts at most 32 entries.
 MAX_PUTS = 30
 MAX_TRANSACTIONS_PER_RUN = 8
+MAX_COPIES_PER_RUN = MAX_PUTS * MAX_TRANSACTIONS_PER_RUN
 # A new lease is used after this time, so that origins are removed in groups.
 LEASE_ROTATION_S = 30.0
 LEASE_TTL_S = STREAM_LIFETIME_S + LEASE_ROTATION_S
@@ -99,6 +102,7 @@
     route: str
     origin: StreamOrigin
     begun_at: float
+    is_copied: bool = False
 
 
 def stream_key(workspace: str, request_id: str) -> str:
@@ -131,11 +135,14 @@
         Returns seconds since 1970 by the fleet's clock.
     directory : TargetDirectory
         Targets and their software versions.
+    copies : OriginCopies or None
+        Copies that other daemons keep; None if there are no others.
     """
 
     store: KeyValueStore
     now: Callable[[], float]
     directory: TargetDirectory
+    copies: OriginCopies | None = None
     _versions: SoftwareVersions = field(init=False)
     _streams: OrderedDict[str, BegunStream] = field(factory=OrderedDict)
     _unwritten: dict[str, BegunStream] = field(factory=dict)
@@ -158,10 +165,12 @@
         origin : StreamOrigin
             Where it began.
         """
-        self._versions.confirm(route, origin.label)
+        is_confirmed = self._versions.confirm(route, origin.label)
         stream = BegunStream(route, origin, boottime())
         self._streams[key] = self._unwritten[key] = stream
         self._remove_outdated()
+        if not is_confirmed or self._is_mixed(stream):
+            self._copy({key: stream})
 
     def begin_unknown(self, route: str, candidates: set[StreamOrigin]) -> None:
         """Record that a stream began at one of several origins, nobody knows which."""
@@ -187,14 +196,19 @@
         """
         if key in self._streams:
             return self._streams[key].origin
-        if key and (origin := self._read(key)) is not None:
+        if key and (origin := self._find_copy(key) or self._read(key)) is not None:
             return origin
         if RESPONSES_PER_STREAM * longest_s > STREAM_LIFETIME_S:
             return None
         versions = self._versions.read(route)
-        if isinstance(versions, Done) and len(versions.value) == 1:
-            return self._decode(next(iter(versions.value)))
-        return None
+        if not isinstance(versions, Done) or len(versions.value) != 1:
+            return None
+        origin = self._decode(next(iter(versions.value)))
+        # A stream may have begun at another version that could not be recorded.
+        if origin is None:
+            return None
+        listed = self.directory.software_listed_within(origin.pool, STREAM_LIFETIME_S)
+        return None if listed - {origin.software} else origin
 
     def run_once(self) -> None:
         """Write the origins of streams of routes with several of them to the store."""
@@ -209,10 +223,25 @@
         for start in starts[:MAX_TRANSACTIONS_PER_RUN]:
             group = keys[start : start + MAX_PUTS]
             if not self._write({key: due[key].origin for key in group}):
+                self._copy({key: due[key] for key in keys[:MAX_COPIES_PER_RUN]})
                 return
             for key in group:
                 self._unwritten.pop(key, None)
 
+    def _copy(self, streams: dict[str, BegunStream]) -> None:
+        """Let other daemons keep the origins of streams that they lack."""
+        lacking = {k: stream for k, stream in streams.items() if not stream.is_copied}
+        if self.copies is None or not lacking:
+            return
+        labels = {key: stream.origin.label for key, stream in lacking.items()}
+        if self.copies.keep(labels):
+            for stream in lacking.values():
+                stream.is_copied = True
+
+    def _find_copy(self, key: str) -> StreamOrigin | None:
+        label = self.copies.find(key) if self.copies is not None else ""
+        return self._decode(label) if label else None
+
     def _is_mixed(self, stream: BegunStream) -> bool:
         listed = {view.software for view in self.directory.views(stream.origin.pool)}
         return len(listed) > 1 or self._versions.is_mixed(stream.route)
--- a/mulberryport/streams/tests/test_origins.py
+++ b/mulberryport/streams/tests/test_origins.py
@@ -1,15 +1,20 @@
 """Tests of where streams of callers began."""
 
+from types import SimpleNamespace
+
 import eventlet
 import pytest
 
 from ...coordination import Put, Transaction
 from ...coordination.tests.builders import MemoryStore
+from ...membership import Member, Members
+from ...outcomes import Done, NotDone
 from ...runtime.clock import boottime
 from ...tables import Pool, Snapshot, Tables
 from ...targets import TargetDirectory
 from ...targets.vm_list import ListedVm
-from .. import versions
+from .. import copies, versions
+from ..copies import OriginCopies
 from ..origins import StreamOrigin, StreamOrigins, stream_key
 
 OLD, NEW = StreamOrigin("p", "old"), StreamOrigin("p", "new")
@@ -187,3 +192,135 @@
     daemon.begin("r2", StreamOrigin("q", "old"))
     assert Daemon(store, "old").find("r1") is None
     assert Daemon(store, "old").find("r1", route="other") is None
+
+
+class Fleet:
+    """Daemons that keep copies for each other, without a network."""
+
+    def __init__(self, store, count=4, listed=("old",)):
+        self.handlers, self.down, self.daemons = {}, set(), {}
+        for number in range(count):
+            vm = f"vm{number}"
+            members = Members(Member(vm, f"z{number % 2}", "127.0.0.1:1"))
+            for other in range(count):
+                if other != number:
+                    zone = f"z{other % 2}"
+                    members.record_heartbeat(
+                        Member(
+                            f"vm{other}", zone, "127.0.0.1:1", 1, heard_at=boottime()
+                        )
+                    )
+            daemon = Daemon(store, *listed)
+            daemon.origins.copies = OriginCopies(members, self)
+            methods = self.handlers[vm] = {}
+            server = SimpleNamespace(register=methods.__setitem__)
+            daemon.origins.copies.register(server)
+            self.daemons[vm] = daemon
+
+    def call(self, vm, method, request, timeout):
+        """Call a daemon, unless it is down."""
+        eventlet.sleep(0)
+        if vm in self.down:
+            return NotDone("down")
+        return Done(self.handlers[vm][method](request))
+
+    def kill(self, vm):
+        """End a daemon with all that it has in memory."""
+        self.down.add(vm)
+
+    def others(self, vm):
+        """Return the other daemons."""
+        return [daemon for name, daemon in self.daemons.items() if name != vm]
+
+
+@pytest.mark.parametrize("is_recorded", [False, True])
+def test_streams_of_a_version_that_could_not_be_recorded_go_on_there(is_recorded):
+    # Guards against streams that begin in an outage of the store at a version that its
+    # record lacks, and are taken up at the only version of the record after their
+    # daemon was killed.
+    store = MemoryStore()
+    fleet = Fleet(store)
+    first = fleet.daemons["vm0"]
+    if is_recorded:
+        first.begin("r0", OLD)
+    for daemon in fleet.daemons.values():
+        daemon.list("old", "new")
+    with store.outage():
+        first.begin("r1", OLD)
+        first.begin("r2", NEW)
+        fleet.kill("vm0")
+    for daemon in fleet.others("vm0"):
+        assert (daemon.find("r1"), daemon.find("r2")) == (OLD, NEW)
+
+
+@pytest.mark.parametrize("has_left", [False, True])
+def test_a_stream_is_not_guessed_if_another_version_may_have_begun_it(has_left):
+    # Guards against the same where nobody keeps a copy, also after the version left.
+    store = MemoryStore()
+    daemon, other = Daemon(store, "old"), Daemon(store, "old")
+    daemon.begin("r0", OLD)
+    for each in (daemon, other):
+        each.list("old", "new")
+    with store.outage():
+        daemon.begin("r1", NEW)
+    if has_left:
+        other.list("old")
+    assert other.find("r1") is None
+
+
+def test_a_daemon_that_is_out_of_step_finds_streams_of_a_version_it_does_not_know():
+    # Guards against a daemon that stood still or was cut off while a new version came:
+    # its list of targets and the record have only the old one.
+    store = MemoryStore()
+    fleet = Fleet(store)
+    fleet.daemons["vm0"].begin("r0", OLD)
+    fleet.daemons["vm1"].list("old", "new")
+    with store.outage():
+        fleet.daemons["vm1"].begin("r1", NEW)
+        fleet.kill("vm1")
+    assert fleet.daemons["vm3"].find("r1") == NEW
+
+
+def test_streams_that_run_when_a_version_comes_in_an_outage_are_copied():
+    # Guards against streams of the old version that are refused, because their daemon
+    # was killed before it could write their origins.
+    store = MemoryStore()
+    fleet = Fleet(store)
+    first = fleet.daemons["vm0"]
+    for number in range(100):
+        first.begin(f"r{number}", OLD)
+    for daemon in fleet.daemons.values():
+        daemon.list("old", "new")
+    with store.outage():
+        first.origins.run_once()
+    fleet.kill("vm0")
+    assert fleet.daemons["vm2"].find("r7") == OLD
+
+
+def test_no_copies_are_made_while_there_is_one_version():
+    # Guards against calls for each stream in normal operation.
+    fleet = Fleet(MemoryStore())
+    for number in range(10):
+        fleet.daemons["vm0"].begin(f"r{number}", OLD)
+    fleet.daemons["vm0"].origins.run_once()
+    assert not any(daemon.origins.copies._kept for daemon in fleet.daemons.values())
+
+
+def test_first_events_do_not_wait_for_daemons_that_are_down():
+    # Guards against streams that begin late because the keeper of a copy is gone.
+    fleet = Fleet(MemoryStore(), listed=("old", "new"))
+    fleet.down.update({"vm1", "vm2", "vm3"})
+    started_at = boottime()
+    for number in range(20):
+        fleet.daemons["vm0"].begin(f"r{number}", OLD)
+    assert boottime() - started_at < 1.0
+
+
+def test_copies_are_bounded(monkeypatch):
+    # Guards against memory that grows with the streams of other daemons.
+    monkeypatch.setattr(copies, "MAX_ORIGINS", 5)
+    fleet = Fleet(MemoryStore(), count=2, listed=("old", "new"))
+    for number in range(20):
+        fleet.daemons["vm0"].begin(f"r{number}", OLD)
+    assert len(fleet.daemons["vm1"].origins.copies._kept) == 5
+    assert fleet.daemons["vm1"].find("r19") == OLD
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -80,6 +80,9 @@
     _leaving_by_own_account: dict[str, int] = field(factory=dict)
     _born: dict[str, int] = field(factory=dict)
     _software: dict[str, str] = field(factory=dict)
+    # Boot time until which a pool had targets of a software version, for versions that
+    # were listed before the current list.
+    _software_listed_at: dict[tuple[str, str], float] = field(factory=dict)
 
     @property
     def is_configured(self) -> bool:
@@ -93,6 +96,9 @@
 
     def apply_vm_list(self, vms: Iterable[ListedVm]) -> None:
         """Apply a new version of the platform's VM list."""
+        now = boottime()
+        for vm in self._listed_vms:
+            self._software_listed_at[vm.pool, vm.software] = now
         self._listed_vms = tuple(vms)
         self._vm_list_read_at = boottime()
         self._leaving_ids = frozenset(vm.id for vm in self._listed_vms if vm.leaving)
@@ -218,6 +224,24 @@
             view.software,
         )
 
+    def software_listed_within(self, pool: str, seconds: float) -> set[str]:
+        """Return the software versions that targets of a pool have or had lately.
+
+        Parameters
+        ----------
+        pool : str
+            The pool.
+        seconds : float
+            Targets that left earlier than this do not count.
+        """
+        oldest = boottime() - seconds
+        former = {
+            software
+            for (name, software), at in self._software_listed_at.items()
+            if name == pool and at >= oldest
+        }
+        return former | {vm.software for vm in self._listed_vms if vm.pool == pool}
+
     def serves_software(self, pool: str, software: str, excluded: str = "") -> bool:
         """Return whether a target of a pool that may get requests runs a version.
 
