Abort requests of a planned stop as late as aborting allows

Requests that were taken in the grace period of a planned stop ran and got 502 although their answer was due before its last sixth. A few requests of thousands got an empty 500.

Cause: everything was aborted 1.5 s before the end of the period, and requests were taken until 3 s after the signal whatever their route needs. Connections from the backlog were plain sockets, since a green listener without a time-out accepts such; one whose client sends nothing blocked the process.

Change: the abort comes 0.8 s before the end, counted from the signal. A request is refused at once if its route lately took longer than what is left. Connections from the backlog are green.

--- a/mulberryport/gateway/active.py
+++ b/mulberryport/gateway/active.py
@@ -95,6 +95,8 @@
         Number of attempts that may have run at a target, at least in part.
     changes_state : bool
         Whether this daemon itself may have executed a part of the request.
+    started_at : float
+        Boot time at which the request arrived.
     """
 
     connection: socket.socket | None = None
@@ -103,6 +105,7 @@
     access: Access | None = None
     sent_attempts: int = 0
     changes_state: bool = False
+    started_at: float = field(factory=boottime)
     _greenlet: Any = field(factory=eventlet.getcurrent)
     _pending_read: PendingRead | None = None
     _timer: Any = None
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -26,6 +26,7 @@
 from .calls import CallerRequest, TargetClient, open_hedged_response, open_response
 from .credentials import secret_finder
 from .dialect import Dialect, native_dialect
+from .durations import RouteDurations
 from .forwarding import ForwardedResponse
 from .generation import error_line, parse_generation, stream_generation
 from .once import ResponseOpener, idempotency_key, run_once
@@ -111,6 +112,8 @@
     _target_client: TargetClient = field(init=False)
     _closes_connections: bool = False
     _refuses_requests: bool = False
+    _ends_at: float = float("inf")
+    _durations: RouteDurations = field(factory=RouteDurations)
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to snapshots, to abort requests that a revision disallows."""
@@ -128,9 +131,16 @@
             lambda s: self.active.abort_unauthorized(s.tables)
         )
 
-    def close_connections(self) -> None:
-        """Keep serving, but close each connection after its current response."""
-        self._closes_connections = True
+    def close_connections(self, ends_at: float = float("inf")) -> None:
+        """Keep serving, but close each connection after its current response.
+
+        Parameters
+        ----------
+        ends_at : float
+            Boot time at which the requests that still run are aborted. Requests of a
+            route that lately took longer than the time until then are refused.
+        """
+        self._closes_connections, self._ends_at = True, ends_at
 
     def refuse_requests(self) -> None:
         """Reject all further requests; running requests continue."""
@@ -211,6 +221,8 @@
         call = CallerRequest(environ, start_response, active, access, is_secret)
         if route.batch is not None and self.dialect.submit is not None:
             return self.dialect.submit(call)
+        if self._durations.longest_s(route.name) > self._ends_at - boottime():
+            raise RefusalError(503, "this daemon stops before the request may end")
         if self._serves_generation(route, tables):
             return self._generate(call)
         return self._forward(call)
@@ -440,6 +452,8 @@
     ) -> None:
         """Log and meter a response of which only the last byte is still to be sent."""
         access = call.access
+        duration_s = boottime() - call.active.started_at
+        self._durations.record(access.route.name, duration_s)
         log(
             REQUEST_SERVED,
             request=call.active.id,
--- a/mulberryport/gateway/server.py
+++ b/mulberryport/gateway/server.py
@@ -8,6 +8,7 @@
 import eventlet
 import eventlet.wsgi
 from attrs import define, field
+from eventlet.greenio import GreenSocket
 
 from ..runtime.clock import boottime
 from ..runtime.waits import supervise
@@ -138,9 +139,11 @@
         self.listener.settimeout(0)
         while True:
             try:
-                self._spawn_connection(*self.listener.accept())
+                connection, address = self.listener.accept()
             except OSError:
                 break
+            # A green listener without a timeout accepts plain sockets.
+            self._spawn_connection(GreenSocket(connection), address)
         self.listener.close()
 
     def _accept_connections(self) -> None:
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -104,8 +104,9 @@
 # The load balancer probes readiness once per second and removes a daemon after two
 # failed probes.
 DRAIN_DELAY_S = 3.0
-# Part of the grace period that is reserved for aborting unfinished requests.
-ABORT_MARGIN_S = 1.5
+# Part of the grace period that is reserved for aborting unfinished requests. Requests
+# that were accepted in time may need all of it but its last sixth, 1.3 s.
+ABORT_MARGIN_S = 0.8
 # Daemons try to acquire a free duty in rendezvous order, with this delay from one rank
 # to the next.
 DUTY_STAGGER_S = 0.3
@@ -190,21 +191,21 @@
             return
         self._stopping = True
         log(ENTRY_STOPPING)
+        abort_at = boottime() + self.settings.vm.grace - ABORT_MARGIN_S
         self.members.leave()
-        self.gateway.close_connections()
+        self.gateway.close_connections(abort_at)
         eventlet.spawn_n(self.jobs.hand_over)
         eventlet.sleep(DRAIN_DELAY_S)
         self.caller_server.stop_accepting()
         self.gateway.refuse_requests()
-        remaining_s = self.settings.vm.grace - DRAIN_DELAY_S - ABORT_MARGIN_S
-        if not self.caller_server.wait_idle(max(0.1, remaining_s)):
+        if not self.caller_server.wait_idle(max(0.1, abort_at - boottime())):
             self.gateway.active.abort_all(
                 RequestAbortedError(503, "this daemon is stopping")
             )
-            self.caller_server.wait_idle(ABORT_MARGIN_S / 3)
-        self.replicator.flush(ABORT_MARGIN_S / 3)
+            self.caller_server.wait_idle(ABORT_MARGIN_S / 4)
+        self.replicator.flush(ABORT_MARGIN_S / 4)
         self.timers.stop()
-        with eventlet.Timeout(ABORT_MARGIN_S / 3, False):
+        with eventlet.Timeout(ABORT_MARGIN_S / 4, False):
             self.session.close()
         log(ENTRY_STOPPED)
         self._stopped.send(True)
--- a/mulberryport/platform/tests/test_stop_under_load.py
+++ b/mulberryport/platform/tests/test_stop_under_load.py
@@ -14,7 +14,7 @@
 
 from ...coordination.tests.builders import until
 from ...runtime.clock import boottime
-from .builders import HOST, KEY, running
+from .builders import HOST, KEY, make_configuration, running
 
 CALLERS = 24
 # The load balancer stops opening connections after two probes, one each second.
@@ -109,3 +109,74 @@
         # What runs is answered with the target's answer; only the rest is refused.
         assert {statuses[k] for k in seen & statuses.keys()} == {200}
         assert set(statuses.values()) <= {200, 503}
+
+
+def allow_long_requests(platform):
+    """Let requests of the plain service run once, and for up to 9 s."""
+    routes = make_configuration()["routes"]
+    changed = [
+        {**route, "kind": "non_idempotent", "timeout-ms": 9000}
+        if route["name"] == "desk"
+        else route
+        for route in routes
+    ]
+    platform.configure(make_configuration(2, routes=changed))
+    assert until(lambda: '"revision":2' in platform.log("vm1"), 10.0)
+
+
+def send_at(address, request_id, delay_s, answers):
+    """Send a request after a while; record its status and what it waited for."""
+    eventlet.sleep(delay_s)
+    host, _, port = address.partition(":")
+    headers = {"Host": HOST, "X-Api-Key": KEY, "X-Request-Id": request_id}
+    with closing(HTTPConnection(host, int(port), timeout=15)) as connection:
+        try:
+            connection.request("POST", "/desk/", b"x", headers)
+            response = connection.getresponse()
+            response.read()
+            answers[request_id] = response.status
+        except (OSError, HTTPException) as error:
+            answers[request_id] = repr(error)
+
+
+def test_requests_that_end_before_the_last_part_of_the_grace_period_are_answered(
+    tmp_path,
+):
+    # Guards against requests that were taken in the grace period, ran, and were aborted
+    # long before its end. The target's work ends 6.1 to 6.6 s after the signal.
+    with running(tmp_path, "vm1") as platform:
+        for desk in platform.desks:
+            desk.response_delay_s = 4.2
+        allow_long_requests(platform)
+        answers, address = {}, platform.callers["vm1"]
+        process = platform.processes.pop("vm1")
+        process.send_signal(signal.SIGTERM)
+        threads = [
+            eventlet.spawn(send_at, address, f"r{n}", 1.9 + 0.1 * n, answers)
+            for n in range(6)
+        ]
+        for thread in threads:
+            thread.wait()
+        assert until(lambda: process.poll() is not None, 12.0)
+        assert process.returncode == 0
+        assert set(answers.values()) == {200}
+
+
+def test_a_request_that_may_not_end_before_the_stop_is_refused_at_once(tmp_path):
+    # Guards against requests that run and are aborted at the end of the grace period,
+    # although other daemons could have served them.
+    with running(tmp_path, "vm1") as platform:
+        for desk in platform.desks:
+            desk.response_delay_s = 5.5
+        allow_long_requests(platform)
+        answers, address = {}, platform.callers["vm1"]
+        send_at(address, "before", 0.0, answers)
+        process = platform.processes.pop("vm1")
+        process.send_signal(signal.SIGTERM)
+        thread = eventlet.spawn(send_at, address, "early", 0.1, answers)
+        send_at(address, "late", 2.2, answers)
+        assert answers == {"before": 200, "late": 503}
+        thread.wait()
+        assert answers["early"] == 200
+        assert until(lambda: process.poll() is not None, 12.0)
+        assert process.returncode == 0
