Read numbers and addresses from outside within bounds

Other operators saw machines end, or stop following the list of servers, by one odd entry of another writer. Here an entry with a port out of range, with digits of another script or with a host name was listed, and requests were sent there: an error that nothing expects, or a look-up that blocks.

Cause: what Python takes for digits and integers was taken for numbers of the protocol; also in headers and events of targets, announced versions, and in positions and deadlines of callers.

Ruled out: a daemon that ends. Entries that cannot be decoded were skipped.

Change: platform.counts reads them: ASCII digits, 31 bits, IP addresses, ports from 1 to 65,535. What does not fit is skipped or refused as malformed.

--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -24,6 +24,7 @@
 from ..runtime.wsgi import StartResponse, query_values, respond
 from ..tables import SnapshotHolder, find_key
 from . import names
+from .counts import parse_count
 
 __all__ = ["BatchInterface", "parse_job"]
 
@@ -91,7 +92,7 @@
         body=base64.b64decode(entry["body"], validate=True),
         group=str(entry.get("group") or ""),
         model=lowercase_headers.get(names.MODEL.lower(), ""),
-        length_hint=int(hint) if hint.isdigit() else 0,
+        length_hint=parse_count(hint) or 0,
         scoring=None
         if scorer is None
         else ScoringCall(
@@ -188,14 +189,14 @@
         job_id: str,
         workspace: str,
     ) -> Iterable[bytes]:
-        after = query_values(environ).get("after", "0")
-        if not (after.isascii() and after.isdigit()):
-            raise RefusalError(400, f"position {after[:40]!r} is not a whole number")
-        wait = environ.get("HTTP_X_WAIT_MS", "0")
-        wait_s = int(wait) / 1000 if wait.isascii() and wait.isdigit() else 0.0
-        outcome = self.jobs.read(job_id, workspace, int(after), min(wait_s, MAX_WAIT_S))
+        text = query_values(environ).get("after", "0")
+        after = parse_count(text)
+        if after is None:
+            raise RefusalError(400, f"position {text[:40]!r} is not a whole number")
+        wait_s = (parse_count(environ.get("HTTP_X_WAIT_MS", "")) or 0) / 1000
+        outcome = self.jobs.read(job_id, workspace, after, min(wait_s, MAX_WAIT_S))
         page = _unwrap_outcome(outcome, job_id)
-        body = _render_page(page, int(after))
+        body = _render_page(page, after)
         start_response(
             "200 OK",
             [
@@ -239,10 +240,10 @@
 
 def _store_timeout_s(environ: dict[str, Any]) -> float:
     """Return the time in seconds to wait for the store."""
-    value = environ.get("HTTP_X_DEADLINE_MS", "")
-    if not (value.isascii() and value.isdigit()):
+    deadline_ms = parse_count(environ.get("HTTP_X_DEADLINE_MS", ""))
+    if deadline_ms is None:
         return DEFAULT_STORE_TIMEOUT_S
-    return max(0.0, int(value) / 1000 - RESPONSE_MARGIN_S)
+    return max(0.0, deadline_ms / 1000 - RESPONSE_MARGIN_S)
 
 
 def _unwrap_outcome(outcome: Any, name: str) -> Any:
--- a/mulberryport/platform/control.py
+++ b/mulberryport/platform/control.py
@@ -19,6 +19,7 @@
 from ..telemetry import log
 from ..weights.load_scheduler import WeightLoad
 from . import names
+from .counts import check_count
 
 __all__ = ["ANNOUNCEMENTS_PREFIX", "ControlCalls", "announced_versions"]
 
@@ -41,7 +42,8 @@
     for key, item in mirror.items.items():
         try:
             values = orjson.loads(item.value)
-            versions[str(values["model"])] = int(values["version"])
+            version = check_count(values["version"], "weight version")
+            versions[str(values["model"])] = version
         except (KeyError, TypeError, ValueError) as error:
             log(ANNOUNCEMENT_SKIPPED, key=key, error=repr(error))
     return versions
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -29,6 +29,7 @@
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool, drain_refusal
 from . import names
+from .counts import parse_count
 from .target_reports import MISDIRECTED_STATUS, belongs_to_request, record_reports
 
 __all__ = ["EngineCalls", "EventParser"]
@@ -96,11 +97,11 @@
                 name, _, value = line.partition(":")
                 value = value.removeprefix(" ")
                 if name == "id":
-                    number = int(value)
+                    number = _require_count(value)
                 elif name == "data":
                     data.append(value)
                 elif line.lower().startswith(VERSION_LINE_PREFIX):
-                    self.version = int(value)
+                    self.version = _require_count(value)
                 elif name not in IGNORED_FIELDS:
                     raise ValueError(f"not a line of an event: {line[:40]!r}")
             if number and data:
@@ -400,7 +401,13 @@
             raise StreamInterruptedError("the body of the score does not end")
 
 
+def _require_count(text: str) -> int:
+    count = parse_count(text)
+    if count is None:
+        raise ValueError(f"not a whole number: {text[:40]!r}")
+    return count
+
+
 def _weight_version(response: urllib3.BaseHTTPResponse) -> int:
     """Return the weight version of the first event; 0 if the head has none."""
-    value = (response.headers.get(names.VERSIONS) or "").strip()
-    return int(value) if value.isdigit() else 0
+    return parse_count(response.headers.get(names.VERSIONS) or "") or 0
--- a/mulberryport/platform/ingress.py
+++ b/mulberryport/platform/ingress.py
@@ -17,6 +17,7 @@
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool
 from . import names
+from .counts import parse_count
 from .target_reports import MISDIRECTED_STATUS, belongs_to_request, record_reports
 
 __all__ = ["make_target_protocol", "platform_dialect"]
@@ -120,12 +121,11 @@
 
 def _allowed_time_s(environ: dict[str, Any], route: Route) -> float:
     """Return the time in seconds that the route and the caller allow."""
-    value = environ.get("HTTP_X_DEADLINE_MS", "")
     # A value other than integer milliseconds is ignored.
-    if not (value.isascii() and value.isdigit()):
+    wanted_ms = parse_count(environ.get("HTTP_X_DEADLINE_MS", ""))
+    if wanted_ms is None:
         return route.timeout
-    wanted_s = int(value) / 1000
-    return max(0.0, min(route.timeout, wanted_s - DEADLINE_MARGIN_S))
+    return max(0.0, min(route.timeout, wanted_ms / 1000 - DEADLINE_MARGIN_S))
 
 
 def _outgoing_request(call: CallerRequest, body: RequestBody) -> OutgoingRequest:
--- a/mulberryport/platform/registrations.py
+++ b/mulberryport/platform/registrations.py
@@ -15,6 +15,7 @@
 from ..targets.vm_list import ListedVm
 from ..telemetry import define as define_event
 from ..telemetry import log
+from .counts import check_address, check_count
 
 __all__ = ["REGISTRATIONS_PREFIX", "Registrations", "decode_registration"]
 
@@ -35,6 +36,9 @@
 STATES = ("ready", "draining")
 # Running targets register again within 2 s after the store recovers.
 REREGISTRATION_TIME_S = 2.5
+# Fits the messages between daemons.
+MAX_UNIX_MS = 2**53
+MAX_SOFTWARE_CHARS = 200
 
 
 def decode_registration(item: Item) -> ListedVm:
@@ -53,20 +57,14 @@
         if not all(isinstance(string, str) for string in strings):
             raise ValueError("a field is not a string")
         service, address, zone = strings
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"invalid address {address!r}")
-        slots = values.get("slots", 0)
-        if type(slots) is not int or slots < 0:
-            raise ValueError(f"invalid number of slots {slots!r}")
         return ListedVm(
             id=item.key.removeprefix(REGISTRATIONS_PREFIX),
-            address=address,
+            address=check_address(address),
             zone=zone,
             pool=service,
             cheap=values.get("spot") is True,
             leaving=values["state"] != "ready",
-            slots=slots,
+            slots=check_count(values.get("slots", 0), "number of slots"),
             versions=_decode_versions(values.get("models") or []),
             born=_decode_born(values.get("born")),
             software=_decode_software(values.get("version")),
@@ -78,26 +76,26 @@
 def _decode_born(value: object) -> int:
     if value is None:
         return 0
-    if type(value) is not int or value < 0:
-        raise ValueError(f"invalid time of the start {value!r}")
+    if type(value) is not int or not 0 <= value <= MAX_UNIX_MS:
+        raise ValueError(f"invalid time of the start {str(value)[:40]!r}")
     return value
 
 
 def _decode_software(value: object) -> str:
     if value is None:
         return ""
-    if type(value) not in (int, float, str):
-        raise ValueError(f"invalid version of the software {value!r}")
+    if type(value) not in (int, float, str) or len(str(value)) > MAX_SOFTWARE_CHARS:
+        raise ValueError(f"invalid version of the software {str(value)[:40]!r}")
     return str(value)
 
 
 def _decode_versions(models: list[dict[str, object]]) -> dict[str, int]:
     versions = {}
     for model in models:
-        name, version = model["name"], model["version"]
-        if not isinstance(name, str) or type(version) is not int:
-            raise ValueError("a model has no valid name or version")
-        versions[name] = version
+        name = model["name"]
+        if not isinstance(name, str):
+            raise ValueError("a model has no valid name")
+        versions[name] = check_count(model["version"], "version of a model")
     return versions
 
 
--- a/mulberryport/platform/target_reports.py
+++ b/mulberryport/platform/target_reports.py
@@ -10,6 +10,7 @@
 from ..telemetry import define as define_event
 from ..telemetry import log
 from . import names
+from .counts import parse_count
 
 __all__ = ["MISDIRECTED_STATUS", "belongs_to_request", "record_reports"]
 
@@ -78,10 +79,9 @@
 def _record_load(
     directory: TargetDirectory, view: TargetView, headers: Mapping[str, str]
 ) -> None:
-    numbers = (headers.get(names.LOAD) or "").split(",")
-    if len(numbers) == 3 and all(number.strip().isdigit() for number in numbers):
-        running, waiting, slots = map(int, numbers)
-        directory.record_load(view.id, LoadReport(running, waiting, slots), boottime())
+    numbers = [parse_count(text) for text in (headers.get(names.LOAD) or "").split(",")]
+    if len(numbers) == 3 and None not in numbers:
+        directory.record_load(view.id, LoadReport(*numbers), boottime())
 
 
 def _record_rate_limit(
--- a/mulberryport/platform/tests/test_decoding.py
+++ b/mulberryport/platform/tests/test_decoding.py
@@ -11,16 +11,21 @@
 from ...gateway.bodies import RequestBody
 from ...gateway.target_protocol import OutgoingRequest, Verdict
 from ...jobs import StreamInterruptedError
+from ...routing import TargetView
 from ...runtime.clock import boottime
 from ...settings import InvalidFileError
 from ...tables import find_key
 from ...targets import TargetDirectory
+from .. import names
 from ..configuration import decode_configuration
+from ..control import announced_versions
+from ..counts import parse_count
 from ..engines import EventParser
 from ..ingress import _classify_response, _send_refusal
 from ..registrations import Registrations, decode_registration
 from ..settings import parse_entry_settings, parse_sections
 from ..storage import StoragePlatform, StorageVm
+from ..target_reports import record_reports
 from .builders import KEY, make_configuration
 
 DEPLOY = Path(__file__).parents[3] / "deploy"
@@ -147,15 +152,78 @@
                 {"models": [{"name": "m", "version": "2"}]},
                 {"models": 3},
                 {"service": None},
+                {"address": "10.0.0.1:0"},
+                {"address": "10.0.0.1:99999"},
+                {"address": "10.0.0.1:" + "9" * 5000},
+                {"address": "10.0.0.1:²"},
+                {"address": "10.0.0.1:٣"},
+                {"address": "10.0.0.1: 80"},
+                {"address": "some.host.example:80"},
+                {"address": "10.0.0.1.7:80"},
+                {"slots": 2**31},
+                {"slots": 1e300},
+                {"slots": True},
+                {"models": [{"name": "m", "version": 2**63}]},
+                {"models": [{"name": "m", "version": -1}]},
+                {"models": {"name": "m"}},
+                {"born": 2**63},
+                {"version": "v" * 1000},
             )
         ),
+        *(
+            orjson.dumps(REGISTRATION)[:-1] + b',"odd":' + odd + b"}"
+            for odd in (b"[" * 100_000, b"[" * 100_000 + b"]" * 100_000, b"1e999")
+        ),
+        *(
+            orjson.dumps(REGISTRATION)[:-1] + b',"slots":' + odd + b"}"
+            for odd in (b"9" * 30, b"-" + b"9" * 30, b"1" * 5000)
+        ),
     ],
 )
 def test_malformed_registrations_are_rejected(value):
+    # Guards against a target that cannot be connected to, a name whose look-up blocks
+    # the process, and numbers that no message between daemons can hold.
     with pytest.raises(ValueError):
         decode_registration(Item("servers/x", value, 1))
 
 
+@pytest.mark.parametrize("text", ["²", "٣", "9" * 5000, "1e9", "-1", "1_0", ""])
+def test_odd_numbers_in_headers_are_none(text):
+    # Guards against a request or a text that fails by an odd number of its target, and
+    # against numbers that stop the heartbeats of a daemon.
+    assert parse_count(text) is None
+    directory, headers = TargetDirectory(), {names.LOAD: f"{text},0,8"}
+    view = TargetView(id="e1", address="a", zone="z", pool="p", kind="k")
+    record_reports(directory, view, None, 0.0, 200, headers)
+    assert directory.get_state("e1") is None
+
+
+def test_an_odd_announcement_keeps_back_no_other():
+    # Guards against weights that no engine gets because of a key of another writer.
+    mirror = Mirror(MemoryStore(), "op/version/")
+    values = {
+        "a": b'{"model": "m", "version": 7}',
+        "b": b'{"model": "n", "version": ' + b"9" * 400 + b"}",
+        "c": b'{"model": "n", "version": 1e300}',
+        "d": b"[" * 100_000,
+        "e": b"[]",
+    }
+    for name, value in values.items():
+        key = f"op/version/{name}"
+        mirror.apply(Change(key, 1, Item(key, value, 1)))
+    assert announced_versions(mirror) == {"m": 7}
+
+
+@pytest.mark.parametrize("part", [b"id: 1_0", b"id: " + b"9" * 20])
+def test_odd_numbers_in_events_are_refused(part):
+    # Guards against results that cannot be encoded.
+    with pytest.raises(ValueError):
+        list(EventParser(3).feed(part + b"\ndata: x\n\n"))
+    with pytest.raises(ValueError):
+        odd = b"x-weight-versions:" + part.partition(b":")[2]
+        list(EventParser(3).feed(odd + b"\nid: 1\ndata: x\n\n"))
+
+
 def test_malformed_registration_removes_only_its_own_target():
     directory = TargetDirectory()
     mirror = Mirror(MemoryStore(), "servers/")
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -8,6 +8,7 @@
 """
 
 import http.client
+import re
 import socket
 from contextlib import closing
 
@@ -23,6 +24,7 @@
 
 __all__ = ["ConnectionPool", "drain_refusal", "has_peer_ended", "is_peer_gone"]
 
+IDLE_TIMEOUT_FORMAT = re.compile(r"[0-9]{1,9}", re.ASCII)
 # Used if the target's response states no keep-alive timeout.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 # A connection is discarded this long before its target would close it.
@@ -222,7 +224,7 @@
 def _idle_timeout_s(keep_alive: str) -> float:
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and IDLE_TIMEOUT_FORMAT.fullmatch(value):
             return float(value) - IDLE_MARGIN_S
     return DEFAULT_IDLE_TIMEOUT_S
 
