Tell the owner of a job of its end for certain

Cause, by reading and by tests: an owner that was told of an end asked the store first. If the store turned it away silently, the call was given up before, and the check with it. The call was sent once, to the owner that the mirror of the caller named, and not at all if the end was repeated.

Change: the call names the revision of the end, and the owner stops without asking. The end is committed under the condition of the owner that is told; calls are repeated. Nothing is sent while live keys are older than 2.6 s and the store serves others.

--- a/mulberryport/coordination/mirror.py
+++ b/mulberryport/coordination/mirror.py
@@ -108,6 +108,7 @@
     _subscribers: list[Subscriber] = field(factory=list)
     _behind_since: float = float("-inf")
     _polled_at: float = field(factory=boottime)
+    _answered_at: float = float("-inf")
     _connected: bool = False
     _disconnected_at: float = float("-inf")
     _connected_at: float = float("-inf")
@@ -153,6 +154,11 @@
         """Seconds since the last request to the store succeeded or failed."""
         return boottime() - self._polled_at
 
+    @property
+    def answered_s_ago(self) -> float:
+        """Seconds since the store, or a provider, answered the last time."""
+        return boottime() - self._answered_at
+
     @property
     def connected_for_s(self) -> float:
         """Seconds since the store answered again after a failure."""
@@ -284,4 +290,4 @@
             log(MIRROR_REGAINED, prefix=self.prefix, revision=self._revision)
             self._connected_at = boottime()
         self._connected = True
-        self._polled_at = boottime()
+        self._polled_at = self._answered_at = boottime()
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -95,6 +95,8 @@
     reacquire : callable
         Tries to reacquire a job that the store does not show as owned by this daemon;
         returns whether that succeeded, as an outcome.
+    may_be_outdated : callable
+        Returns whether the job may have ended without this daemon knowing by now.
     """
 
     repository: JobRepository
@@ -104,6 +106,7 @@
     now: Callable[[], float]
     engine_latencies: EngineLatencyTracker
     reacquire: Callable[[Any], Outcome[bool]]
+    may_be_outdated: Callable[[], bool] = lambda: False
 
 
 class ItemGivenUpError(Exception):
@@ -265,6 +268,7 @@
         with self._assign(work) as assignment:
             self.transcript.software = assignment.software
             try:
+                self._require_up_to_date()
                 with self._watch_replacement(assignment):
                     self.context.engine_client.generate(
                         assignment.view,
@@ -415,6 +419,7 @@
 
     def _call_scorer(self, assignment: Assignment, call: ScoringCall) -> str:
         try:
+            self._require_up_to_date()
             return self.context.engine_client.score(
                 assignment.view, call, SCORING_TIMEOUT_S
             )
@@ -425,5 +430,10 @@
             assignment.succeeded()
             raise
 
+    def _require_up_to_date(self) -> None:
+        """Raise ``NotStartedError`` if the end of the job cannot be ruled out."""
+        if self.context.may_be_outdated():
+            raise NotStartedError("the end of the job cannot be ruled out")
+
     def _log_fields(self) -> dict[str, str]:
         return {"job": self.job.id, "item": self.item.id}
--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ..coordination import Change, Item, Mirror, Session
 from ..membership import Member, Members, rendezvous_order
@@ -12,6 +12,7 @@
 from ..telemetry import log
 from .owned import OwnedJob
 from .repository import (
+    ENDED,
     HEAD_PREFIX,
     OWNER_PREFIX,
     JobHead,
@@ -19,7 +20,7 @@
     decode_head,
 )
 
-__all__ = ["RECOVERY_GRACE_S", "JobRegistry"]
+__all__ = ["RECOVERY_GRACE_S", "JobRegistry", "owner_vm"]
 
 JOB_UNREADABLE = define_event(
     933, "job_unreadable", "error", "The store's record of a batch job is malformed."
@@ -29,6 +30,11 @@
 RECOVERY_GRACE_S = 3.0
 
 
+def owner_vm(item: Item) -> str:
+    """Return the VM that an owner key names."""
+    return item.value.decode().partition(" ")[0]
+
+
 @define(eq=False)
 class JobRegistry:
     """Heads and owners of all jobs, and the jobs that this daemon owns.
@@ -129,7 +135,7 @@
     def owner_vm(self, job_id: str) -> str:
         """Return the VM that owns a job; empty if the job has no owner."""
         item = self.owner_key(job_id)
-        return item.value.decode().partition(" ")[0] if item is not None else ""
+        return owner_vm(item) if item is not None else ""
 
     def previous_owner(self, job_id: str) -> str:
         """Return the last other VM observed as a job's owner, or an empty string."""
@@ -144,6 +150,13 @@
         if owned.is_complete:
             self.on_completed(job_id, owned.committed)
 
+    def record_end(self, job_id: str, revision: int) -> None:
+        """Record the end of a job, before the mirror delivers it, and stop the job."""
+        head = self.heads.get(job_id)
+        if head is not None and head.revision < revision:
+            self.heads[job_id] = evolve(head, state=ENDED, revision=revision)
+        self.remove_owned(job_id, "ended")
+
     def ranked_members(self, key: str) -> list[Member]:
         """Return the members in the order in which they claim a job.
 
--- a/mulberryport/jobs/repository.py
+++ b/mulberryport/jobs/repository.py
@@ -365,12 +365,22 @@
             )
         )
 
-    def end(self, job_id: str, head: JobHead) -> Outcome[Committed | Conflict]:
-        """Mark a job as ended and remove its owner; no further results are accepted."""
-        head_key = HEAD_PREFIX + job_id
+    def end(
+        self, job_id: str, head: JobHead, ownership: int | None = None
+    ) -> Outcome[Committed | Conflict]:
+        """Mark a job as ended and remove its owner; no further results are accepted.
+
+        Parameters
+        ----------
+        ownership : int or None
+            Revision of the owner key that the caller knows, 0 if there is none; another
+            owner is a conflict. None if it does not matter.
+        """
+        head_key, owner_key = HEAD_PREFIX + job_id, OWNER_PREFIX + job_id
+        known_owner = {} if ownership is None else {owner_key: ownership}
         return self.store.commit(
             Transaction(
-                expected={head_key: head.revision},
+                expected={head_key: head.revision} | known_owner,
                 puts=(Put(head_key, _encode_head(evolve(head, state=ENDED))),),
                 removes=(OWNER_PREFIX + job_id,),
             )
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -10,7 +10,7 @@
 import eventlet
 from attrs import define, field
 
-from ..coordination import Conflict, KeyValueStore, Mirror, Session
+from ..coordination import Conflict, Item, KeyValueStore, Mirror, Session
 from ..membership import Members
 from ..outcomes import Done, NotDone, Outcome
 from ..peering import Peers, PeerServer, peer_pb2
@@ -24,8 +24,8 @@
 from .model import Job, JobResult
 from .owned import OwnedJob
 from .reading import JobReader, ResultPage
-from .registry import RECOVERY_GRACE_S, JobRegistry
-from .repository import JobHead, JobRepository
+from .registry import RECOVERY_GRACE_S, JobRegistry, owner_vm
+from .repository import ENDED, JobHead, JobRepository
 from .submission import JobSubmitter
 from .takeover import OwnershipManager
 
@@ -38,8 +38,16 @@
     "warning",
     "Another daemon asked to stop a job that this daemon owns.",
 )
+STOP_UNANSWERED = define_event(
+    938,
+    "job_stop_unanswered",
+    "warning",
+    "The owner of a job did not answer the call that tells it that the job has ended.",
+)
 
 STOP_JOB_TIMEOUT_S = 0.5
+STOP_JOB_ATTEMPTS = 5
+STOP_JOB_RETRY_DELAY_S = 0.1
 # Default time for which jobs are retained after their submission.
 RETENTION_S = 120.0
 
@@ -71,6 +79,9 @@
     recovery_grace_s : float
         Seconds after the store recovers during which a job that is missing from it may
         still be in the journal.
+    may_be_outdated : callable
+        Returns whether a job may have ended without this daemon knowing by now; no item
+        is sent meanwhile.
     """
 
     store: KeyValueStore
@@ -86,6 +97,7 @@
     persist: Callable[[Job], Outcome[bool]] | None = None
     has_store_relays: Callable[[], bool] = lambda: False
     recovery_grace_s: float = RECOVERY_GRACE_S
+    may_be_outdated: Callable[[], bool] = lambda: False
     registry: JobRegistry = field(init=False)
     _repository: JobRepository = field(init=False)
     _submitter: JobSubmitter = field(init=False)
@@ -126,6 +138,7 @@
             now=self.now,
             engine_latencies=EngineLatencyTracker(),
             reacquire=self._ownership_manager.reacquire,
+            may_be_outdated=lambda: self.may_be_outdated(),
         )
 
     def register(self, server: PeerServer) -> None:
@@ -159,23 +172,33 @@
             False if the workspace definitely has no such job.
         """
         found = self.registry.find_head(job_id)
+        owner: Outcome[Item | None] = Done(self.registry.owner_key(job_id))
         while True:
             if not isinstance(found, Done):
                 return found
+            if not isinstance(owner, Done):
+                return owner
             head = found.value
             if head is None or head.workspace != workspace:
                 return Done(False)
+            if head.state == ENDED:
+                # The daemon that ended it may have had no answer, and told nobody.
+                self._stop_everywhere(job_id, head.revision, owner.value)
             if not head.open:
                 return Done(True)
             if not head.revision:
                 return NotDone("the job is not in the store yet")
-            outcome = self._repository.end(job_id, head)
+            # The owner has to be told, so that it must be the present one.
+            ownership = owner.value.revision if owner.value is not None else 0
+            outcome = self._repository.end(job_id, head, ownership)
             if not isinstance(outcome, Done):
                 return outcome
             if not isinstance(outcome.value, Conflict):
-                self._stop_here_and_at_owner(job_id)
+                log(JOB_ENDED, job=job_id)
+                self._stop_everywhere(job_id, outcome.value.revision, owner.value)
                 return Done(True)
             found = self._repository.read_head(job_id)
+            owner = self._repository.read_owner(job_id)
 
     def run_once(self) -> None:
         """Take over orphaned jobs and delete expired ones."""
@@ -227,31 +250,46 @@
         self.registry.owned[job.id] = owned
         owned.start(committed, transcripts)
 
-    def _stop_here_and_at_owner(self, job_id: str) -> None:
-        """Stop an ended job locally and notify its owner without waiting."""
-        log(JOB_ENDED, job=job_id)
-        vm = self.registry.owner_vm(job_id)
-        self.registry.remove_owned(job_id, "ended")
-        if vm and vm != self.registry.vm:
-            request = peer_pb2.StopJobRequest(job=job_id)
-            eventlet.spawn_n(
-                self.peers.call, vm, "StopJob", request, STOP_JOB_TIMEOUT_S
-            )
+    def _stop_everywhere(self, job_id: str, revision: int, owner: Item | None) -> None:
+        """Stop an ended job here, and tell its owners without waiting for them."""
+        self.registry.record_end(job_id, revision)
+        vms = {self.registry.previous_owner(job_id)}
+        if owner is not None:
+            vms.add(owner_vm(owner))
+        for vm in vms - {"", self.registry.vm}:
+            eventlet.spawn_n(self._tell_owner, vm, job_id, revision)
+
+    def _tell_owner(self, vm: str, job_id: str, revision: int) -> None:
+        """Tell an owner that its job has ended; its mirror may be seconds behind."""
+        request = peer_pb2.StopJobRequest(job=job_id, ended_revision=revision)
+        for _ in range(STOP_JOB_ATTEMPTS):
+            outcome = self.peers.call(vm, "StopJob", request, STOP_JOB_TIMEOUT_S)
+            if isinstance(outcome, Done):
+                return
+            eventlet.sleep(STOP_JOB_RETRY_DELAY_S)
+        log(STOP_UNANSWERED, job=job_id, owner=vm, reason=outcome.reason)
 
     def _serve_stop(self, request: peer_pb2.StopJobRequest) -> peer_pb2.Ack:
-        """Stop a job that has ended or that the caller has taken over.
+        """Stop a job that has ended or that the caller has taken over."""
+        if request.ended_revision:
+            self.registry.record_end(request.job, request.ended_revision)
+        elif request.job in self.registry.owned:
+            # The caller may stop waiting, which ends the green thread of its call.
+            owned, sender = self.registry.owned[request.job], request.sender.vm
+            eventlet.spawn(self._stop_unless_certain, owned, sender).wait()
+        return peer_pb2.Ack()
+
+    def _stop_unless_certain(self, owned: OwnedJob, sender: str) -> None:
+        """Stop a job, unless the store shows it as owned in the open session.
 
         The call of a slow daemon can arrive after this one has taken the job over
-        again; a job that the store shows as owned in the open session is not stopped.
+        again.
         """
-        owned = self.registry.owned.get(request.job)
-        if owned is None:
-            return peer_pb2.Ack()
+        job_id = owned.job.id
         if self._is_certain_owner(owned):
-            log(STOP_IGNORED, job=request.job, caller=request.sender.vm)
-        elif self.registry.owned.get(request.job) is owned:
-            self.registry.remove_owned(request.job, f"stopped by {request.sender.vm}")
-        return peer_pb2.Ack()
+            log(STOP_IGNORED, job=job_id, caller=sender)
+        elif self.registry.owned.get(job_id) is owned:
+            self.registry.remove_owned(job_id, f"stopped by {sender}")
 
     def _is_certain_owner(self, owned: OwnedJob) -> bool:
         """Whether the session is open and the store shows its ownership of a job."""
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -90,6 +90,9 @@
 MAX_BEHIND_S = 3.0
 # A watch of the configuration ends within half of this time.
 MAX_WATCH_SILENCE_S = 60.0
+# Items of a job that has ended must not be sent for more than 3 s. A provider answers
+# every 1.5 s, with a margin of 1 s.
+MAX_LIVE_KEYS_AGE_S = 2.6
 SERVING_POLL_INTERVAL_S = 0.1
 QUEUES_PERIOD_S = 0.1
 REQUESTS_PERIOD_S = 0.1
@@ -293,6 +296,14 @@
             permits.apply_reports,
         ]
 
+    def _may_have_missed_ends(self) -> bool:
+        """Whether jobs may have ended without this daemon knowing.
+
+        While the store serves nobody, no job can end.
+        """
+        is_old = self.mirrors.live_keys_age_s() > MAX_LIVE_KEYS_AGE_S
+        return is_old and bool(self.store.relays())
+
     def _add_wall_time(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
         heartbeat.wall = wall_time()
         if peer.zone == self.settings.vm.zone and self.members.is_relay():
@@ -362,6 +373,7 @@
                 self.settings.platform.disk_losses + 1,
             ).persist,
             has_store_relays=lambda: bool(self.store.relays()),
+            may_be_outdated=self._may_have_missed_ends,
         )
         self.jobs.register(self.peer_server)
         batches = BatchInterface(
--- a/mulberryport/platform/mirrors.py
+++ b/mulberryport/platform/mirrors.py
@@ -113,6 +113,17 @@
         for watch in self._watches.values():
             watch.check_provider()
 
+    def live_keys_age_s(self) -> float:
+        """Return for how long the end of a job may have been missed, in seconds.
+
+        A watch of the store itself lasts long. While it is open, the renewals of the
+        session show that the store is reached.
+        """
+        age_s = self.live_keys.answered_s_ago
+        if self._watches[LIVE_PREFIX].distance == 0 and self.store.served_directly:
+            return min(age_s, self.store.answered_s_ago)
+        return age_s
+
     def add_revisions(self, heartbeat: peer_pb2.Heartbeat) -> None:
         """Add the newest revisions that this daemon has seen to a heartbeat."""
         for mirror in self._reliable_mirrors():
--- a/mulberryport/platform/store.py
+++ b/mulberryport/platform/store.py
@@ -98,6 +98,7 @@
     _pool: urllib3.PoolManager = field(init=False)
     _is_directly_reachable: bool = True
     _failed_at: float = float("-inf")
+    _answered_at: float = float("-inf")
     _watch_waits: set[Wait] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -111,6 +112,11 @@
         """Whether the store responded to the last direct call."""
         return self._is_directly_reachable
 
+    @property
+    def answered_s_ago(self) -> float:
+        """Seconds since the store answered a direct call the last time."""
+        return boottime() - self._answered_at
+
     def register(self, server: PeerServer) -> None:
         """Relay the calls of daemons that the store does not serve."""
         server.register("CallStore", self._serve_call)
@@ -260,7 +266,7 @@
         if isinstance(outcome, Done):
             if not self._is_directly_reachable:
                 log(DIRECT_PATH_REGAINED, store=self.address)
-            self._is_directly_reachable = True
+            self._is_directly_reachable, self._answered_at = True, boottime()
         else:
             if self._is_directly_reachable:
                 log(DIRECT_PATH_LOST, store=self.address, reason=outcome.reason)
