Ask the disks before a job is reported as missing

That jobs may be there was considered only after an outage that the reader itself noticed.

Ruled out: a copy of the live keys that is behind; the reader asks the store.

Change: before 404 the reader asks the disks, and then the store again. If the disks that lack the job leave too few that may have confirmed it, and the store lacks it too, it does not exist; otherwise the answer is 503.

--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -50,6 +50,8 @@
     on_completed : callable
         Called with the job id and the results when a locally owned job closes with all
         its results committed.
+    is_journaled : callable
+        Returns whether disks keep a job that the store may lack.
     """
 
     repository: JobRepository
@@ -58,6 +60,7 @@
     members: Members
     recovery_grace_s: float = RECOVERY_GRACE_S
     on_completed: Callable[[str, list[bytes]], None] = lambda job_id, results: None
+    is_journaled: Callable[[str], Outcome[bool]] = lambda job_id: Done(False)
     heads: dict[str, JobHead] = field(factory=dict)
     owned: dict[str, OwnedJob] = field(factory=dict)
     # How many green threads are changing the ownership of a job, by job id.
@@ -112,13 +115,16 @@
         if owned is not None:
             return Done(owned.head)
         found = self.repository.read_head(job_id)
-        if (
-            isinstance(found, Done)
-            and found.value is None
-            and not self._is_store_recovered()
-        ):
+        if not isinstance(found, Done) or found.value is not None:
+            return found
+        if not self._is_store_recovered():
             return NotDone("jobs that only disks keep may not be in the store yet")
-        return found
+        # The store may have turned away the daemon that accepted the job, and no other.
+        journaled = self.is_journaled(job_id)
+        if not isinstance(journaled, Done) or journaled.value:
+            return NotDone("the job may be on disks, and not in the store yet")
+        # A disk may have uploaded the job between both questions.
+        return self.repository.read_head(job_id)
 
     def record_head(self, job_id: str, head: JobHead) -> JobHead:
         """Record a head unless a newer one is known, and return the newest."""
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -82,6 +82,8 @@
     may_be_outdated : callable
         Returns whether a job may have ended without this daemon knowing by now; no item
         is sent meanwhile.
+    is_journaled : callable
+        Returns whether disks keep a job that the store may lack.
     """
 
     store: KeyValueStore
@@ -98,6 +100,7 @@
     has_store_relays: Callable[[], bool] = lambda: False
     recovery_grace_s: float = RECOVERY_GRACE_S
     may_be_outdated: Callable[[], bool] = lambda: False
+    is_journaled: Callable[[str], Outcome[bool]] = lambda job_id: Done(False)
     registry: JobRegistry = field(init=False)
     _repository: JobRepository = field(init=False)
     _submitter: JobSubmitter = field(init=False)
@@ -115,6 +118,7 @@
             self.session,
             self.members,
             self.recovery_grace_s,
+            is_journaled=self.is_journaled,
         )
         self._reader = JobReader(self.registry, self.peers)
         self.registry.on_completed = self._reader.cache_results
--- a/mulberryport/journal/client.py
+++ b/mulberryport/journal/client.py
@@ -22,6 +22,7 @@
 # Below the prefix of live keys, which every daemon mirrors.
 JOURNAL_PREFIX = "mulberryport/live/journal/"
 KEEP_JOB_TIMEOUT_S = 0.8
+HOLDS_JOB_TIMEOUT_S = 0.4
 # Lets a large job pass over a slow link to the disks.
 MIN_TRANSFER_BYTES_PER_S = 4_000_000
 
@@ -96,6 +97,34 @@
             return Unknown(reason)
         return NotDone(reason)
 
+    def holds(self, job_id: str) -> Outcome[bool]:
+        """Return whether a job is kept on disks that the store may lack.
+
+        Returns
+        -------
+        Done of bool, NotDone or Unknown
+            ``Done(False)`` if so many disks lack the job that the others are too few to
+            have confirmed it.
+        """
+        nodes, request = self._known_nodes(), peer_pb2.HoldsJobRequest(id=job_id)
+
+        def ask(node: JournalNode) -> Outcome[bool]:
+            member = Member(node.vm, node.zone, node.address)
+            outcome = self.peers.call_member(
+                member, "HoldsJob", request, HOLDS_JOB_TIMEOUT_S
+            )
+            return Done(outcome.value.held) if isinstance(outcome, Done) else outcome
+
+        replies = list(eventlet.GreenPool().imap(ask, nodes))
+        if Done(True) in replies:
+            return Done(True)
+        lacking = replies.count(Done(False))
+        if len(nodes) - lacking < self.required_copies:
+            return Done(False)
+        return NotDone(
+            f"{lacking} of {len(nodes)} disks say that they lack job {job_id}"
+        )
+
     def _write_to(
         self, node: JournalNode, request: peer_pb2.KeepJobRequest
     ) -> Outcome[bool]:
--- a/mulberryport/journal/file_store.py
+++ b/mulberryport/journal/file_store.py
@@ -66,6 +66,10 @@
             partial_file.unlink(missing_ok=True)
             raise
 
+    def holds(self, job_id: str) -> bool:
+        """Return whether a job is stored."""
+        return self._file_path(job_id).exists()
+
     def delete(self, job_id: str) -> None:
         """Delete a job."""
         self._file_path(job_id).unlink(missing_ok=True)
--- a/mulberryport/journal/service.py
+++ b/mulberryport/journal/service.py
@@ -90,6 +90,7 @@
     def register(self, server: PeerServer) -> None:
         """Register the handlers of peer calls from entry daemons."""
         server.register("KeepJob", self._serve_keep)
+        server.register("HoldsJob", self._serve_holds)
 
     def close(self) -> None:
         """Refuse further jobs, since the disk is about to be removed."""
@@ -152,6 +153,9 @@
             return Upload.DONE
         return result or Upload.FAILED
 
+    def _serve_holds(self, request: peer_pb2.HoldsJobRequest) -> peer_pb2.HoldsJobReply:
+        return peer_pb2.HoldsJobReply(held=self.file_store.holds(request.id))
+
     def _serve_keep(self, request: peer_pb2.KeepJobRequest) -> peer_pb2.KeepJobReply:
         if self._closed or len(self.file_store) >= MAX_JOBS:
             log(JOB_REFUSED, job=request.id, reason="journal is closed or full")
--- a/mulberryport/journal/tests/test_journal.py
+++ b/mulberryport/journal/tests/test_journal.py
@@ -45,10 +45,11 @@
 
     def call_member(self, member, method, request, timeout):
         """Call the journal service of a disk."""
-        assert method == "KeepJob"
         if member.vm in self.lost:
             return NotDone("cannot connect")
-        reply = self.services[member.vm]._serve_keep(request)
+        service = self.services[member.vm]
+        methods = {"KeepJob": service._serve_keep, "HoldsJob": service._serve_holds}
+        reply = methods[method](request)
         return Unknown("silent") if member.vm in self.silent else Done(reply)
 
     def client(self, mirror):
@@ -264,3 +265,65 @@
     disks.client(mirror).persist(make_large_job(8_000_000, "large"))
     assert min(timeouts[3:]) >= max(timeouts[:3]) + 1.9
     mirror.stop()
+
+
+def test_job_that_only_disks_keep_is_not_reported_as_missing(tmp_path):
+    # Guards against 404 for a job that a daemon accepted which the store turned away,
+    # at daemons that the store serves and that noticed no outage.
+    store = MemoryStore()
+    disks = Disks(store, tmp_path)
+    holds = []
+    reader = JobDaemon(store, is_journaled=lambda job: holds[0](job))
+    client = disks.client(reader.mirror)
+    holds.append(client.holds)
+    assert client.persist(make_job()) == Done(True)
+    assert isinstance(reader.jobs.read("job1", "roads", 0, 0.0), NotDone)
+    assert isinstance(reader.jobs.end("job1", "roads"), NotDone)
+    assert reader.jobs.read("none", "roads", 0, 0.0) == Done(None)
+    for service in disks.services.values():
+        service.close()
+        service.upload_jobs()
+    assert reader.jobs.read("job1", "roads", 0, 0.0).value.total == 4
+    reader.die()
+
+
+def test_job_is_reported_as_missing_only_if_too_few_disks_may_have_it(tmp_path):
+    # Guards against 404 because the disks that have the job do not answer.
+    store = MemoryStore()
+    disks = Disks(store, tmp_path)
+    mirror = Mirror(store, LIVE_PREFIX)
+    mirror.start()
+    assert until(lambda: mirror.loaded)
+    client = disks.client(mirror)
+    assert client.holds("job1") == Done(False)
+    disks.lost = {"disk0"}
+    assert client.persist(make_job()) == Done(True)
+    assert client.holds("job1") == Done(True)
+    # Two copies were required: two disks that do not answer may have them.
+    disks.lost = {"disk1", "disk2"}
+    assert isinstance(client.holds("job1"), NotDone)
+    disks.lost = {"disk1"}
+    assert client.holds("job1") == Done(True)
+    assert client.holds("other") == Done(False)
+    mirror.stop()
+
+
+def test_job_that_is_uploaded_meanwhile_is_found(tmp_path):
+    # Guards against 404 for a job that a disk uploads between the question to the store
+    # and that to the disks.
+    store = MemoryStore()
+    disks = Disks(store, tmp_path)
+    holds = []
+    reader = JobDaemon(store, is_journaled=lambda job: holds[0](job))
+    client = disks.client(reader.mirror)
+    assert client.persist(make_job()) == Done(True)
+
+    def upload_first(job_id):
+        for service in disks.services.values():
+            service.close()
+            service.upload_jobs()
+        return client.holds(job_id)
+
+    holds.append(upload_first)
+    assert reader.jobs.read("job1", "roads", 0, 0.0).value.total == 4
+    reader.die()
--- a/mulberryport/peering/proto/peer_grpc.py
+++ b/mulberryport/peering/proto/peer_grpc.py
@@ -70,6 +70,10 @@
     async def KeepJob(self, stream: 'grpclib.server.Stream[peer_pb2.KeepJobRequest, peer_pb2.KeepJobReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def HoldsJob(self, stream: 'grpclib.server.Stream[peer_pb2.HoldsJobRequest, peer_pb2.HoldsJobReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def SubmitJob(self, stream: 'grpclib.server.Stream[peer_pb2.SubmitJobRequest, peer_pb2.SubmitJobReply]') -> None:
         pass
@@ -192,6 +196,12 @@
                 peer_pb2.KeepJobRequest,
                 peer_pb2.KeepJobReply,
             ),
+            '/mulberryport.peer.Peer/HoldsJob': grpclib.const.Handler(
+                self.HoldsJob,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peer_pb2.HoldsJobRequest,
+                peer_pb2.HoldsJobReply,
+            ),
             '/mulberryport.peer.Peer/SubmitJob': grpclib.const.Handler(
                 self.SubmitJob,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -336,6 +346,12 @@
             peer_pb2.KeepJobRequest,
             peer_pb2.KeepJobReply,
         )
+        self.HoldsJob = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mulberryport.peer.Peer/HoldsJob',
+            peer_pb2.HoldsJobRequest,
+            peer_pb2.HoldsJobReply,
+        )
         self.SubmitJob = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mulberryport.peer.Peer/SubmitJob',
--- a/mulberryport/peering/server.py
+++ b/mulberryport/peering/server.py
@@ -166,6 +166,7 @@
     CallStore = _unary_method("CallStore")
     FollowKeys = _unary_method("FollowKeys")
     KeepJob = _unary_method("KeepJob")
+    HoldsJob = _unary_method("HoldsJob")
     SubmitJob = _unary_method("SubmitJob")
     ReadJob = _unary_method("ReadJob")
     StopJob = _unary_method("StopJob")
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -356,6 +356,11 @@
         )
         self.replicator.register(self.peer_server)
         engine_calls = EngineCalls(self.directory, self.connections)
+        journal = JournalClient(
+            self.mirrors.live_keys,
+            self.peers,
+            self.settings.platform.disk_losses + 1,
+        )
         self.jobs = JobService(
             self.store,
             self.mirrors.live_keys,
@@ -367,13 +372,10 @@
             EngineClient(generate=engine_calls.generate, score=engine_calls.score),
             self.clock.now,
             self.settings.platform.retention,
-            JournalClient(
-                self.mirrors.live_keys,
-                self.peers,
-                self.settings.platform.disk_losses + 1,
-            ).persist,
+            journal.persist,
             has_store_relays=lambda: bool(self.store.relays()),
             may_be_outdated=self._may_have_missed_ends,
+            is_journaled=journal.holds,
         )
         self.jobs.register(self.peer_server)
         batches = BatchInterface(
