Keep the outcome of a job's creation through peers that got no answer

If a job was sent to the store by way of a peer without an answer, and neither the disks nor the store could be reached after that, it was refused as not run although the peer may have created it (found by reading in the review).

Cause: _try_submit_locally dropped the unknown outcome.

Evidence: the new test of submissions failed before.

--- a/mulberryport/jobs/submission.py
+++ b/mulberryport/jobs/submission.py
@@ -199,10 +199,11 @@
                 relayed = self._create_through_relays(job)
                 if isinstance(relayed, Done):
                     return relayed
+                uncertain = relayed if isinstance(relayed, Unknown) else None
             journaled = self._accept_into_journal(job)
             if isinstance(journaled, Done):
                 return journaled
-            uncertain = journaled if isinstance(journaled, Unknown) else None
+            uncertain = journaled if isinstance(journaled, Unknown) else uncertain
         outcome = self._create_in_store(job)
         if isinstance(outcome, NotDone) and uncertain is not None:
             return uncertain
--- a/mulberryport/jobs/tests/test_submission.py
+++ b/mulberryport/jobs/tests/test_submission.py
@@ -3,12 +3,19 @@
 import pytest
 from attrs import define
 
-from ...outcomes import Done, NotDone
+from ...outcomes import Done, NotDone, Unknown
 from ...peering import peer_pb2
 from ...runtime.clock import boottime
 from ..codec import encode_job
 from ..repository import MAX_ID_BYTES, MAX_RECORD_BYTES, RecordTooLargeError
-from .builders import JobDaemon, MemoryStore, make_job, make_large_job, until
+from .builders import (
+    JobDaemon,
+    LateStore,
+    MemoryStore,
+    make_job,
+    make_large_job,
+    until,
+)
 from .test_service import deadline_in
 
 
@@ -103,3 +110,31 @@
     assert isinstance(created, Done)
     assert daemon.jobs.registry.repository.read_job("job1") == Done(job)
     daemon.die()
+
+
+def test_a_job_that_a_peer_may_have_created_is_not_refused_as_not_run():
+    # Guards against a false promise: the call by way of a peer had no answer in time,
+    # and after it neither the disks nor the store could be reached.
+    store = MemoryStore()
+    connection = LateStore(store)
+    watch = CutWatch(store)
+    daemon = JobDaemon(
+        connection,
+        mirrored=watch,
+        persist=lambda job: NotDone("no disk"),
+        has_store_relays=lambda: not connection.late,
+    )
+    watch.is_cut = True
+    assert until(lambda: not daemon.mirror.connected)
+
+    def lose_answer(transaction):
+        if not any("/job/" in put.key for put in transaction.puts):
+            return False
+        store.down = True
+        connection.is_late = lambda transaction: False
+        return True
+
+    connection.is_late = lose_answer
+    outcome = daemon.jobs.submit(make_job(), deadline_in(1.0))
+    assert isinstance(outcome, Unknown)
+    daemon.die()
