Reserve the ports that test programs choose

Three runs of parts of the test suite side by side: a test submitted a job to a daemon that had not started, because the readiness that it had seen was the answer of another run's daemon (its own daemon's log was empty). A program that chose a port did not know of those that others had chosen and not yet bound.

Change: a chosen port is locked in a file that all test programs share. Evidence: the new test draws from 40 ports in two programs.

--- a/mulberryport/standins/fleet.py
+++ b/mulberryport/standins/fleet.py
@@ -4,14 +4,17 @@
 the fleet starts, pauses, kills and stops. Settings and logs are in one folder.
 """
 
+import fcntl
 import os
 import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable, Sequence
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -31,12 +34,18 @@
 # choice and its use.
 FREE_PORTS = range(10_000, 32_768)
 
+# Each program that chose a port holds a lock on the byte of that number, until it ends.
+RESERVATIONS_FILE = Path(tempfile.gettempdir()) / f"mulberryport-ports-{os.getuid()}"
+
 _given_ports: set[int] = set()
 
 
 def find_free_address() -> str:
     """Return a loopback address whose port is free and was not returned before.
 
+    Programs that use this function at the same time get different ports, also between
+    the choice of a port and its use.
+
     Raises
     ------
     OSError
@@ -51,11 +60,28 @@
             except OSError:
                 # Another process uses the port.
                 continue
-            _given_ports.add(port)
-            return f"127.0.0.1:{port}"
+            if _reserve(port):
+                return f"127.0.0.1:{port}"
     raise OSError("no free port is left")
 
 
+def _reserve(port: int) -> bool:
+    """Reserve a port against other programs that choose one; return whether it is."""
+    try:
+        fcntl.lockf(_open_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        # Another program holds the lock.
+        return False
+    _given_ports.add(port)
+    return True
+
+
+@cache
+def _open_reservations() -> int:
+    """Open the file of reservations; closing it would give them up."""
+    return os.open(RESERVATIONS_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+
+
 def wait_until(condition: Callable[[], Any], timeout: float, description: str) -> Any:
     """Poll a condition and return its first true value.
 
--- a/mulberryport/standins/tests/test_fleet.py
+++ b/mulberryport/standins/tests/test_fleet.py
@@ -1,7 +1,10 @@
 """Tests of the fleet of local processes."""
 
 import socket
+import subprocess
+import sys
 
+from .. import fleet
 from ..fleet import FREE_PORTS, find_free_address
 
 
@@ -15,3 +18,25 @@
         connection.bind(("127.0.0.1", 0))
         assert connection.getsockname()[1] not in FREE_PORTS
     assert all(port in FREE_PORTS for port in ports)
+
+
+def test_programs_that_choose_ports_at_the_same_time_get_different_ones(monkeypatch):
+    # Guards against a daemon that cannot bind its port, or is taken for ready by the
+    # answer of another program's daemon, because two programs drew the same port.
+    monkeypatch.setattr(fleet, "FREE_PORTS", range(31_000, 31_040))
+    script = (
+        "from mulberryport.standins import fleet\n"
+        "fleet.FREE_PORTS = range(31_000, 31_040)\n"
+        "print(*[fleet.find_free_address() for _ in range(15)], flush=True)\n"
+        "input()\n"
+    )
+    with subprocess.Popen(
+        [sys.executable, "-c", script],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as other:
+        theirs = set(other.stdout.readline().split())
+        ours = {find_free_address() for _ in range(15)}
+        other.communicate("\n")
+    assert len(theirs) == len(ours) == 15 and not theirs & ours
