Let no job on a disk keep back the others, whatever its failure

A job whose head in the store is malformed looks like a store that does not answer, and ended the run of uploads at the same job each time.

Change: the job that was tried last comes last. Fields of registrations have 200 characters at most, so that one entry cannot fill the logs.

--- a/mulberryport/journal/file_store.py
+++ b/mulberryport/journal/file_store.py
@@ -7,6 +7,7 @@
 import os
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import xxhash
 from attrs import define
@@ -75,13 +76,23 @@
         self._file_path(job_id).unlink(missing_ok=True)
 
     def jobs(
-        self, is_wanted: Callable[[Path], bool] = lambda file: True
+        self,
+        is_wanted: Callable[[Path], bool] = lambda file: True,
+        order: Callable[[Path], Any] | None = None,
     ) -> Iterator[tuple[Path, bytes]]:
         """Yield the path and content of each wanted job, deleting torn files.
 
         Only one job is in memory at a time.
+
+        Parameters
+        ----------
+        is_wanted : callable
+            Returns whether to yield the job in a file.
+        order : callable or None
+            Returns the key of a file to sort by; None to sort by name.
         """
-        for file in filter(is_wanted, sorted(self.path.glob(f"*{SUFFIX}"))):
+        files = sorted(self.path.glob(f"*{SUFFIX}"), key=order)
+        for file in filter(is_wanted, files):
             stored = file.read_bytes()
             content = stored[DIGEST_BYTES:]
             if stored[:DIGEST_BYTES] == xxhash.xxh3_128_digest(content):
--- a/mulberryport/journal/service.py
+++ b/mulberryport/journal/service.py
@@ -49,12 +49,12 @@
 MAX_JOBS = 512
 
 
-class Upload(Enum):
+class UploadResult(Enum):
     """Result of an attempt to upload a job."""
 
     DONE = auto()
     FAILED = auto()
-    STORE_SILENT = auto()
+    NO_ANSWER = auto()
 
 
 @define(eq=False)
@@ -80,6 +80,7 @@
     _first_seen_at: dict[str, float] = field(factory=dict)
     # Why the last attempt to upload a job failed, by file name.
     _failures: dict[str, str] = field(factory=dict)
+    _last_tries: dict[str, float] = field(factory=dict)
     _closed: bool = False
 
     @property
@@ -99,15 +100,18 @@
     def upload_jobs(self) -> None:
         """Upload journaled jobs to the store, until it does not answer.
 
-        A job that cannot be uploaded keeps back none of the others.
+        A job that cannot be uploaded keeps back none of the others: the one that was
+        tried last comes last.
         """
-        for file, content in self.file_store.jobs(self._is_due):
+        for file, content in self.file_store.jobs(self._is_due, self._tried_at):
+            self._last_tries[file.name] = boottime()
             match self._upload(file.name, content):
-                case Upload.DONE:
+                case UploadResult.DONE:
                     file.unlink(missing_ok=True)
                     self._first_seen_at.pop(file.name, None)
                     self._failures.pop(file.name, None)
-                case Upload.STORE_SILENT:
+                    self._last_tries.pop(file.name, None)
+                case UploadResult.NO_ANSWER:
                     return
 
     def _is_due(self, file: Path) -> bool:
@@ -115,43 +119,46 @@
         first_seen_at = self._first_seen_at.setdefault(file.name, boottime())
         return boottime() - first_seen_at >= UPLOAD_DELAY_S or self._closed
 
-    def _upload(self, name: str, content: bytes) -> "Upload":
+    def _tried_at(self, file: Path) -> tuple[float, str]:
+        """Return when the upload of a job was tried last, as a key to sort by."""
+        return self._last_tries.get(file.name, float("-inf")), file.name
+
+    def _upload(self, name: str, content: bytes) -> UploadResult:
         """Ensure that the store has a job."""
         try:
             job = decode_job(content)
         except ValueError as error:
             # A later build may read it.
-            return self._keep_failed(name, "", str(error))
+            return self._keep_or_drop(name, "", str(error))
         head = self.repository.read_head(job.id)
         if not isinstance(head, Done):
-            return self._keep_failed(name, job.id, head.reason, Upload.STORE_SILENT)
+            self._record_failure(name, job.id, head.reason)
+            return UploadResult.NO_ANSWER
         if head.value is not None:
-            return Upload.DONE
+            return UploadResult.DONE
         if self.now() - job.submitted_at > self.retention:
             log(JOB_DROPPED, job=job.id, error="older than the retention period")
-            return Upload.DONE
+            return UploadResult.DONE
         outcome = self.repository.create(job, "", 0)
         if not isinstance(outcome, Done):
-            return self._keep_failed(name, job.id, outcome.reason)
+            return self._keep_or_drop(name, job.id, outcome.reason)
         if not isinstance(outcome.value, Conflict):
             log(JOB_BROUGHT, job=job.id)
-        return Upload.DONE
-
-    def _keep_failed(
-        self,
-        name: str,
-        job_id: str,
-        reason: str,
-        result: "Upload | None" = None,
-    ) -> "Upload":
-        """Keep a job that could not be uploaded, until the end of its retention."""
+        return UploadResult.DONE
+
+    def _record_failure(self, name: str, job_id: str, reason: str) -> None:
+        """Log why a job could not be uploaded, unless it is known."""
         if self._failures.get(name) != reason:
             log(JOB_NOT_BROUGHT, job=job_id, file=name, reason=reason)
             self._failures[name] = reason
-        if result is None and boottime() - self._first_seen_at[name] > self.retention:
-            log(JOB_DROPPED, job=job_id, file=name, error=reason)
-            return Upload.DONE
-        return result or Upload.FAILED
+
+    def _keep_or_drop(self, name: str, job_id: str, reason: str) -> UploadResult:
+        """Keep a job that cannot be uploaded, until the end of its retention."""
+        self._record_failure(name, job_id, reason)
+        if boottime() - self._first_seen_at[name] <= self.retention:
+            return UploadResult.FAILED
+        log(JOB_DROPPED, job=job_id, file=name, error=reason)
+        return UploadResult.DONE
 
     def _serve_holds(self, request: peer_pb2.HoldsJobRequest) -> peer_pb2.HoldsJobReply:
         return peer_pb2.HoldsJobReply(held=self.file_store.holds(request.id))
--- a/mulberryport/journal/tests/test_journal.py
+++ b/mulberryport/journal/tests/test_journal.py
@@ -327,3 +327,20 @@
     holds.append(upload_first)
     assert reader.jobs.read("job1", "roads", 0, 0.0).value.total == 4
     reader.die()
+
+
+def test_a_job_whose_head_cannot_be_read_keeps_back_no_other(tmp_path):
+    # Guards against jobs that stay on the disk behind one whose record in the store is
+    # malformed, which looks like a store that does not answer.
+    store = MemoryStore()
+    service = Disks(store, tmp_path, 1).services["disk0"]
+    jobs = [make_job(f"job{n}") for n in range(6)]
+    assert all(keep(service, job) for job in jobs)
+    for number in range(3):
+        store.write(f"{HEAD_PREFIX}job{number}", b"?")
+    service.close()
+    for _ in range(4):
+        service.upload_jobs()
+    uploaded = {key for key in store.items if key.startswith(HEAD_PREFIX)}
+    assert {f"{HEAD_PREFIX}job{n}" for n in range(3, 6)} <= uploaded
+    assert len(service.file_store) == 3
--- a/mulberryport/platform/registrations.py
+++ b/mulberryport/platform/registrations.py
@@ -38,7 +38,8 @@
 REREGISTRATION_TIME_S = 2.5
 # Fits the messages between daemons.
 MAX_UNIX_MS = 2**53
-MAX_SOFTWARE_CHARS = 200
+# Longer texts would fill the logs.
+MAX_TEXT_CHARS = 200
 
 
 def decode_registration(item: Item) -> ListedVm:
@@ -56,6 +57,8 @@
         strings = [values[name] for name in ("service", "address", "zone")]
         if not all(isinstance(string, str) for string in strings):
             raise ValueError("a field is not a string")
+        if max(map(len, strings)) > MAX_TEXT_CHARS:
+            raise ValueError("a field is too long")
         service, address, zone = strings
         return ListedVm(
             id=item.key.removeprefix(REGISTRATIONS_PREFIX),
@@ -84,7 +87,7 @@
 def _decode_software(value: object) -> str:
     if value is None:
         return ""
-    if type(value) not in (int, float, str) or len(str(value)) > MAX_SOFTWARE_CHARS:
+    if type(value) not in (int, float, str) or len(str(value)) > MAX_TEXT_CHARS:
         raise ValueError(f"invalid version of the software {str(value)[:40]!r}")
     return str(value)
 
--- a/mulberryport/platform/tests/test_decoding.py
+++ b/mulberryport/platform/tests/test_decoding.py
@@ -168,6 +168,8 @@
                 {"models": {"name": "m"}},
                 {"born": 2**63},
                 {"version": "v" * 1000},
+                {"zone": "z" * 1000},
+                {"service": "s" * 1000},
             )
         ),
         *(
