Withhold items only while the store serves other daemons

The check that withholds items on old live keys asked whether a daemon claims that it can read the store. Daemons that make no calls claim so through an outage of the whole store, in which no job can end: texts would have stopped.

Change: heartbeats say when the store answered their sender; items are withheld if that is more than 2.2 s later than the last update of the live keys.

Evidence: the new test of the entry daemon.

--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -91,8 +91,8 @@
 # A watch of the configuration ends within half of this time.
 MAX_WATCH_SILENCE_S = 60.0
 # Items of a job that has ended must not be sent for more than 3 s. A provider answers
-# every 1.5 s, with a margin of 1 s.
-MAX_LIVE_KEYS_AGE_S = 2.6
+# every 1.5 s, and changes are combined for 0.4 s.
+MAX_LIVE_KEYS_LAG_S = 2.2
 SERVING_POLL_INTERVAL_S = 0.1
 QUEUES_PERIOD_S = 0.1
 REQUESTS_PERIOD_S = 0.1
@@ -151,6 +151,7 @@
     gateway: Gateway = field(init=False)
     caller_server: CallerServer = field(init=False)
     _duties: ControlDuties = field(init=False)
+    _store_relays: StoreRelays = field(init=False)
     _log_sink: LogSink = field(factory=lambda: LogSink(sys.stdout.fileno()))
     _stopping: bool = False
     _last_ready: bool = False
@@ -254,7 +255,7 @@
             if seed.peer_address != vm.peer_address:
                 self.members.add_seed(seed.vm, seed.zone, seed.peer_address)
         self.store = PlatformStore(self.settings.platform.store)
-        store_relays = StoreRelays(self.store, self.members)
+        self._store_relays = store_relays = StoreRelays(self.store, self.members)
         heartbeats = Heartbeats(self.members, self.snapshot_holder, store_relays)
         self.peers = Peers(
             self.members,
@@ -301,8 +302,8 @@
 
         While the store serves nobody, no job can end.
         """
-        is_old = self.mirrors.live_keys_age_s() > MAX_LIVE_KEYS_AGE_S
-        return is_old and bool(self.store.relays())
+        updated_at = boottime() - self.mirrors.live_keys_age_s()
+        return self._store_relays.peers_answered_at > updated_at + MAX_LIVE_KEYS_LAG_S
 
     def _add_wall_time(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
         heartbeat.wall = wall_time()
--- a/mulberryport/platform/relays.py
+++ b/mulberryport/platform/relays.py
@@ -1,5 +1,7 @@
 """Peers that can relay calls to the store, according to their heartbeats."""
 
+import math
+
 from attrs import define, field
 
 from ..membership import Member, Members
@@ -14,6 +16,8 @@
 # Relays that are reported to a member, so that it finds one if the relays of its zone
 # cannot reach the store either.
 MAX_REPORTED_RELAYS = 4
+# An age of 0 means that the store never answered.
+MIN_AGE_S = 0.001
 
 
 @define(eq=False)
@@ -25,6 +29,12 @@
     _reported_at: dict[str, float] = field(factory=dict)
     # Only members that reported it of themselves; others are not passed on.
     _heard_at: dict[str, float] = field(factory=dict)
+    _peers_answered_at: float = float("-inf")
+
+    @property
+    def peers_answered_at(self) -> float:
+        """Boot time at which the store answered another daemon, as far as known."""
+        return self._peers_answered_at
 
     @property
     def store_readable(self) -> bool:
@@ -34,6 +44,9 @@
     def apply_heartbeat(self, heartbeat: peer_pb2.Heartbeat) -> None:
         """Record whether the store responds to the sender of a heartbeat."""
         vm, now = heartbeat.sender.vm, boottime()
+        if heartbeat.store_answer_age > 0:
+            answered_at = now - heartbeat.store_answer_age
+            self._peers_answered_at = max(self._peers_answered_at, answered_at)
         for relay in heartbeat.store_relays:
             if relay != self.members.self_member.vm:
                 self._reported_at[relay] = now
@@ -44,8 +57,13 @@
             self._heard_at.pop(vm, None)
 
     def add_relays(self, heartbeat: peer_pb2.Heartbeat, peer: Member) -> None:
-        """Add members that can relay calls to a heartbeat for a peer of this zone."""
+        """Add to a heartbeat when the store answered, and members that can relay calls.
+
+        The members are added for a peer of this zone.
+        """
         now = boottime()
+        if self.store.answered_s_ago < math.inf:
+            heartbeat.store_answer_age = max(MIN_AGE_S, self.store.answered_s_ago)
         if peer.zone == self.members.self_member.zone:
             heartbeat.store_relays.extend(
                 vm
--- a/mulberryport/platform/tests/test_daemon.py
+++ b/mulberryport/platform/tests/test_daemon.py
@@ -1,6 +1,9 @@
 """Tests of the components of an entry daemon that is not started."""
 
+import pytest
+
 from ...membership.tests.builders import member_of
+from ...peering import peer_pb2
 from ...quarantine.tests.builders import (
     IDENTITY,
     OTHER_IDENTITY,
@@ -67,3 +70,30 @@
     assert not daemon.not_ready_reasons()
     mirror._polled_at -= MAX_WATCH_SILENCE_S
     assert daemon.not_ready_reasons() == ["the configuration is not followed"]
+
+
+@pytest.mark.parametrize(("age_s", "is_withheld"), [(0.2, True), (9.0, False)])
+def test_items_are_withheld_only_while_the_store_serves_others(age_s, is_withheld):
+    # Guards against items of a job that others have ended, and against an outage of the
+    # whole store, in which no job can end, that stops the generation of texts.
+    daemon = make_daemon()
+    daemon.mirrors.live_keys._answered_at = boottime() - 10.0
+    daemon.store._answered_at = boottime() - 10.0
+    heartbeat = peer_pb2.Heartbeat(store_readable=True, store_answer_age=age_s)
+    heartbeat.sender.vm = "vm2"
+    daemon._store_relays.apply_heartbeat(heartbeat)
+    assert daemon.jobs.may_be_outdated() is is_withheld
+    daemon.mirrors.live_keys._answered_at = boottime()
+    assert not daemon.jobs.may_be_outdated()
+
+
+def test_heartbeats_tell_when_the_store_answered():
+    # Guards against a daemon that takes one which makes no calls for one that the
+    # store serves.
+    daemon, other = make_daemon(), make_daemon()
+    assert not daemon.peers.make_heartbeat(member_of(1, 1), None)[0].store_answer_age
+    daemon.store._answered_at = boottime() - 3.0
+    heartbeat, _ = daemon.peers.make_heartbeat(member_of(1, 1), None)
+    heartbeat.sender.vm = "vm2"
+    other.peers.on_heartbeat(heartbeat)
+    assert 2.9 < boottime() - other._store_relays.peers_answered_at < 4.0
