Take a watch of the store for as old as the last answer of the store

Cause: once the path was lost, the age of the live keys was that of the last change that the watch had delivered, also if the watch had been open and the store had answered other calls since.

Change: the last answer counts while the daemon watches the store. An item that is withheld waits and logs it once (939), and not each 50 ms.

Evidence: the new test of the entry daemon.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -54,6 +54,13 @@
     "the one under which its job was accepted.",
 )
 
+ITEM_WITHHELD = define_event(
+    939,
+    "item_withheld",
+    "warning",
+    "An item waits, because its job may have ended without this daemon knowing.",
+)
+
 ITEM_RESTARTED = define_event(
     929,
     "item_restarted",
@@ -171,6 +178,7 @@
         ItemGivenUpError
             The item is to be committed as errored.
         """
+        self._wait_until_up_to_date()
         route = self._find_route(self.item.path, self.job.host, batch=True)
         self._check_limits(route)
         try:
@@ -388,6 +396,7 @@
         failures = 0
         excluded_targets: frozenset[str] = frozenset()
         while True:
+            self._wait_until_up_to_date()
             route = self._find_route(call.path, call.host)
             if failures >= route.attempts:
                 raise ItemGivenUpError(f"attempts: {failures} scoring calls failed")
@@ -430,6 +439,14 @@
             assignment.succeeded()
             raise
 
+    def _wait_until_up_to_date(self) -> None:
+        """Wait until the end of the job can be ruled out."""
+        if not self.context.may_be_outdated():
+            return
+        log(ITEM_WITHHELD, **self._log_fields())
+        while self.context.may_be_outdated():
+            eventlet.sleep(RETRY_DELAY_S)
+
     def _require_up_to_date(self) -> None:
         """Raise ``NotStartedError`` if the end of the job cannot be ruled out."""
         if self.context.may_be_outdated():
--- a/mulberryport/platform/mirrors.py
+++ b/mulberryport/platform/mirrors.py
@@ -116,13 +116,12 @@
     def live_keys_age_s(self) -> float:
         """Return for how long the end of a job may have been missed, in seconds.
 
-        A watch of the store itself lasts long. While it is open, the renewals of the
-        session show that the store is reached.
+        A watch of the store itself lasts long. While it is open, the answers to other
+        calls, such as the renewals of the session, show that the store is reached.
         """
         age_s = self.live_keys.answered_s_ago
-        if self._watches[LIVE_PREFIX].distance == 0 and self.store.served_directly:
-            return min(age_s, self.store.answered_s_ago)
-        return age_s
+        watches_store = self._watches[LIVE_PREFIX].distance == 0
+        return min(age_s, self.store.answered_s_ago) if watches_store else age_s
 
     def add_revisions(self, heartbeat: peer_pb2.Heartbeat) -> None:
         """Add the newest revisions that this daemon has seen to a heartbeat."""
--- a/mulberryport/platform/tests/test_daemon.py
+++ b/mulberryport/platform/tests/test_daemon.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ...jobs.repository import LIVE_PREFIX
 from ...membership.tests.builders import member_of
 from ...peering import peer_pb2
 from ...quarantine.tests.builders import (
@@ -97,3 +98,20 @@
     heartbeat.sender.vm = "vm2"
     other.peers.on_heartbeat(heartbeat)
     assert 2.9 < boottime() - other._store_relays.peers_answered_at < 4.0
+
+
+def test_a_watch_of_the_store_is_as_old_as_the_last_answer_of_the_store():
+    # Guards against texts and scores that stop in an outage of the whole store at the
+    # daemons that watch it: their watch had been open for long without a change.
+    daemon = make_daemon()
+    daemon.mirrors.watches[LIVE_PREFIX]._distance = 0
+    daemon.mirrors.live_keys._answered_at = boottime() - 20.0
+    daemon.store._answered_at = boottime() - 4.0
+    daemon.store._is_directly_reachable = False
+    heartbeat = peer_pb2.Heartbeat(store_readable=True, store_answer_age=3.0)
+    heartbeat.sender.vm = "vm2"
+    daemon._store_relays.apply_heartbeat(heartbeat)
+    assert not daemon.jobs.may_be_outdated()
+    heartbeat.store_answer_age = 0.5
+    daemon._store_relays.apply_heartbeat(heartbeat)
+    assert daemon.jobs.may_be_outdated()
