--- a/mulberryport/standins/tests/test_fleet.py
+++ b/mulberryport/standins/tests/test_fleet.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from .. import fleet
 from ..fleet import FREE_PORTS, find_free_address
 
@@ -20,12 +22,25 @@
     assert all(port in FREE_PORTS for port in ports)
 
 
-def test_programs_that_choose_ports_at_the_same_time_get_different_ones(monkeypatch):
+@pytest.fixture
+def reservations(tmp_path, monkeypatch):
+    """Keep the reservations of a test apart from those of other programs."""
+    file = tmp_path / "reservations"
+    monkeypatch.setattr(fleet, "RESERVATIONS_FILE", file)
+    fleet._open_reservations.cache_clear()
+    yield file
+    fleet._open_reservations.cache_clear()
+
+
+def test_programs_that_choose_ports_at_the_same_time_get_different_ones(
+    monkeypatch, reservations
+):
     # Guards against a daemon that cannot bind its port, or is taken for ready by the
     # answer of another program's daemon, because two programs drew the same port.
     monkeypatch.setattr(fleet, "FREE_PORTS", range(31_000, 31_040))
     script = (
         "from mulberryport.standins import fleet\n"
+        f"fleet.RESERVATIONS_FILE = {str(reservations)!r}\n"
         "fleet.FREE_PORTS = range(31_000, 31_040)\n"
         "print(*[fleet.find_free_address() for _ in range(15)], flush=True)\n"
         "input()\n"
