Do less on the paths of results, requests and response heads

Read as a newcomer: each result was encoded up to four times (check of its size, size of a batch, commit, cache); the durations of a route were searched at each request although they only matter in a planned stop; each line of a response's head asked for the processor's turn although a head is bounded.

Change: sizes come from a bound on the text that needs no encoding, and only a text that may be too long is encoded for the check. The two others are left out where they cannot matter.

--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -221,12 +221,18 @@
         call = CallerRequest(environ, start_response, active, access, is_secret)
         if route.batch is not None and self.dialect.submit is not None:
             return self.dialect.submit(call)
-        if self._durations.longest_s(route.name) > self._ends_at - boottime():
+        if self._may_outlast_stop(route.name):
             raise RefusalError(503, "this daemon stops before the request may end")
         if self._serves_generation(route, tables):
             return self._generate(call)
         return self._forward(call)
 
+    def _may_outlast_stop(self, route: str) -> bool:
+        """Whether a planned stop may abort a request of a route that begins now."""
+        if self._ends_at == float("inf"):
+            return False
+        return self._durations.longest_s(route) > self._ends_at - boottime()
+
     def _authorize(
         self, environ: dict[str, Any], tables: Tables
     ) -> tuple[Access, str | None]:
--- a/mulberryport/jobs/codec.py
+++ b/mulberryport/jobs/codec.py
@@ -18,8 +18,14 @@
     "encode_result",
     "encode_results",
     "encode_transcripts",
+    "max_encoded_bytes",
 ]
 
+# A control character becomes an escape sequence of this length.
+MAX_BYTES_PER_CHAR = 6
+# Covers the state, the punctuation and a usual list of versions.
+RESULT_OVERHEAD_BYTES = 1024
+
 # Fields that are encoded as they are.
 JOB_FIELDS = tuple(a.name for a in fields(Job) if a.name != "items")
 
@@ -68,6 +74,20 @@
     return bytes(memoryview(encoded))
 
 
+def max_encoded_bytes(result: JobResult) -> int:
+    r"""Return a bound on the encoded size of a result, without encoding it.
+
+    Examples
+    --------
+    >>> result = JobResult("a", "completed", "\x01" * 10)
+    >>> max_encoded_bytes(result) >= len(encode_result(result))
+    True
+    """
+    chars = len(result.id) + len(result.text) + len(result.score)
+    versions = len(result.versions) * (len(str(2**31)) + 1)
+    return chars * MAX_BYTES_PER_CHAR + versions + RESULT_OVERHEAD_BYTES
+
+
 def decode_result(content: bytes) -> JobResult:
     """Decode a result.
 
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -16,7 +16,7 @@
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
 from ..telemetry import log
-from .codec import encode_result
+from .codec import encode_result, max_encoded_bytes
 from .engine_latency import EngineLatencyTracker
 from .generation import (
     EngineClient,
@@ -197,7 +197,8 @@
             score,
         )
         # The store would refuse it each time, and with it all later results.
-        if len(encode_result(result)) > CHUNK_BYTES:
+        may_be_too_long = max_encoded_bytes(result) > CHUNK_BYTES
+        if may_be_too_long and len(encode_result(result)) > CHUNK_BYTES:
             self._restart("the text is too long for the store")
             raise StreamInterruptedError("the text is too long for the store")
         return result
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -17,7 +17,7 @@
 from ..runtime.waits import supervise
 from ..telemetry import define as define_event
 from ..telemetry import log
-from .codec import encode_result
+from .codec import encode_result, max_encoded_bytes
 from .generation import Transcript
 from .items import ItemTask, JobContext
 from .model import Job, JobItem, JobResult
@@ -231,7 +231,7 @@
         batch: list[JobResult] = []
         size = 0
         for result in self._pending:
-            size += len(encode_result(result))
+            size += max_encoded_bytes(result)
             if batch and size > MAX_COMMIT_BYTES:
                 break
             batch.append(result)
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -65,7 +65,6 @@
         self._size += len(line)
         if self._size > MAX_HEAD_BYTES:
             raise http.client.LineTooLong("head")
-        yield_if_due()
         return line
 
     def close(self) -> None:
