Forget software versions that left long ago

The directory kept each software version that any target ever had, so that its memory grew with each release. It keeps them for 600 s; take-ups of streams ask for the last 150 s. The new test failed before.

--- a/mulberryport/streams/tests/test_origins.py
+++ b/mulberryport/streams/tests/test_origins.py
@@ -11,7 +11,7 @@
 from ...outcomes import Done, NotDone
 from ...runtime.clock import boottime
 from ...tables import Pool, Snapshot, Tables
-from ...targets import TargetDirectory
+from ...targets import TargetDirectory, directory
 from ...targets.vm_list import ListedVm
 from .. import copies, versions
 from ..copies import OriginCopies
@@ -324,3 +324,16 @@
         fleet.daemons["vm0"].begin(f"r{number}", OLD)
     assert len(fleet.daemons["vm1"].origins.copies._kept) == 5
     assert fleet.daemons["vm1"].find("r19") == OLD
+
+
+def test_software_versions_that_left_long_ago_are_forgotten(monkeypatch):
+    # Guards against memory that grows with each release, and against streams that are
+    # refused for a version that nobody has had for long.
+    monkeypatch.setattr(directory, "FORMER_SOFTWARE_LIFETIME_S", 0.05)
+    daemon = Daemon(MemoryStore(), "old")
+    daemon.list("new")
+    assert daemon.directory.software_listed_within("p", 150.0) == {"old", "new"}
+    eventlet.sleep(0.1)
+    daemon.list("new")
+    assert daemon.directory.software_listed_within("p", 150.0) == {"new"}
+    assert set(daemon.directory._software_listed_at) == {("p", "new")}
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -37,6 +37,8 @@
 RESPONSE_FRESHNESS_S = 2.0
 # Targets that said that they are leaving and are kept in mind.
 MAX_LEAVING_KEPT = 4096
+# How long software versions that no listed target runs are kept in mind.
+FORMER_SOFTWARE_LIFETIME_S = 600.0
 
 
 @define(eq=False)
@@ -99,6 +101,11 @@
         now = boottime()
         for vm in self._listed_vms:
             self._software_listed_at[vm.pool, vm.software] = now
+        self._software_listed_at = {
+            software: at
+            for software, at in self._software_listed_at.items()
+            if now - at < FORMER_SOFTWARE_LIFETIME_S
+        }
         self._listed_vms = tuple(vms)
         self._vm_list_read_at = boottime()
         self._leaving_ids = frozenset(vm.id for vm in self._listed_vms if vm.leaving)
@@ -232,7 +239,8 @@
         pool : str
             The pool.
         seconds : float
-            Targets that left earlier than this do not count.
+            Targets that left earlier than this do not count; at most
+            ``FORMER_SOFTWARE_LIFETIME_S``.
         """
         oldest = boottime() - seconds
         former = {
