--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -8,7 +8,7 @@
 from ...coordination import Mirror, Session, Transaction
 from ...coordination.tests.builders import MemoryStore, until
 from ...membership import Member, Members
-from ...outcomes import Done, NotDone, Unknown
+from ...outcomes import NotDone, Unknown
 from ...tables import (
     MODEL_ENGINE,
     PLAIN_SERVICE,
@@ -246,7 +246,6 @@
         configured=True,
         mirrored=None,
         has_store_relays=lambda: False,
-        is_journaled=lambda job_id: Done(False),
     ):
         self.store, self.engine = store, engine or Engine()
         self.now = 1000.0
@@ -277,7 +276,6 @@
             lambda: self.now,
             persist=persist,
             has_store_relays=has_store_relays,
-            is_journaled=is_journaled,
             recovery_grace_s=0.1,
         )
         self.session.start()
--- a/mulberryport/journal/tests/test_journal.py
+++ b/mulberryport/journal/tests/test_journal.py
@@ -56,6 +56,21 @@
         """Return a client that requires two copies."""
         return JournalClient(mirror, self, 2)
 
+    def upload_all(self):
+        """Upload the jobs of all disks."""
+        for service in self.services.values():
+            service.close()
+            service.upload_jobs()
+
+
+def reader_with_disks(path):
+    """Return disks, a daemon that asks them about jobs, and their client."""
+    store = MemoryStore()
+    disks, reader = Disks(store, path), JobDaemon(store)
+    client = disks.client(reader.mirror)
+    reader.jobs.registry.is_journaled = client.holds
+    return disks, reader, client
+
 
 def test_job_survives_restart_and_torn_file_is_deleted(tmp_path):
     file_store = JobFileStore(tmp_path)
@@ -270,19 +285,12 @@
 def test_job_that_only_disks_keep_is_not_reported_as_missing(tmp_path):
     # Guards against 404 for a job that a daemon accepted which the store turned away,
     # at daemons that the store serves and that noticed no outage.
-    store = MemoryStore()
-    disks = Disks(store, tmp_path)
-    holds = []
-    reader = JobDaemon(store, is_journaled=lambda job: holds[0](job))
-    client = disks.client(reader.mirror)
-    holds.append(client.holds)
+    disks, reader, client = reader_with_disks(tmp_path)
     assert client.persist(make_job()) == Done(True)
     assert isinstance(reader.jobs.read("job1", "roads", 0, 0.0), NotDone)
     assert isinstance(reader.jobs.end("job1", "roads"), NotDone)
     assert reader.jobs.read("none", "roads", 0, 0.0) == Done(None)
-    for service in disks.services.values():
-        service.close()
-        service.upload_jobs()
+    disks.upload_all()
     assert reader.jobs.read("job1", "roads", 0, 0.0).value.total == 4
     reader.die()
 
@@ -311,20 +319,14 @@
 def test_job_that_is_uploaded_meanwhile_is_found(tmp_path):
     # Guards against 404 for a job that a disk uploads between the question to the store
     # and that to the disks.
-    store = MemoryStore()
-    disks = Disks(store, tmp_path)
-    holds = []
-    reader = JobDaemon(store, is_journaled=lambda job: holds[0](job))
-    client = disks.client(reader.mirror)
+    disks, reader, client = reader_with_disks(tmp_path)
     assert client.persist(make_job()) == Done(True)
 
     def upload_first(job_id):
-        for service in disks.services.values():
-            service.close()
-            service.upload_jobs()
+        disks.upload_all()
         return client.holds(job_id)
 
-    holds.append(upload_first)
+    reader.jobs.registry.is_journaled = upload_first
     assert reader.jobs.read("job1", "roads", 0, 0.0).value.total == 4
     reader.die()
 
