Define the interfaces of uneven targets, cold targets and prompts

Cause: targets of some deployments tell in a fourth figure how long work takes there at the moment. The header was taken for malformed, and each report dropped without a log line. Nothing else knows how fast a target is, what parts a prompt has, or for how long a target is cold.

Change: load reports have a slowdown; a malformed report is ignored alone and logged once a target (event 1461). Pools say how many tokens an event has, how many an engine keeps, and how long and at which rate its targets are cold. Requests name the parts of their prompt. Decisions are as before.

--- a/mulberryport/platform/configuration.py
+++ b/mulberryport/platform/configuration.py
@@ -156,6 +156,10 @@
         maximum=int(scale.get("max") or 0),
         prices=prices,
         cheap_price=float(scale.get("spot-price") or 1.0),
+        tokens_per_event=max(1, int((engine or {}).get("stride") or 1)),
+        cache_tokens=max(0, int((engine or {}).get("kv-capacity") or 0)),
+        cold_time=max(0.0, float(entry.get("cold-s") or 0.0)),
+        cold_rate=max(0.0, float(entry.get("cold-per-s") or 0.0)),
     )
 
 
--- a/mulberryport/platform/target_reports.py
+++ b/mulberryport/platform/target_reports.py
@@ -12,7 +12,7 @@
 from . import names
 from .counts import parse_count
 
-__all__ = ["MISDIRECTED_STATUS", "belongs_to_request", "record_reports"]
+__all__ = ["MISDIRECTED_STATUS", "belongs_to_request", "parse_load", "record_reports"]
 
 RATE_LIMIT_MALFORMED = define_event(
     1460,
@@ -21,7 +21,20 @@
     "A response names a rate limit that is no sensible number; it was ignored.",
 )
 
+LOAD_MALFORMED = define_event(
+    1461,
+    "load_malformed",
+    "warning",
+    "A response tells a load that is no sensible list of numbers; it was ignored. "
+    "Logged once a target.",
+)
+
 MISDIRECTED_STATUS = 421
+# The header's figure for work that takes as long as usual.
+USUAL_SLOWDOWN = 100
+MAX_SLOWDOWN = 1000.0
+MAX_HEADER_CHARS = 100
+MAX_LOGGED_CHARS = 80
 LEAVING_VALUE = "1"
 RATE_LIMIT_FORMAT = re.compile(r"[0-9]{1,6}(\.[0-9]{1,9})?", re.ASCII)
 
@@ -79,9 +92,37 @@
 def _record_load(
     directory: TargetDirectory, view: TargetView, headers: Mapping[str, str]
 ) -> None:
-    numbers = [parse_count(text) for text in (headers.get(names.LOAD) or "").split(",")]
-    if len(numbers) == 3 and None not in numbers:
-        directory.record_load(view.id, LoadReport(*numbers), boottime())
+    text = headers.get(names.LOAD)
+    if text is None:
+        return
+    report = parse_load(text)
+    if report is not None:
+        directory.record_load(view.id, report, boottime())
+    elif directory.note_malformed_report(view.id):
+        log(LOAD_MALFORMED, target=view.id, value=text[:MAX_LOGGED_CHARS])
+
+
+def parse_load(text: str) -> LoadReport | None:
+    """Return the load that a response's header tells; None if it is malformed.
+
+    Examples
+    --------
+    >>> parse_load("3,1,8") == LoadReport(running=3, waiting=1, capacity=8)
+    True
+    >>> parse_load("3,1,8,250").slowdown
+    2.5
+    >>> parse_load("3,1")
+    """
+    numbers = [parse_count(part) for part in text[:MAX_HEADER_CHARS].split(",")]
+    if len(numbers) not in (3, 4) or None in numbers:
+        return None
+    running, waiting, capacity, *rest = numbers
+    if not rest:
+        return LoadReport(running, waiting, capacity)
+    slowdown = rest[0] / USUAL_SLOWDOWN
+    if not 0.0 < slowdown <= MAX_SLOWDOWN:
+        return None
+    return LoadReport(running, waiting, capacity, slowdown=slowdown)
 
 
 def _record_rate_limit(
--- a/mulberryport/platform/tests/test_target_reports.py
+++ b/mulberryport/platform/tests/test_target_reports.py
@@ -8,6 +8,7 @@
 from ...tables import Pool, Snapshot, Tables
 from ...targets import TargetDirectory
 from ...targets.vm_list import ListedVm
+from .. import target_reports
 from ..target_reports import record_reports
 
 VIEW = TargetView(
@@ -151,3 +152,30 @@
     answer_leaving(directory, view, 421)
     answer_leaving(directory, view, request_id="other")
     assert is_selectable(directory)
+
+
+@pytest.mark.parametrize("text", ["3,1", "3,1,8,9,9", "a,b,c", "-1,0,8", "1,0,8,0", ""])
+def test_malformed_load_is_ignored_alone_and_logged_once(text, monkeypatch):
+    # Guards against a header of another build that hides what else a head says, and
+    # against one log line for each response.
+    logged = []
+    monkeypatch.setattr(
+        target_reports, "log", lambda event, **fields: logged.append(event)
+    )
+    directory = TargetDirectory()
+    named = headers(("X-Server-Load", text), ("Server-Limit", "2.0"))
+    for _ in range(3):
+        record_reports(directory, VIEW, "r", boottime(), 200, named)
+    assert directory.get_state(VIEW.id) is None
+    assert directory.rate_limits.limit(VIEW.id) == 2.0
+    assert logged == [target_reports.LOAD_MALFORMED]
+
+
+def test_load_of_a_target_that_tells_its_speed_is_read():
+    # Guards against reports that are dropped because they have a fourth figure.
+    directory = TargetDirectory()
+    told = headers(("X-Server-Load", "3,1,8,250"))
+    record_reports(directory, VIEW, "r", boottime(), 200, told)
+    report = directory.get_state(VIEW.id).report
+    assert (report.running, report.waiting, report.capacity) == (3, 1, 8)
+    assert report.slowdown == 2.5
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -11,6 +11,7 @@
 from .scheduler import Grant, PoolScheduler, Result
 from .selection import choose_target
 from .sharing import Shares, max_min_fair_shares
+from .speeds import SpeedEstimate, TargetSpeeds
 
 __all__ = [
     "MAX_PERMIT_WAIT_S",
@@ -28,6 +29,8 @@
     "RetryBudget",
     "Shares",
     "ShedError",
+    "SpeedEstimate",
+    "TargetSpeeds",
     "TargetView",
     "QueuedRequest",
     "RateLimitReport",
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -13,6 +13,7 @@
 
 from .limits import ConcurrencyLimit
 from .model import TargetView, WorkRequest
+from .speeds import TargetSpeeds
 
 __all__ = ["Candidate", "CandidateSet"]
 
@@ -145,10 +146,13 @@
         Returns the ids of the targets to which this daemon has an idle connection.
     usable : list of Candidate
         Targets that are healthy, not leaving and not ejected.
+    speeds : TargetSpeeds
+        Measured speeds of the targets.
     """
 
     zone: str
     connected: Callable[[], Collection[str]] = frozenset
+    speeds: TargetSpeeds = field(factory=TargetSpeeds)
     usable: list[Candidate] = field(factory=list)
     _all: dict[str, Candidate] = field(factory=dict)
     # Targets that left the pool while requests still ran there, so that a target
@@ -160,6 +164,7 @@
     _has_on_demand: bool = False
     _has_cheap: bool = False
     _has_rate_limited: bool = False
+    _is_uneven: bool = False
 
     def __len__(self) -> int:
         return len(self._all)
@@ -183,6 +188,11 @@
         """Whether a target that may be selected names a rate limit."""
         return self._has_rate_limited
 
+    @property
+    def is_uneven(self) -> bool:
+        """Whether targets tell how long work takes there, so that it is weighed."""
+        return self._is_uneven
+
     def update_views(self, views: Iterable[TargetView], now: float) -> None:
         """Apply the newest views; ``update_eligibility`` must be called afterwards."""
         known = {**self._removed, **self._all}
@@ -205,6 +215,10 @@
             if candidate.own_requests and target not in current
         }
         self._all = current
+        self._is_uneven = any(
+            c.view.report is not None and c.view.report.slowdown is not None
+            for c in current.values()
+        )
         reported = [c.reported_remote_requests() for c in current.values()]
         counts = [count for count in reported if count is not None]
         mean = sum(counts) / len(counts) if counts else 0.0
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -39,6 +39,9 @@
         Weight version that the target serves; 0 for plain services.
     leaving : bool
         Whether the target will stop soon and must receive no new requests.
+    slowdown : float or None
+        How long work takes at the target now, relative to the usual (1.0 as usual);
+        None if the target does not say it.
     """
 
     running: int
@@ -46,6 +49,7 @@
     capacity: int
     version: int = 0
     leaving: bool = False
+    slowdown: float | None = None
 
 
 @frozen(kw_only=True)
@@ -155,6 +159,11 @@
     is_resubmitted : bool
         Whether the request comes again after its deadline, so that it is not refused
         because the deadline cannot be met.
+    prompt_parts : tuple of (str, int)
+        Parts of the prompt in their order: id and tokens. Requests share parts; the
+        first ones are the most widely shared.
+    expected_events : float
+        Expected number of events that are still to be generated; 0 if not known.
     """
 
     pool: str
@@ -172,6 +181,8 @@
     prefers_idle: bool = False
     purpose: str = "request"
     is_resubmitted: bool = False
+    prompt_parts: tuple[tuple[str, int], ...] = ()
+    expected_events: float = 0.0
 
     def accepts_versions_of(self, view: TargetView) -> bool:
         """Whether a target runs the software and serves weights that are new enough."""
--- /dev/null
+++ b/mulberryport/steps/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package ``steps``."""
--- a/mulberryport/tables/model.py
+++ b/mulberryport/tables/model.py
@@ -253,6 +253,15 @@
         Relative price of an on-demand target by availability zone.
     cheap_price : float
         Price of a cheap target as a fraction of the on-demand price.
+    tokens_per_event : int
+        Tokens that an engine generates for one event of a stream.
+    cache_tokens : int
+        Tokens that an engine's memory holds, for running requests and for parts of
+        prompts that it keeps; 0 if not known.
+    cold_time : float
+        Seconds for which a target is cold after it has started; 0 if it never is.
+    cold_rate : float
+        Requests per second that a cold target takes from all daemons together.
     """
 
     name: str
@@ -273,6 +282,10 @@
     models: tuple[str, ...] = ()
     prices: Mapping[str, float] = field(factory=dict)
     cheap_price: float = 1.0
+    tokens_per_event: int = 1
+    cache_tokens: int = 0
+    cold_time: float = 0.0
+    cold_rate: float = 0.0
 
 
 @frozen
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -80,6 +80,7 @@
     # Times of the start of targets that said in a response that they are leaving. They
     # are kept while the targets are not listed, for example in an outage of the store.
     _leaving_by_own_account: dict[str, int] = field(factory=dict)
+    _with_malformed_reports: set[str] = field(factory=set)
     _born: dict[str, int] = field(factory=dict)
     _software: dict[str, str] = field(factory=dict)
     # Boot time until which a pool had targets of a software version, for versions that
@@ -130,6 +131,12 @@
         state.report, state.reported_at = report, received_at
         state.healthy, state.leaving = True, report.leaving
 
+    def note_malformed_report(self, target: str) -> bool:
+        """Note a malformed report of a target; return whether it is the first one."""
+        is_first = target not in self._with_malformed_reports
+        self._with_malformed_reports.add(target)
+        return is_first
+
     def mark_unresponsive(self, target: str, since: float) -> None:
         """Mark a target as unhealthy because its pollers got no response.
 
@@ -424,4 +431,5 @@
             for target, state in self._states.items()
             if target in known_ids or state.in_flight
         }
+        self._with_malformed_reports &= known_ids
         self.rate_limits.remove_outdated(known_ids)
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -23,6 +23,7 @@
     Result,
     Shares,
     ShedError,
+    TargetSpeeds,
     TargetView,
     WorkRequest,
 )
@@ -146,6 +147,8 @@
     acquire_permit : callable
         Waits for a permit to send a request to a target that names a rate limit;
         returns whether there is one.
+    speeds : TargetSpeeds
+        Measured speeds of the targets of all pools.
     """
 
     directory: TargetDirectory
@@ -158,12 +161,18 @@
             takes_self=True,
         )
     )
+    speeds: TargetSpeeds = field(factory=TargetSpeeds)
     _workspace_weights: dict[str, float] = field(factory=dict)
     _schedulers: dict[str, PoolScheduler] = field(factory=dict)
     _refreshed_at: dict[str, float] = field(factory=dict)
     _permits_requested_at: dict[str, float] = field(factory=dict)
     _requested_permits: set[str] = field(factory=set)
 
+    def is_uneven(self, pool: str) -> bool:
+        """Whether targets of a pool tell how long work takes there at the moment."""
+        scheduler = self._schedulers.get(pool)
+        return scheduler is not None and scheduler.targets.is_uneven
+
     @contextmanager
     def assign(self, request: WorkRequest) -> Iterator[Assignment]:
         """Wait for a target and hold one of its slots until the context exits.
@@ -342,7 +351,7 @@
         if scheduler is None:
             shares = Shares(lambda name: self._workspace_weights.get(name, 1.0))
             scheduler = self._schedulers[pool] = PoolScheduler(
-                CandidateSet(self.zone, self.connected_targets),
+                CandidateSet(self.zone, self.connected_targets, self.speeds),
                 FairQueue(shares.weight, 0),
                 shares,
                 self.rng,
