Send nothing to the targets of evacuated zones

Cause: an operator could ask for a zone to be evacuated, but nothing in the code read the key, so that requests went on to the zone for as long as it had targets.

Ruled out: moving what runs in the zone. The rule is about what reaches targets; texts last seconds, and restarting them reads their prompts again.

Change: daemons mirror the evacuations where the settings name a bound, are not ready before they have listed them, and take targets of these zones for not selectable. Callers whose zones are all evacuated are refused at once.

--- a/mulberryport/daemon/metrics.py
+++ b/mulberryport/daemon/metrics.py
@@ -1,18 +1,26 @@
 """Gauges of a daemon, computed from its state at each scrape."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any
 
 from ..telemetry.metrics import Gauge, export_metrics
 
-__all__ = ["render_metrics", "set_crash_gauges", "set_rate_limit_gauges"]
+__all__ = [
+    "render_metrics",
+    "set_crash_gauges",
+    "set_evacuation_gauges",
+    "set_rate_limit_gauges",
+]
 
 # Age that a daemon reports before its first confirmation, instead of infinity.
 UNCONFIRMED_AGE_S = 1e9
 
 RATE_LIMIT_GAUGE = "target_rate_limit"
 RATE_LIMIT_DESCRIPTION = "Requests per second that a target takes; -1 after its limit."
+EVACUATION_GAUGE = "zone_evacuated"
+EVACUATION_DESCRIPTION = "Whether nothing more is sent to the targets of a zone."
 _limited_targets: set[str] = set()
+_evacuated_zones: set[str] = set()
 _gauges: dict[str, Gauge] = {}
 
 
@@ -61,6 +69,14 @@
         _limited_targets.add(target)
 
 
+def set_evacuation_gauges(zones: Collection[str]) -> None:
+    """Set which zones are evacuated."""
+    for zone in _evacuated_zones | set(zones):
+        is_evacuated = zone in zones
+        _set_gauge(EVACUATION_GAUGE, EVACUATION_DESCRIPTION, is_evacuated, zone=zone)
+    _evacuated_zones.update(zones)
+
+
 def _is_selectable(target: Mapping[str, Any]) -> bool:
     return target["healthy"] and not target["leaving"]
 
--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -11,7 +11,11 @@
 
 from ..coordination import Change, Session, SessionDuty
 from ..daemon.heartbeats import Heartbeats
-from ..daemon.metrics import set_crash_gauges, set_rate_limit_gauges
+from ..daemon.metrics import (
+    set_crash_gauges,
+    set_evacuation_gauges,
+    set_rate_limit_gauges,
+)
 from ..gateway import CallerServer, Gateway, RequestAbortedError
 from ..jobs import EngineClient, JobService
 from ..jobs.repository import LIVE_PREFIX
@@ -242,9 +246,7 @@
         reasons = []
         if not self.snapshot_holder.snapshot.revision:
             reasons.append("no configuration was received yet")
-        if not self.mirrors.registrations.mirror.loaded:
-            reasons.append("no targets were received yet")
-        return reasons
+        return reasons + self.mirrors.unread()
 
     def _connect_peers(self) -> None:
         vm = self.settings.vm
@@ -325,6 +327,7 @@
             self.session,
             self.directory,
             self.dispatcher.dispatch_waiting,
+            self.settings.platform.evacuation_ms > 0,
         )
         self.mirrors.register(self.peer_server)
         self.mirrors.configuration.subscribe(self._on_configuration)
@@ -488,6 +491,7 @@
         blocked = sum(entry.blocked for entry in entries)
         set_crash_gauges(blocked, len(entries) - blocked)
         set_rate_limit_gauges(self.directory.rate_limits.limited())
+        set_evacuation_gauges(self.directory.evacuated_zones)
         content, content_type = export_metrics()
         start_response("200 OK", [("Content-Type", content_type)])
         return [content]
--- a/mulberryport/platform/mirrors.py
+++ b/mulberryport/platform/mirrors.py
@@ -27,6 +27,7 @@
 from ..targets import TargetDirectory
 from .configuration import CONFIGURATION_KEY
 from .control import ANNOUNCEMENTS_PREFIX
+from .evacuations import EVACUATIONS_PREFIX, Evacuations
 from .registrations import REGISTRATIONS_PREFIX, Registrations
 from .store import PlatformStore
 
@@ -58,7 +59,9 @@
     directory : TargetDirectory
         Receives the registered targets.
     on_targets_changed : callable
-        Called after the registered targets have changed.
+        Called after the registered targets or the evacuated zones have changed.
+    follows_evacuations : bool
+        Whether the operator of this deployment evacuates zones.
     """
 
     store: PlatformStore
@@ -67,10 +70,12 @@
     session: Session
     directory: TargetDirectory
     on_targets_changed: Callable[[], object]
+    follows_evacuations: bool = False
     configuration: Mirror = field(init=False)
     announcements: Mirror = field(init=False)
     live_keys: Mirror = field(init=False)
     registrations: Registrations = field(init=False)
+    evacuations: Evacuations | None = field(init=False, default=None)
     _watches: dict[str, SharedWatch] = field(factory=dict)
 
     @property
@@ -95,6 +100,13 @@
             self.on_targets_changed,
         )
         self.registrations.start()
+        if self.follows_evacuations:
+            self.evacuations = Evacuations(
+                self._make_mirror(EVACUATIONS_PREFIX, lists_at_once=True),
+                self.directory,
+                self.on_targets_changed,
+            )
+            self.evacuations.start()
         hold_session(self.session, self._watches.values())
 
     def register(self, server: PeerServer) -> None:
@@ -113,6 +125,15 @@
         for watch in self._watches.values():
             watch.check_provider()
 
+    def unread(self) -> list[str]:
+        """Return what has not been read yet of what requests need."""
+        reasons = []
+        if not self.registrations.mirror.loaded:
+            reasons.append("no targets were received yet")
+        if self.evacuations is not None and not self.evacuations.mirror.loaded:
+            reasons.append("no evacuations were received yet")
+        return reasons
+
     def live_keys_age_s(self) -> float:
         """Return for how long the end of a job may have been missed, in seconds.
 
@@ -135,7 +156,10 @@
 
     def _reliable_mirrors(self) -> tuple[Mirror, ...]:
         """Return the mirrors whose changes must arrive even if a watch fails."""
-        return self.configuration, self.announcements, self.registrations.mirror
+        mirrors = (self.configuration, self.announcements, self.registrations.mirror)
+        if self.evacuations is None:
+            return mirrors
+        return *mirrors, self.evacuations.mirror
 
     def _all_mirrors(self) -> tuple[Mirror, ...]:
         return *self._reliable_mirrors(), self.live_keys
--- a/mulberryport/platform/settings.py
+++ b/mulberryport/platform/settings.py
@@ -67,6 +67,9 @@
     lease_ms: float = option(number(0, 3.6e6), "milliseconds", default=3000.0)
     # Number of disks whose simultaneous loss must not lose a job.
     disk_losses: int = option(number(0, 100, int), "0 to 100", default=1)
+    # Milliseconds within which nothing more must be sent to an evacuated zone; 0 if the
+    # operator evacuates no zones.
+    evacuation_ms: float = option(number(0, 3.6e6), "milliseconds", default=0.0)
     # Seconds for which batch jobs are retained.
     retention: float = option(number(0, 86400), "seconds", default=120.0)
 
--- a/mulberryport/platform/tests/builders.py
+++ b/mulberryport/platform/tests/builders.py
@@ -33,6 +33,7 @@
 [platform]
 store = {store}
 cloud = {store}
+{extra}
 
 [usage]
 window = 1
@@ -97,12 +98,15 @@
 
     def __init__(self, folder: Path):
         self.folder = folder
+        # Lines for the section [platform] of daemons that are started later.
+        self.extra_settings = ""
         self.store = PlatformStandin()
         self.address = self._serve(self.store)
         self.desks = [ServiceStandin("d1"), ServiceStandin("d2")]
         self.engines = [EngineStandin("e1"), EngineStandin("e2")]
+        self.desk_addresses = {desk.id: self._serve(desk) for desk in self.desks}
         for desk in self.desks:
-            self._register(desk.id, "desk", self._serve(desk))
+            self.register_desk(desk)
         for engine in self.engines:
             address = self._serve(engine)
             engine.on_load = partial(self._register_engine, engine, address)
@@ -112,6 +116,10 @@
         self.callers = {}
         self._peers = [self._free_address() for _ in range(3)]
 
+    def register_desk(self, desk, zone="a"):
+        """Write the registration of a plain service in a zone."""
+        self._register(desk.id, "desk", self.desk_addresses[desk.id], zone=zone)
+
     def configure(self, configuration):
         """Write the operator's configuration to the store."""
         self.store.put("op/config", configuration)
@@ -129,6 +137,7 @@
                 peer=self._peers[number],
                 store=self.address,
                 seeds=seeds,
+                extra=self.extra_settings,
             )
         )
         log = open(self.folder / f"{vm}.log", "ab")  # noqa: SIM115
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -188,6 +188,12 @@
         """Whether a target that may be selected names a rate limit."""
         return self._has_rate_limited
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether there are targets, and all that do not leave are evacuated."""
+        staying = [c for c in self._all.values() if not c.view.leaving]
+        return bool(staying) and all(c.view.evacuated for c in staying)
+
     @property
     def is_uneven(self) -> bool:
         """Whether targets tell how long work takes there, so that it is weighed."""
@@ -236,7 +242,8 @@
         # On-demand targets count even while they cannot be reached: requests that
         # must not be interrupted wait for them.
         self._has_on_demand = any(
-            not c.view.cheap and not c.view.leaving for c in self._all.values()
+            not (c.view.cheap or c.view.leaving or c.view.evacuated)
+            for c in self._all.values()
         )
         accepting = [c for c in self.usable if self._accepts_non_restartable(c)]
         self._eligible = {
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -88,6 +88,8 @@
         if not known.
     software : str
         Version of the target's software; empty if not known.
+    evacuated : bool
+        Whether the operator wants nothing more to be sent to the target's zone.
     """
 
     id: str
@@ -107,6 +109,7 @@
     rate_limit: RateLimitReport | None = None
     born: int = 0
     software: str = ""
+    evacuated: bool = False
 
     @property
     def requests_per_s(self) -> float | None:
@@ -116,7 +119,7 @@
     @property
     def selectable(self) -> bool:
         """Whether new requests may be sent to the target."""
-        return self.healthy and not self.leaving
+        return self.healthy and not self.leaving and not self.evacuated
 
 
 @frozen
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -33,6 +33,9 @@
 # A target whose rate limit was not confirmed for this time gets the next request for
 # which there is a permit, since only a response shows whether the limit has ended.
 LIMIT_CONFIRMATION_INTERVAL_S = 1.0
+# Delay after which a caller whose targets are all evacuated may come back. An operator
+# takes an evacuation back in his own time.
+EVACUATION_RETRY_AFTER_S = 2.0
 # Limits below this rate count as this rate when a wait is estimated.
 MIN_REQUESTS_PER_S = 0.1
 
@@ -140,8 +143,9 @@
         Raises
         ------
         ShedError
-            The queue is full, the deadline has passed, the pool has no targets, or the
-            rate limits of its targets do not allow the request before its deadline.
+            The queue is full, the deadline has passed, the pool has no targets or only
+            evacuated ones, or the rate limits of its targets do not allow the request
+            before its deadline.
         """
         if not work.exclude:
             self.budget.record_request()
@@ -149,6 +153,11 @@
             raise ShedError(f"pool {work.pool} has no targets")
         if work.deadline <= now:
             raise ShedError("the deadline passed before the request could start")
+        if self.targets.is_evacuated and not work.is_resubmitted:
+            raise ShedError(
+                f"all zones of pool {work.pool} are evacuated",
+                retry_after=EVACUATION_RETRY_AFTER_S,
+            )
         self._last_request_at = now
         self._drop_expired_permits(now)
         probe_target = self._probe_target_for(work, now)
--- a/mulberryport/routing/tests/test_scheduler.py
+++ b/mulberryport/routing/tests/test_scheduler.py
@@ -15,6 +15,7 @@
 flags = st.fixed_dictionaries(
     {
         "leaving": st.booleans(),
+        "evacuated": st.booleans(),
         "healthy": st.booleans(),
         "cheap": st.booleans(),
         "zone": st.sampled_from("ab"),
@@ -53,7 +54,7 @@
         assert grant.candidate.id not in grant.work.exclude
         assert grant.probe == (grant.candidate.id in pool_scheduler.ejector.ejected)
         assert grant.probe or grant.candidate.own_requests <= target_view.limit
-        on_demand = [v for v in views if not v.cheap and not v.leaving]
+        on_demand = [v for v in views if not (v.cheap or v.leaving or v.evacuated)]
         assert grant.work.restartable or not target_view.cheap or not on_demand
         running.append(grant)
 
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -30,6 +30,19 @@
     802, "target_healthy", "info", "A target responds to load polls again."
 )
 
+ZONE_EVACUATED = define_event(
+    806,
+    "zone_evacuated",
+    "warning",
+    "The targets of a zone receive no new requests until the evacuation is taken back.",
+)
+ZONE_IN_USE_AGAIN = define_event(
+    807,
+    "zone_in_use_again",
+    "info",
+    "The evacuation of a zone was taken back; its targets receive requests again.",
+)
+
 # Consecutive missed polls before a target is unhealthy. One poll can be lost on the
 # network.
 MISSED_POLL_LIMIT = 2
@@ -80,6 +93,9 @@
     # Times of the start of targets that said in a response that they are leaving. They
     # are kept while the targets are not listed, for example in an outage of the store.
     _leaving_by_own_account: dict[str, int] = field(factory=dict)
+    _evacuated_zones: frozenset[str] = frozenset()
+    # Boot times at which evacuations were taken back, by zone.
+    _evacuation_ended_at: dict[str, float] = field(factory=dict)
     _with_malformed_reports: set[str] = field(factory=set)
     _born: dict[str, int] = field(factory=dict)
     _software: dict[str, str] = field(factory=dict)
@@ -119,6 +135,30 @@
         }
         self._remove_stale_states()
 
+    def apply_evacuations(self, zones: Iterable[str]) -> None:
+        """Apply the zones to whose targets nothing more must be sent."""
+        zones = frozenset(zones)
+        for zone in sorted(zones - self._evacuated_zones):
+            log(ZONE_EVACUATED, evacuated_zone=zone)
+        for zone in sorted(self._evacuated_zones - zones):
+            log(ZONE_IN_USE_AGAIN, evacuated_zone=zone)
+            self._evacuation_ended_at[zone] = boottime()
+        self._evacuated_zones = zones
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Zones to whose targets nothing more must be sent."""
+        return self._evacuated_zones
+
+    def evacuation_ended_at(self, zone: str) -> float:
+        """Return the boot time at which a zone's last evacuation was taken back.
+
+        Negative infinity if it was never evacuated, or is now.
+        """
+        if zone in self._evacuated_zones:
+            return float("-inf")
+        return self._evacuation_ended_at.get(zone, float("-inf"))
+
     def record_load(self, target: str, report: LoadReport, received_at: float) -> None:
         """Store a load report, unless a newer one is already known."""
         state = self._get_or_create_state(target)
@@ -411,6 +451,7 @@
             rate_limit=self.rate_limits.report(target),
             born=born,
             software=software,
+            evacuated=zone in self._evacuated_zones,
         )
 
     def _mark_unhealthy(self, target: str, at: float) -> None:
