Bound what all daemons together send to cold targets

Cause: nothing read for how long a target is cold.

Ruled out: a bound for each daemon, since dozens of daemons send; a second kind of issuer.

Change: while a target is cold, or may be, its limit is the cold rate of its pool, and the issuer of its permits keeps to half of that without a burst. Registrations, failed requests, the end of an evacuation, peers and those who ask for permits tell which targets are cold.

--- a/mulberryport/platform/names.py
+++ b/mulberryport/platform/names.py
@@ -1,6 +1,7 @@
 """Headers and paths of the platform's protocol."""
 
 __all__ = [
+    "COLD",
     "DEADLINE",
     "ITEMS_PATH",
     "ORDER_PATH",
@@ -40,6 +41,8 @@
 STAMP = "X-Server-Stamp"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 LOAD = "X-Server-Load"
+# Milliseconds for which a target is cold; in responses to health checks.
+COLD = "X-Cold-Ms"
 # Decimal number of requests per second that a target takes from all daemons together.
 RATE_LIMIT = "Server-Limit"
 # "1" in all responses of a target that is going to stop.
--- a/mulberryport/platform/registrations.py
+++ b/mulberryport/platform/registrations.py
@@ -28,6 +28,13 @@
 TARGET_LISTED = define_event(
     1421, "target_listed", "info", "A target was registered or changed its state."
 )
+COLD_TIME_MALFORMED = define_event(
+    1423,
+    "cold_time_malformed",
+    "warning",
+    "A target says for how long it is cold, but not by a sensible number; this part of "
+    "its registration was ignored.",
+)
 TARGET_UNLISTED = define_event(
     1422, "target_unlisted", "info", "The registration of a target was removed."
 )
@@ -38,6 +45,7 @@
 REREGISTRATION_TIME_S = 2.5
 # Fits the messages between daemons.
 MAX_UNIX_MS = 2**53
+MAX_COLD_MS = 600_000
 # Longer texts would fill the logs.
 MAX_TEXT_CHARS = 200
 
@@ -71,6 +79,7 @@
             versions=_decode_versions(values.get("models") or []),
             born=_decode_born(values.get("born")),
             software=_decode_software(values.get("version")),
+            cold_s=_decode_cold_s(item.key, values.get("cold-left-ms")),
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"malformed registration: {error!r}") from error
@@ -84,6 +93,16 @@
     return value
 
 
+def _decode_cold_s(key: str, value: object) -> float | None:
+    """Return for how many seconds a target is cold; None if it does not say."""
+    if value is None:
+        return None
+    if type(value) not in (int, float) or not 0 <= value <= MAX_COLD_MS:
+        log(COLD_TIME_MALFORMED, key=key[:MAX_TEXT_CHARS], value=str(value)[:40])
+        return None
+    return value / 1000
+
+
 def _decode_software(value: object) -> str:
     if value is None:
         return ""
@@ -172,6 +191,10 @@
                 software=vm.software,
             )
         self._listed[key] = vm
+        if vm.cold_s is not None:
+            self.directory.rate_limits.cold.record_report(vm.id, vm.pool, vm.cold_s)
+        elif self.mirror.loaded and (previous is None or previous.born != vm.born):
+            self.directory.rate_limits.cold.suspect(vm.id, vm.pool)
 
     def _remove_target(self, key: str) -> None:
         if self._listed.pop(key, None) is not None:
--- a/mulberryport/platform/target_reports.py
+++ b/mulberryport/platform/target_reports.py
@@ -85,6 +85,10 @@
         return
     _record_load(directory, view, headers)
     _record_rate_limit(directory, view, sent_at, headers)
+    cold_ms = parse_count((headers.get(names.COLD) or "").strip())
+    if cold_ms:
+        cold = directory.rate_limits.cold
+        cold.record_report(view.id, view.pool, cold_ms / 1000)
     if (headers.get(names.LEAVING) or "").strip() == LEAVING_VALUE:
         directory.mark_leaving(view.id, view.born)
 
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -4,7 +4,12 @@
 from .ejection import Ejector
 from .limits import ConcurrencyLimit
 from .model import LoadReport, ShedError, TargetView, WorkRequest
-from .permits import MAX_PERMIT_WAIT_S, PermitSchedule, Reservation
+from .permits import (
+    COLD_RATE_FRACTION,
+    MAX_PERMIT_WAIT_S,
+    PermitSchedule,
+    Reservation,
+)
 from .queue import FairQueue, QueuedRequest
 from .rate_limits import RateLimitReport, latest_report
 from .retries import RetryBudget
@@ -14,6 +19,7 @@
 from .speeds import SpeedEstimate, TargetSpeeds
 
 __all__ = [
+    "COLD_RATE_FRACTION",
     "MAX_PERMIT_WAIT_S",
     "PermitSchedule",
     "Reservation",
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -88,6 +88,9 @@
         if not known.
     software : str
         Version of the target's software; empty if not known.
+    is_cold : bool
+        Whether the target has just started, or may have, so that the rate limit holds
+        until it is warm.
     evacuated : bool
         Whether the operator wants nothing more to be sent to the target's zone.
     """
@@ -109,6 +112,7 @@
     rate_limit: RateLimitReport | None = None
     born: int = 0
     software: str = ""
+    is_cold: bool = False
     evacuated: bool = False
 
     @property
--- a/mulberryport/routing/permits.py
+++ b/mulberryport/routing/permits.py
@@ -7,11 +7,26 @@
 
 from attrs import define, field, frozen
 
-__all__ = ["MAX_PERMIT_WAIT_S", "PermitSchedule", "Reservation"]
+__all__ = [
+    "COLD_PERMIT_LIFETIME_S",
+    "COLD_RATE_FRACTION",
+    "MAX_PERMIT_WAIT_S",
+    "PERMIT_LIFETIME_S",
+    "PermitSchedule",
+    "Reservation",
+]
 
 # Longest time for which a request for a permit waits for its slot. Slots further ahead
 # are not reserved, since their requests may have gone elsewhere by then.
 MAX_PERMIT_WAIT_S = 0.5
+# A permit that is not used within this time expires, so that permits of idle daemons
+# do not add up.
+PERMIT_LIFETIME_S = 0.5
+# A cold target crashes if it gets half as much again as its rate within a second. Three
+# issuers that do not know of each other, two at this part of the rate and a deputy at
+# half of it, stay below that if permits are used soon and no burst is kept.
+COLD_RATE_FRACTION = 0.5
+COLD_PERMIT_LIFETIME_S = 0.2
 # Permits that a target without requests accumulates, for requests that come together.
 BURST_PERMITS = 3
 # Targets above which those without recent requests are forgotten.
@@ -59,7 +74,13 @@
     # Boot time at which each target's last reservation would be used without bursts.
     _theoretical_slots: dict[str, float] = field(factory=dict)
 
-    def reserve(self, target: str, requests_per_s: float, now: float) -> Reservation:
+    def reserve(
+        self,
+        target: str,
+        requests_per_s: float,
+        now: float,
+        burst_permits: int = BURST_PERMITS,
+    ) -> Reservation:
         """Reserve the next slot of a target, if it is near enough.
 
         Parameters
@@ -70,11 +91,13 @@
             Rate at which this schedule issues permits for it.
         now : float
             Boot time.
+        burst_permits : int
+            Permits that a target without requests accumulates, at least 1.
         """
         if len(self._theoretical_slots) > MAX_TARGETS:
             self._forget_idle(now)
         interval_s = 1.0 / max(MIN_REQUESTS_PER_S, requests_per_s)
-        burst_s = (BURST_PERMITS - 1) * interval_s
+        burst_s = (burst_permits - 1) * interval_s
         first_slot = now + burst_s + interval_s
         theoretical_slot = self._theoretical_slots.get(target, first_slot)
         # After a rise of the limit, slots at the lower rate are not waited for.
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -16,6 +16,7 @@
 from .candidates import Candidate, CandidateSet
 from .ejection import Ejector
 from .model import ShedError, TargetView, WorkRequest
+from .permits import COLD_PERMIT_LIFETIME_S, PERMIT_LIFETIME_S
 from .queue import FairQueue, QueuedRequest
 from .retries import RetryBudget
 from .selection import choose_target
@@ -27,9 +28,6 @@
 # away before the target is ejected, and when the ejection limit prevents that.
 FAILURE_PENALTY = 0.5
 MAX_FAILURE_PENALTY = 2.0
-# A permit that is not used within this time expires, so that permits of idle daemons
-# do not add up.
-PERMIT_LIFETIME_S = 0.5
 # A target whose rate limit was not confirmed for this time gets the next request for
 # which there is a permit, since only a response shows whether the limit has ended.
 LIMIT_CONFIRMATION_INTERVAL_S = 1.0
@@ -227,7 +225,9 @@
         candidate = self.targets.get(target)
         if candidate is None or not candidate.is_rate_limited:
             return
-        candidate.permits, candidate.permits_expire_at = 1, now + PERMIT_LIFETIME_S
+        is_cold = candidate.view.is_cold
+        lifetime_s = COLD_PERMIT_LIFETIME_S if is_cold else PERMIT_LIFETIME_S
+        candidate.permits, candidate.permits_expire_at = 1, now + lifetime_s
         self._saturated = False
         if candidate in self.targets.usable:
             self._dispatch_queued(candidate, now)
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -80,7 +80,7 @@
     Parameters
     ----------
     rate_limits : RateLimits
-        Rate limits that the targets have named.
+        Rate limits that the targets have named, and those of cold targets.
     """
 
     rate_limits: RateLimits = field(factory=RateLimits)
@@ -94,8 +94,6 @@
     # are kept while the targets are not listed, for example in an outage of the store.
     _leaving_by_own_account: dict[str, int] = field(factory=dict)
     _evacuated_zones: frozenset[str] = frozenset()
-    # Boot times at which evacuations were taken back, by zone.
-    _evacuation_ended_at: dict[str, float] = field(factory=dict)
     _with_malformed_reports: set[str] = field(factory=set)
     _born: dict[str, int] = field(factory=dict)
     _software: dict[str, str] = field(factory=dict)
@@ -103,6 +101,10 @@
     # were listed before the current list.
     _software_listed_at: dict[tuple[str, str], float] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Let the pools say how many requests cold targets take."""
+        self.rate_limits.cold.cold_rate_of = self._cold_terms
+
     @property
     def is_configured(self) -> bool:
         """Whether a configuration was applied, so that a missing pool was removed."""
@@ -142,7 +144,7 @@
             log(ZONE_EVACUATED, evacuated_zone=zone)
         for zone in sorted(self._evacuated_zones - zones):
             log(ZONE_IN_USE_AGAIN, evacuated_zone=zone)
-            self._evacuation_ended_at[zone] = boottime()
+            self._suspect_cold(vm for vm in self._listed_vms if vm.zone == zone)
         self._evacuated_zones = zones
 
     @property
@@ -150,14 +152,9 @@
         """Zones to whose targets nothing more must be sent."""
         return self._evacuated_zones
 
-    def evacuation_ended_at(self, zone: str) -> float:
-        """Return the boot time at which a zone's last evacuation was taken back.
-
-        Negative infinity if it was never evacuated, or is now.
-        """
-        if zone in self._evacuated_zones:
-            return float("-inf")
-        return self._evacuation_ended_at.get(zone, float("-inf"))
+    def record_failure(self, target: str) -> None:
+        """Record that a target failed a request, perhaps because it has restarted."""
+        self._suspect_cold(vm for vm in self._listed_vms if vm.id == target)
 
     def record_load(self, target: str, report: LoadReport, received_at: float) -> None:
         """Store a load report, unless a newer one is already known."""
@@ -448,12 +445,23 @@
             in_flight=state.in_flight,
             limit=slots or pool.concurrency,
             versions=known_versions,
-            rate_limit=self.rate_limits.report(target),
+            rate_limit=self.rate_limits.report_in_force(target),
+            is_cold=self.rate_limits.cold.rate(target) is not None,
             born=born,
             software=software,
             evacuated=zone in self._evacuated_zones,
         )
 
+    def _cold_terms(self, pool_name: str) -> tuple[float, float] | None:
+        pool = self._pools.get(pool_name)
+        if pool is None or not pool.cold_time:
+            return None
+        return pool.cold_rate, pool.cold_time
+
+    def _suspect_cold(self, vms: Iterable[ListedVm]) -> None:
+        for vm in vms:
+            self.rate_limits.cold.suspect(vm.id, vm.pool)
+
     def _mark_unhealthy(self, target: str, at: float) -> None:
         state = self._get_or_create_state(target)
         if state.healthy:
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -210,6 +210,8 @@
         finally:
             self.directory.request_finished(target, request.restartable)
             result = assignment.result or default
+            if result is Result.FAILED:
+                self.directory.record_failure(target)
             scheduler.release(grant, result, boottime(), assignment.latency)
 
     def may_retry(self, pool: str) -> bool:
--- a/mulberryport/targets/permits.py
+++ b/mulberryport/targets/permits.py
@@ -16,10 +16,16 @@
 from ..membership import Members
 from ..outcomes import Done, Outcome
 from ..peering import Peers, PeerServer, peer_pb2
-from ..routing import MAX_PERMIT_WAIT_S, PermitSchedule, RateLimitReport
+from ..routing import (
+    COLD_RATE_FRACTION,
+    MAX_PERMIT_WAIT_S,
+    PermitSchedule,
+    RateLimitReport,
+)
 from ..runtime.clock import boottime
 from ..telemetry import define as define_event
 from ..telemetry import log
+from .cold_targets import ColdPhase
 from .rate_limits import RateLimits
 
 __all__ = ["LocalPermits", "PermitExchange"]
@@ -86,7 +92,13 @@
         if limit is None:
             self._schedule.forget(target)
             return True, 0.0
-        reservation = self._schedule.reserve(target, limit * rate_fraction, boottime())
+        if self.rate_limits.cold.rate(target) is not None:
+            cold_rate = limit * COLD_RATE_FRACTION * rate_fraction
+            reservation = self._schedule.reserve(target, cold_rate, boottime(), 1)
+        else:
+            reservation = self._schedule.reserve(
+                target, limit * rate_fraction, boottime()
+            )
         if not reservation.is_granted:
             return False, reservation.wait_s
         eventlet.sleep(reservation.wait_s)
@@ -150,11 +162,18 @@
         newest = sorted(reports.items(), key=lambda item: -item[1].received_at)
         for target, report in newest[:MAX_EXCHANGED_REPORTS]:
             heartbeat.rate_limits.append(_to_message(target, report, now))
+        phases = sorted(
+            self.rate_limits.cold.current(), key=lambda item: -item[1].until
+        )
+        for target, phase in phases[:MAX_EXCHANGED_REPORTS]:
+            heartbeat.cold_targets.append(_cold_to_message(target, phase, now))
 
     def apply_reports(self, heartbeat: peer_pb2.Heartbeat) -> None:
         """Apply the reports in the heartbeat of a peer."""
         for message in heartbeat.rate_limits:
             self._apply(message)
+        for message in heartbeat.cold_targets:
+            self._apply_cold(message)
 
     def _acquire(self, target: str) -> tuple[bool, float]:
         issuers = self.members.owners(_issuer_key(target), 2)
@@ -167,6 +186,7 @@
             if isinstance(outcome, Done):
                 reply = outcome.value
                 self._apply(reply.report)
+                self._apply_cold(reply.cold)
                 return reply.granted, reply.retry_after or RETRY_DELAY_S
             self._silent_until[issuer.vm] = boottime() + SILENT_ISSUER_AVOIDANCE_S
             log(
@@ -182,12 +202,14 @@
         report = self.rate_limits.report(target)
         if report is not None:
             request.report.CopyFrom(_to_message(target, report, boottime()))
+        self._add_cold(request, target)
         return self.peers.call(issuer, "AcquirePermit", request, CALL_TIMEOUT_S)
 
     def _serve(
         self, request: peer_pb2.AcquirePermitRequest
     ) -> peer_pb2.AcquirePermitReply:
         self._apply(request.report)
+        self._apply_cold(request.cold)
         target, rank = request.target, request.rank
         reply = peer_pb2.AcquirePermitReply()
         if self._is_issuer(target, rank):
@@ -199,8 +221,23 @@
         report = self.rate_limits.report(target)
         if report is not None:
             reply.report.CopyFrom(_to_message(target, report, boottime()))
+        self._add_cold(reply, target)
         return reply
 
+    def _add_cold(
+        self,
+        message: peer_pb2.AcquirePermitRequest | peer_pb2.AcquirePermitReply,
+        target: str,
+    ) -> None:
+        """Add what is known of a target's cold phase to a call or a reply."""
+        phase = self.rate_limits.cold.phase(target)
+        if phase is not None:
+            message.cold.CopyFrom(_cold_to_message(target, phase, boottime()))
+
+    def _apply_cold(self, message: peer_pb2.ColdTarget) -> None:
+        if message.target:
+            self.rate_limits.cold.extend(message.target, message.pool, message.cold_s)
+
     def _is_issuer(self, target: str, rank: int) -> bool:
         issuers = self.members.owners(_issuer_key(target), 2)
         own = self.members.self_member.vm
@@ -240,3 +277,9 @@
         sent_age=now - report.sent_at,
         age=now - report.received_at,
     )
+
+
+def _cold_to_message(target: str, phase: ColdPhase, now: float) -> peer_pb2.ColdTarget:
+    return peer_pb2.ColdTarget(
+        target=target, pool=phase.pool, cold_s=max(0.0, phase.until - now)
+    )
--- a/mulberryport/targets/rate_limits.py
+++ b/mulberryport/targets/rate_limits.py
@@ -8,6 +8,7 @@
 from ..runtime.clock import boottime
 from ..telemetry import define as define_event
 from ..telemetry import log
+from .cold_targets import ColdTargets
 
 __all__ = ["RateLimits"]
 
@@ -31,8 +32,14 @@
     """The newest report of each target that named a rate limit.
 
     Targets that never named one take no memory.
+
+    Parameters
+    ----------
+    cold : ColdTargets
+        Targets that take few requests because they are cold.
     """
 
+    cold: ColdTargets = field(factory=ColdTargets)
     _reports: dict[str, RateLimitReport] = field(factory=dict)
 
     def record(self, target: str, report: RateLimitReport) -> None:
@@ -63,10 +70,20 @@
         """Return the newest report of a target; None if it never named a limit."""
         return self._reports.get(target)
 
+    def report_in_force(self, target: str) -> RateLimitReport | None:
+        """Return the newest report of a target, with the limit that is in force."""
+        report, limit = self._reports.get(target), self.limit(target)
+        if limit is None or (report is not None and report.requests_per_s == limit):
+            return report
+        # What a target said of its own limit stays to be confirmed by a response.
+        now = boottime()
+        return RateLimitReport(limit, now, now)
+
     def limit(self, target: str) -> float | None:
         """Return the requests per second that a target takes; None if unlimited."""
         report = self._reports.get(target)
-        return report.requests_per_s if report else None
+        limits = (report.requests_per_s if report else None, self.cold.rate(target))
+        return min((limit for limit in limits if limit is not None), default=None)
 
     def reports_since(self, received_after: float) -> dict[str, RateLimitReport]:
         """Return the reports received after a boot time, by target."""
@@ -82,6 +99,10 @@
             target: report.requests_per_s
             for target, report in self._reports.items()
             if report.requests_per_s is not None
+        } | {
+            target: limit
+            for target, _ in self.cold.current()
+            if (limit := self.limit(target)) is not None
         }
 
     def remove_outdated(self, listed: Collection[str]) -> None:
@@ -92,3 +113,4 @@
             for target, report in self._reports.items()
             if target in listed or report.received_at > oldest
         }
+        self.cold.remove_outdated(listed)
--- a/mulberryport/targets/vm_list.py
+++ b/mulberryport/targets/vm_list.py
@@ -31,6 +31,8 @@
         if not known.
     software : str
         Version of the target's software; empty if not known.
+    cold_s : float or None
+        Seconds for which the target is cold, when it said so; None if it does not say.
     """
 
     id: str
@@ -43,6 +45,7 @@
     versions: Mapping[str, int] = field(factory=dict)
     born: int = 0
     software: str = ""
+    cold_s: float | None = None
 
 
 def fetch_vms(url: str, timeout: float) -> Outcome[tuple[ListedVm, ...]]:
