Let the news of cold targets grow older as daemons pass it on

Cause: a daemon that heard from a peer for how much longer a target is cold counted that time from the arrival of the news, and passed it on in turn. Each daemon on the way added the time that its news had been under way, so that a phase of three seconds did not end while daemons repeated each other's news often enough.

Ruled out: not passing on what peers said. In a large fleet heartbeats go through relays, and a target is suspected by the few daemons whose requests it failed.

Change: the time on the way is taken off, as for the reports of rate limits.

Without the change the new test finds the target cold after four seconds of exchanges, where it was cold for three.

--- a/mulberryport/targets/permits.py
+++ b/mulberryport/targets/permits.py
@@ -50,7 +50,7 @@
 # Reports are exchanged while they say something new to others.
 EXCHANGED_REPORT_AGE_S = 5.0
 MAX_EXCHANGED_REPORTS = 100
-# A report of another daemon counts as older by this time, since its age was measured
+# News of another daemon counts as older by this time, since its age was measured
 # before it was sent.
 TRANSIT_ALLOWANCE_S = 0.2
 
@@ -235,8 +235,13 @@
             message.cold.CopyFrom(_cold_to_message(target, phase, boottime()))
 
     def _apply_cold(self, message: peer_pb2.ColdTarget) -> None:
+        """Apply a peer's news of a cold target, less its time on the way.
+
+        Otherwise each daemon that passes the news on would prolong the phase.
+        """
         if message.target:
-            self.rate_limits.cold.extend(message.target, message.pool, message.cold_s)
+            cold_s = message.cold_s - TRANSIT_ALLOWANCE_S
+            self.rate_limits.cold.extend(message.target, message.pool, cold_s)
 
     def _is_issuer(self, target: str, rank: int) -> bool:
         issuers = self.members.owners(_issuer_key(target), 2)
--- a/mulberryport/targets/tests/test_cold_targets.py
+++ b/mulberryport/targets/tests/test_cold_targets.py
@@ -6,6 +6,7 @@
 from ...peering import peer_pb2
 from ...runtime.clock import boottime
 from ...tables import Pool, Snapshot, Tables
+from .. import cold_targets, permits
 from ..cold_targets import ColdTargets
 from ..directory import TargetDirectory
 from ..dispatcher import Dispatcher, WorkRequest
@@ -164,3 +165,19 @@
     aware.add_reports(heartbeat, None)
     unaware.apply_reports(heartbeat)
     assert unaware.rate_limits.cold.rate("t") == RATE
+
+
+def test_news_that_daemons_repeat_does_not_prolong_a_phase(monkeypatch):
+    # Guards against a target that stays cold for ever because daemons pass each other's
+    # news on, and each takes the time on its way for time that the target is cold.
+    now = 100.0
+    for module in (cold_targets, permits):
+        monkeypatch.setattr(module, "boottime", lambda: now)
+    exchanges = list(make_fleet(2).exchanges.values())
+    for _ in range(200):
+        exchanges.reverse()
+        heartbeat = peer_pb2.Heartbeat()
+        exchanges[0].add_reports(heartbeat, None)
+        now += 0.02
+        exchanges[1].apply_reports(heartbeat)
+    assert [exchange.rate_limits.cold.rate("t") for exchange in exchanges] == [None] * 2
