Keep what is known of a cold target against news of others

Cause: a peer's news replaced the pool of a target that was known to be cold, so that a pool that this daemon does not know left the target without a bound. And where many phases were known, a new one displaced the oldest entry, also if that target was still cold and the others were not.

Ruled out: dropping news of unknown pools; they may belong to a configuration that has not arrived yet.

Change: the pool stays as the registration said, and the phase that ends first makes room.

Without either change its test fails: the target has no rate.

--- a/mulberryport/targets/cold_targets.py
+++ b/mulberryport/targets/cold_targets.py
@@ -92,15 +92,16 @@
         if terms is None:
             return
         _, cold_s = terms
-        self.extend(target, pool, cold_s + NEWS_DELAY_S)
+        self._extend(target, pool, cold_s + NEWS_DELAY_S)
 
     def extend(self, target: str, pool: str, cold_s: float) -> None:
-        """Count a target as cold for at least some seconds from now on."""
-        if not 0.0 < cold_s <= MAX_COLD_S:
-            return
-        known = self._phases.get(target) or ColdPhase(pool)
-        until = max(known.suspected_until, boottime() + cold_s)
-        self._set(target, evolve(known, pool=pool, suspected_until=until))
+        """Count a target as cold for at least some seconds, as a peer says.
+
+        The pool of a target that is known stays as its registration said.
+        """
+        if 0.0 < cold_s <= MAX_COLD_S:
+            known = self._phases.get(target)
+            self._extend(target, known.pool if known else pool, cold_s)
 
     def rate(self, target: str) -> float | None:
         """Return the requests per second that a target takes; None if not cold."""
@@ -129,10 +130,15 @@
             if phase.until > now or target in listed
         }
 
+    def _extend(self, target: str, pool: str, cold_s: float) -> None:
+        known = self._phases.get(target) or ColdPhase(pool)
+        until = max(known.suspected_until, boottime() + cold_s)
+        self._set(target, evolve(known, pool=pool, suspected_until=until))
+
     def _set(self, target: str, phase: ColdPhase) -> None:
         was_cold = self.rate(target) is not None
         if target not in self._phases and len(self._phases) >= MAX_PHASES:
-            del self._phases[next(iter(self._phases))]
+            del self._phases[min(self._phases, key=lambda t: self._phases[t].until)]
         self._phases[target] = phase
         rate = self.rate(target)
         if rate is not None and not was_cold:
--- a/mulberryport/targets/tests/test_cold_targets.py
+++ b/mulberryport/targets/tests/test_cold_targets.py
@@ -89,6 +89,28 @@
     assert cold.rate("t") is None
 
 
+def test_many_phases_do_not_displace_those_that_last_longest(monkeypatch):
+    # Guards against a cold target that gets full load because others are remembered.
+    monkeypatch.setattr(cold_targets, "MAX_PHASES", 3)
+    cold = ColdTargets(lambda pool: (RATE, COLD_S))
+    cold.record_report("t", "p", COLD_S)
+    for number in range(5):
+        cold.extend(f"other-{number}", "p", 0.001)
+    assert cold.rate("t") == RATE
+    assert len(list(cold.current())) <= 3
+
+
+def test_peer_does_not_change_the_pool_of_a_known_target():
+    # Guards against a cold target without a bound because a peer names no known pool.
+    cold = ColdTargets({"p": (RATE, COLD_S)}.get)
+    cold.record_report("t", "p", COLD_S)
+    cold.extend("t", "unknown", COLD_S)
+    assert cold.rate("t") == RATE
+    cold.extend("new", "unknown", COLD_S)
+    cold.suspect("new", "p")
+    assert cold.rate("new") == RATE
+
+
 def make_fleet(size):
     """Return daemons of which only the last knows that target t is cold."""
     fleet = PermitFleet(size)
