Limit for how long a peer can call a target cold

Cause: the header and the registration of a target may name up to ten minutes, and peers passed that on. A target's own next report ends its own figure, but not what daemons had heard from each other, so that one senseless figure slowed the target for minutes.

Ruled out: a lower limit for the target's own figure; it may be cold for longer than after a start, and its next report corrects it within two seconds.

Change: a peer's news counts for no longer than a suspicion. Peers repeat what holds for longer.

Without the change the new test finds 500 s.

--- a/mulberryport/targets/cold_targets.py
+++ b/mulberryport/targets/cold_targets.py
@@ -97,11 +97,17 @@
     def extend(self, target: str, pool: str, cold_s: float) -> None:
         """Count a target as cold for at least some seconds, as a peer says.
 
-        The pool of a target that is known stays as its registration said.
+        The pool of a target that is known stays as its registration said. A figure that
+        is too large counts as the longest suspicion: peers repeat what lasts longer.
         """
-        if 0.0 < cold_s <= MAX_COLD_S:
-            known = self._phases.get(target)
-            self._extend(target, known.pool if known else pool, cold_s)
+        if not 0.0 < cold_s <= MAX_COLD_S:
+            return
+        known = self._phases.get(target)
+        pool = known.pool if known else pool
+        terms = self.cold_rate_of(pool)
+        if terms is not None:
+            cold_s = min(cold_s, terms[1] + NEWS_DELAY_S)
+        self._extend(target, pool, cold_s)
 
     def rate(self, target: str) -> float | None:
         """Return the requests per second that a target takes; None if not cold."""
--- a/mulberryport/targets/tests/test_cold_targets.py
+++ b/mulberryport/targets/tests/test_cold_targets.py
@@ -89,6 +89,15 @@
     assert cold.rate("t") is None
 
 
+def test_peer_says_no_more_than_a_target_can_be_cold():
+    # Guards against a target that stays slow for minutes after one senseless figure,
+    # since its own next report does not end what peers say.
+    cold = ColdTargets(lambda pool: (RATE, COLD_S))
+    cold.extend("t", "p", 500.0)
+    phase = cold.phase("t")
+    assert COLD_S < phase.until - boottime() <= COLD_S + cold_targets.NEWS_DELAY_S
+
+
 def test_many_phases_do_not_displace_those_that_last_longest(monkeypatch):
     # Guards against a cold target that gets full load because others are remembered.
     monkeypatch.setattr(cold_targets, "MAX_PHASES", 3)
