Issue no permits for cold targets before hearing another daemon

Cause: a daemon that has just started takes itself for the issuer of all targets until it hears the others. Where many daemons restart together, each issued the permits of a cold target at the full rate meant for one.

Ruled out: a part of the rate by the number of known daemons. After a start only the seeds are known, and daemons that start together would use their parts together.

Change: a daemon that hears no other one, though it knows of some, issues none for cold targets. It still uses warm ones, and a phase ends by time.

--- a/mulberryport/targets/permits.py
+++ b/mulberryport/targets/permits.py
@@ -179,7 +179,7 @@
         issuers = self.members.owners(_issuer_key(target), 2)
         for rank, issuer in enumerate(issuers):
             if issuer.vm == self.members.self_member.vm:
-                return self._local.issue(target, self._rate_fraction(rank))
+                return self._local.issue(target, self._rate_fraction(target, rank))
             if boottime() < self._silent_until.get(issuer.vm, 0.0):
                 continue
             outcome = self._call(issuer.vm, target, rank)
@@ -214,7 +214,7 @@
         reply = peer_pb2.AcquirePermitReply()
         if self._is_issuer(target, rank):
             reply.granted, reply.retry_after = self._local.issue(
-                target, self._rate_fraction(rank)
+                target, self._rate_fraction(target, rank)
             )
             # Membership may have changed while the permit waited for its slot.
             reply.granted = reply.granted and self._is_issuer(target, rank)
@@ -248,8 +248,15 @@
         own = self.members.self_member.vm
         return rank < len(issuers) and issuers[rank].vm == own
 
-    def _rate_fraction(self, rank: int) -> float:
-        """Return the part of a target's limit at which this daemon issues permits."""
+    def _rate_fraction(self, target: str, rank: int) -> float:
+        """Return the part of a target's limit at which this daemon issues permits.
+
+        A daemon that hears no other, as just after its start, issues none for a cold
+        target: the others may do the same.
+        """
+        is_cold = self.rate_limits.cold.rate(target) is not None
+        if is_cold and len(self.members.live()) == 1 and self.members.known():
+            return 0.0
         live = len(self.members.staying())
         silent = self.members.count_silent()
         return (DEPUTY_RATE_FRACTION if rank else 1.0) * live / (live + silent)
--- a/mulberryport/targets/tests/test_cold_targets.py
+++ b/mulberryport/targets/tests/test_cold_targets.py
@@ -188,6 +188,20 @@
     assert most_in_a_second(granted) <= allowed_in_a_second(RATE)
 
 
+def test_daemons_that_have_just_started_share_one_bound():
+    # Guards against a herd of restarted daemons that have not heard of each other yet,
+    # each of which issues the permits of a cold target.
+    fleet = make_fleet(12)
+    for name, exchange in fleet.exchanges.items():
+        exchange.rate_limits.cold.extend("t", "p", COLD_S)
+        for other in fleet.exchanges:
+            exchange.members.forget(other)
+        exchange.members.add_seed("seed", "a", "127.0.0.1:5")
+        assert exchange.members.owners("permits/t", 2)[0].vm == name
+    granted = run(fleet, 1.2)
+    assert len(granted) <= allowed_in_a_second(RATE)
+
+
 def test_heartbeats_spread_news_of_cold_targets():
     # Guards against daemons that learn of a cold target only from its registration.
     fleet = make_fleet(2)
