--- a/mulberryport/targets/permits.py
+++ b/mulberryport/targets/permits.py
@@ -50,7 +50,7 @@
 # Reports are exchanged while they say something new to others.
 EXCHANGED_REPORT_AGE_S = 5.0
 MAX_EXCHANGED_REPORTS = 100
-# A report of another daemon counts as older by this time, since its age was measured
+# News of another daemon counts as older by this time, since its age was measured
 # before it was sent.
 TRANSIT_ALLOWANCE_S = 0.2
 
@@ -179,7 +179,7 @@
         issuers = self.members.owners(_issuer_key(target), 2)
         for rank, issuer in enumerate(issuers):
             if issuer.vm == self.members.self_member.vm:
-                return self._local.issue(target, self._rate_fraction(rank))
+                return self._local.issue(target, self._rate_fraction(target, rank))
             if boottime() < self._silent_until.get(issuer.vm, 0.0):
                 continue
             outcome = self._call(issuer.vm, target, rank)
@@ -214,7 +214,7 @@
         reply = peer_pb2.AcquirePermitReply()
         if self._is_issuer(target, rank):
             reply.granted, reply.retry_after = self._local.issue(
-                target, self._rate_fraction(rank)
+                target, self._rate_fraction(target, rank)
             )
             # Membership may have changed while the permit waited for its slot.
             reply.granted = reply.granted and self._is_issuer(target, rank)
@@ -235,16 +235,28 @@
             message.cold.CopyFrom(_cold_to_message(target, phase, boottime()))
 
     def _apply_cold(self, message: peer_pb2.ColdTarget) -> None:
+        """Apply a peer's news of a cold target, less its time on the way.
+
+        Otherwise each daemon that passes the news on would prolong the phase.
+        """
         if message.target:
-            self.rate_limits.cold.extend(message.target, message.pool, message.cold_s)
+            cold_s = message.cold_s - TRANSIT_ALLOWANCE_S
+            self.rate_limits.cold.extend(message.target, message.pool, cold_s)
 
     def _is_issuer(self, target: str, rank: int) -> bool:
         issuers = self.members.owners(_issuer_key(target), 2)
         own = self.members.self_member.vm
         return rank < len(issuers) and issuers[rank].vm == own
 
-    def _rate_fraction(self, rank: int) -> float:
-        """Return the part of a target's limit at which this daemon issues permits."""
+    def _rate_fraction(self, target: str, rank: int) -> float:
+        """Return the part of a target's limit at which this daemon issues permits.
+
+        A daemon that hears no other, as just after its start, issues none for a cold
+        target: the others may do the same.
+        """
+        is_cold = self.rate_limits.cold.rate(target) is not None
+        if is_cold and len(self.members.live()) == 1 and self.members.known():
+            return 0.0
         live = len(self.members.staying())
         silent = self.members.count_silent()
         return (DEPUTY_RATE_FRACTION if rank else 1.0) * live / (live + silent)
--- a/mulberryport/targets/tests/test_cold_targets.py
+++ b/mulberryport/targets/tests/test_cold_targets.py
@@ -6,6 +6,7 @@
 from ...peering import peer_pb2
 from ...runtime.clock import boottime
 from ...tables import Pool, Snapshot, Tables
+from .. import cold_targets, permits
 from ..cold_targets import ColdTargets
 from ..directory import TargetDirectory
 from ..dispatcher import Dispatcher, WorkRequest
@@ -88,6 +89,37 @@
     assert cold.rate("t") is None
 
 
+def test_peer_says_no_more_than_a_target_can_be_cold():
+    # Guards against a target that stays slow for minutes after one senseless figure,
+    # since its own next report does not end what peers say.
+    cold = ColdTargets(lambda pool: (RATE, COLD_S))
+    cold.extend("t", "p", 500.0)
+    phase = cold.phase("t")
+    assert COLD_S < phase.until - boottime() <= COLD_S + cold_targets.NEWS_DELAY_S
+
+
+def test_many_phases_do_not_displace_those_that_last_longest(monkeypatch):
+    # Guards against a cold target that gets full load because others are remembered.
+    monkeypatch.setattr(cold_targets, "MAX_PHASES", 3)
+    cold = ColdTargets(lambda pool: (RATE, COLD_S))
+    cold.record_report("t", "p", COLD_S)
+    for number in range(5):
+        cold.extend(f"other-{number}", "p", 0.001)
+    assert cold.rate("t") == RATE
+    assert len(list(cold.current())) <= 3
+
+
+def test_peer_does_not_change_the_pool_of_a_known_target():
+    # Guards against a cold target without a bound because a peer names no known pool.
+    cold = ColdTargets({"p": (RATE, COLD_S)}.get)
+    cold.record_report("t", "p", COLD_S)
+    cold.extend("t", "unknown", COLD_S)
+    assert cold.rate("t") == RATE
+    cold.extend("new", "unknown", COLD_S)
+    cold.suspect("new", "p")
+    assert cold.rate("new") == RATE
+
+
 def make_fleet(size):
     """Return daemons of which only the last knows that target t is cold."""
     fleet = PermitFleet(size)
@@ -156,6 +188,20 @@
     assert most_in_a_second(granted) <= allowed_in_a_second(RATE)
 
 
+def test_daemons_that_have_just_started_share_one_bound():
+    # Guards against a herd of restarted daemons that have not heard of each other yet,
+    # each of which issues the permits of a cold target.
+    fleet = make_fleet(12)
+    for name, exchange in fleet.exchanges.items():
+        exchange.rate_limits.cold.extend("t", "p", COLD_S)
+        for other in fleet.exchanges:
+            exchange.members.forget(other)
+        exchange.members.add_seed("seed", "a", "127.0.0.1:5")
+        assert exchange.members.owners("permits/t", 2)[0].vm == name
+    granted = run(fleet, 1.2)
+    assert len(granted) <= allowed_in_a_second(RATE)
+
+
 def test_heartbeats_spread_news_of_cold_targets():
     # Guards against daemons that learn of a cold target only from its registration.
     fleet = make_fleet(2)
@@ -164,3 +210,19 @@
     aware.add_reports(heartbeat, None)
     unaware.apply_reports(heartbeat)
     assert unaware.rate_limits.cold.rate("t") == RATE
+
+
+def test_news_that_daemons_repeat_does_not_prolong_a_phase(monkeypatch):
+    # Guards against a target that stays cold for ever because daemons pass each other's
+    # news on, and each takes the time on its way for time that the target is cold.
+    now = 100.0
+    for module in (cold_targets, permits):
+        monkeypatch.setattr(module, "boottime", lambda: now)
+    exchanges = list(make_fleet(2).exchanges.values())
+    for _ in range(200):
+        exchanges.reverse()
+        heartbeat = peer_pb2.Heartbeat()
+        exchanges[0].add_reports(heartbeat, None)
+        now += 0.02
+        exchanges[1].apply_reports(heartbeat)
+    assert [exchange.rate_limits.cold.rate("t") for exchange in exchanges] == [None] * 2
