Estimate speeds from measurements, reports and zones by their variance

Cause: the first version knew own measurements and the median of the pool only, took the list of the other targets with each call, and one pause counted like a slow phase.

Ruled out: the newest reported slowness as a factor. It changes many times a second; of a series with a correlation time of 100 ms about a third is left after 100 ms and nothing after 500 ms (test). Reports are averaged over a second and count only as far as there are several of them.

Change: estimate(target, now) combines the usual speed of the target's zone, or of the pool, with the reported slowness, what other daemons measured and what this one measured, each weighed by its variance, as logarithms. update_pool() tells the targets of a pool; what is known of one that was replaced or left is forgotten. Usual speeds and the order of the targets are kept for 0.1 s.

--- a/mulberryport/routing/speeds.py
+++ b/mulberryport/routing/speeds.py
@@ -1,25 +1,56 @@
-"""Estimate of the speed of each target, from the events of its streams.
+"""Estimate of the speed of each target, from events, reports and other daemons.
 
-Each measurement counts less with its age: a target that was slow shares its machine
-with others and may be fast again. What is not known of a target is taken from the
-others of its pool.
+Three sources are combined, each weighed by its variance:
+
+- the usual speed of the targets of the same zone, or of the whole pool, corrected by
+  how slow the target itself says that it is;
+- what other daemons measured there;
+- what this daemon measured there.
+
+All of it is kept as logarithms, so that twice as fast and twice as slow count the same.
 """
 
+import bisect
 import math
 import statistics
+from collections.abc import Iterable, Sequence
 
 from attrs import define, field, frozen
 
-__all__ = ["SpeedEstimate", "TargetSpeeds"]
+from .model import TargetView
+
+__all__ = ["RemoteSpeed", "SpeedEstimate", "TargetSpeeds"]
 
-# Time constant with which a measurement loses its weight against the pool's median.
+# Time constant with which a measurement loses its weight against the usual speed of the
+# zone: targets share their machines, and a slow phase lasts for seconds. A shorter one
+# sends texts back into a slow phase, a longer one leaves targets unused after it.
 MEASUREMENT_DECAY_S = 4.0
-SMOOTHING_FACTOR = 0.2
-# Relative spread of the interval of a target about which nothing is known.
-UNKNOWN_SPREAD = 0.3
+# Time over which intervals are averaged. Within it, an interval counts by the time that
+# it covers, so that a target that turned slow is known after a few of its long ones.
+AVERAGING_TIME_S = 0.4
+# One interval changes the average by this factor at most: it may be a pause.
+MAX_STEP_RATIO = 4.0
+# Standard deviation of the logarithm of the interval of a target of which nothing is
+# known, and of a single event before the target's own spread is known.
+UNKNOWN_DEVIATION = 0.3
+EVENT_DEVIATION = 0.3
+# The average covers this many events at most, whatever their rate.
+MAX_EFFECTIVE_EVENTS = 16.0
+# Reported slowness changes many times a second. Reports are averaged over this time,
+# and count only as far as there are several of them within it.
+REPORT_DECAY_S = 1.0
+# Number of reports at which their average counts by half.
+REPORTS_FOR_HALF_WEIGHT = 3.0
+MIN_SLOWDOWN, MAX_SLOWDOWN = 0.01, 100.0
+# Measured targets from which the usual speed of a zone is taken.
+MIN_ZONE_TARGETS = 3
 # Measurements of targets that were not used for this time are removed.
 RETENTION_S = 60.0
-MAX_INTERVAL_S = 60.0
+MIN_INTERVAL_S, MAX_INTERVAL_S = 1e-4, 60.0
+# Usual speeds and the order of a pool's targets are computed again after this time.
+SUMMARY_MAX_AGE_S = 0.1
+# Bound on the targets of which other daemons report speeds.
+MAX_TARGETS = 4096
 
 
 @frozen
@@ -38,17 +69,107 @@
     spread_s: float
 
 
-@define
-class _Measurement:
+@frozen
+class RemoteSpeed:
+    """What a daemon has measured of a target.
+
+    Parameters
+    ----------
+    interval_s : float
+        Average time between two events, in seconds.
+    deviation : float
+        Standard deviation of the logarithm of the average.
+    measured_at : float
+        Boot time of the last event.
+    """
+
     interval_s: float
-    deviation_s: float
+    deviation: float
+    measured_at: float
+
+
+@define
+class _Average:
+    """Average of the logarithm of event intervals."""
+
+    value: float
     updated_at: float
-    events: int = 1
+    deviation: float = EVENT_DEVIATION
+    effective_events: float = 1.0
+
+    @property
+    def variance(self) -> float:
+        """Variance of the average at the time of its last event."""
+        return self.deviation**2 / self.effective_events
+
+    def add(self, interval_s: float, now: float) -> None:
+        age_s = max(0.0, now - self.updated_at)
+        # After a pause, the new value replaces the old one in part at least.
+        forgotten = 1.0 - math.exp(-age_s / MEASUREMENT_DECAY_S)
+        factor = 1.0 - math.exp(-interval_s / AVERAGING_TIME_S)
+        factor = max(factor, forgotten, 1.0 / MAX_EFFECTIVE_EVENTS)
+        factor = max(factor, 1.0 / (self.effective_events + 1.0))
+        limit = math.log(MAX_STEP_RATIO)
+        error = math.log(interval_s) - self.value
+        error = max(-limit, min(limit, error))
+        self.value += factor * error
+        self.deviation += factor * (abs(error) - self.deviation)
+        self.effective_events = min(self.effective_events + 1.0, 1.0 / factor)
+        self.updated_at = max(self.updated_at, now)
+
+
+@define
+class _Reports:
+    """Average of the logarithm of the slowness that a target reports."""
+
+    value: float = 0.0
+    weight: float = 0.0
+    reported_at: float = -math.inf
+
+    def add(self, slowdown: float, reported_at: float, now: float) -> None:
+        if not self.reported_at < reported_at <= now:
+            return
+        remaining = self.weight_at(reported_at)
+        self.weight = remaining + 1.0
+        self.value += (math.log(slowdown) - self.value) / self.weight
+        self.reported_at = reported_at
+
+    def weight_at(self, now: float) -> float:
+        age_s = max(0.0, now - self.reported_at)
+        return self.weight * math.exp(-age_s / REPORT_DECAY_S)
+
+    def expected(self, now: float) -> float:
+        """Return the expected logarithm of the slowness, 0 if nothing is known."""
+        weight = self.weight_at(now)
+        return self.value * weight / (weight + REPORTS_FOR_HALF_WEIGHT)
+
+
+@define
+class _Member:
+    """A target of a pool; ``born`` tells it apart from others under its id."""
+
+    pool: str
+    zone: str
+    born: int
+    reports: _Reports = field(factory=_Reports)
+
+
+@define
+class _PoolSummary:
+    """Usual speeds of a pool and the order of its targets, computed now and then."""
+
+    computed_at: float
+    usual: float | None
+    usual_by_zone: dict[str, float]
+    reported: float
+    reported_by_zone: dict[str, float]
+    # Expected intervals in seconds and ids, the fastest target first.
+    ranking: list[tuple[float, str]] = field(factory=list)
 
 
 @define(eq=False)
 class TargetSpeeds:
-    """Speeds of the targets that this daemon has measured.
+    """Speeds of the targets that this daemon uses.
 
     Examples
     --------
@@ -56,13 +177,54 @@
     >>> for _ in range(20):
     ...     speeds.record_interval("fast", 0.05, now=10.0)
     ...     speeds.record_interval("slow", 0.15, now=10.0)
-    >>> round(speeds.estimate("slow", ["fast", "slow"], now=10.0).event_interval_s, 2)
+    >>> round(speeds.estimate("slow", now=10.0).event_interval_s, 2)
     0.15
-    >>> round(speeds.estimate("new", ["fast", "slow"], now=10.0).event_interval_s, 2)
-    0.1
+    >>> 0.05 < speeds.estimate("new", now=10.0).event_interval_s < 0.15
+    True
     """
 
-    _measurements: dict[str, _Measurement] = field(factory=dict)
+    _measured: dict[str, _Average] = field(factory=dict)
+    _remote: dict[str, RemoteSpeed] = field(factory=dict)
+    _members: dict[str, _Member] = field(factory=dict)
+    _ids_by_pool: dict[str, frozenset[str]] = field(factory=dict)
+    _summaries: dict[str, _PoolSummary] = field(factory=dict)
+    _cleaned_at: float = -math.inf
+
+    def update_pool(self, pool: str, views: Iterable[TargetView], now: float) -> None:
+        """Apply the newest views of the targets of a pool and what they report.
+
+        What is known of a target that was replaced, or that left, is forgotten.
+
+        Parameters
+        ----------
+        pool : str
+            The pool.
+        views : iterable of TargetView
+            Its targets.
+        now : float
+            Boot time.
+        """
+        ids = set()
+        for view in views:
+            ids.add(view.id)
+            member = self._members.get(view.id)
+            if member is None or member.born != view.born:
+                if member is not None:
+                    self.forget(view.id)
+                member = self._members[view.id] = _Member(pool, view.zone, view.born)
+            member.pool, member.zone = pool, view.zone
+            slowdown = view.report.slowdown if view.report is not None else None
+            if slowdown is not None and MIN_SLOWDOWN <= slowdown <= MAX_SLOWDOWN:
+                member.reports.add(slowdown, now - view.report_age, now)
+        for target in self._ids_by_pool.get(pool, frozenset()) - ids:
+            member = self._members.get(target)
+            if member is not None and member.pool == pool:
+                self.forget(target)
+        if self._ids_by_pool.get(pool) != ids:
+            self._summaries.pop(pool, None)
+        self._ids_by_pool[pool] = frozenset(ids)
+        if now - self._cleaned_at > RETENTION_S:
+            self._remove_outdated(now)
 
     def record_interval(self, target: str, interval_s: float, now: float) -> None:
         """Record the time between two consecutive events of a stream of a target.
@@ -76,55 +238,193 @@
         now : float
             Boot time.
         """
-        if not 0.0 < interval_s <= MAX_INTERVAL_S:
+        if not (0.0 < interval_s <= MAX_INTERVAL_S and math.isfinite(now)):
             return
-        known = self._measurements.get(target)
-        if known is None:
-            self._measurements[target] = _Measurement(interval_s, 0.0, now)
+        interval_s = max(MIN_INTERVAL_S, interval_s)
+        average = self._measured.get(target)
+        if average is None:
+            self._measured[target] = _Average(math.log(interval_s), now)
+        else:
+            average.add(interval_s, now)
+
+    def record_remote(self, target: str, speed: RemoteSpeed) -> None:
+        """Record what another daemon has measured, unless something newer is known.
+
+        Parameters
+        ----------
+        target : str
+            Id of the target; targets of no known pool are ignored.
+        speed : RemoteSpeed
+            The measurement. Impossible ones are ignored.
+        """
+        is_possible = (
+            MIN_INTERVAL_S <= speed.interval_s <= MAX_INTERVAL_S
+            and 0.0 <= speed.deviation <= 1.0
+            and math.isfinite(speed.measured_at)
+        )
+        if not is_possible or target not in self._members:
             return
-        # After a pause, the new value replaces the old one in part at least.
-        weight = 1.0 - math.exp(-(now - known.updated_at) / MEASUREMENT_DECAY_S)
-        factor = max(SMOOTHING_FACTOR, weight)
-        error_s = interval_s - known.interval_s
-        known.interval_s += factor * error_s
-        known.deviation_s += factor * (abs(error_s) - known.deviation_s)
-        known.updated_at, known.events = now, known.events + 1
-
-    def estimate(
-        self, target: str, others: list[str], now: float
-    ) -> SpeedEstimate | None:
+        known = self._remote.get(target)
+        if known is None or known.measured_at < speed.measured_at:
+            self._remote[target] = speed
+
+    def measured_since(self, since: float) -> dict[str, RemoteSpeed]:
+        """Return what this daemon has measured since a boot time, by target."""
+        return {
+            target: RemoteSpeed(
+                math.exp(average.value), math.sqrt(average.variance), average.updated_at
+            )
+            for target, average in self._measured.items()
+            if average.updated_at >= since and target in self._members
+        }
+
+    def estimate(self, target: str, now: float) -> SpeedEstimate | None:
         """Return the expected speed of a target.
 
         Parameters
         ----------
         target : str
             Id of the target.
-        others : list of str
-            Ids of the targets of its pool.
         now : float
             Boot time.
 
         Returns
         -------
         SpeedEstimate or None
-            None if nothing is known of any target of the pool.
+            None if nothing was measured at any target of the pool.
         """
-        known = [
-            m.interval_s
-            for m in map(self._measurements.get, others)
-            if m is not None and now - m.updated_at < RETENTION_S
-        ]
-        own = self._measurements.get(target)
-        if not known:
-            return None
-        median_s = statistics.median(known)
-        if own is None:
-            return SpeedEstimate(median_s, UNKNOWN_SPREAD * median_s)
-        weight = math.exp(-max(0.0, now - own.updated_at) / MEASUREMENT_DECAY_S)
-        interval_s = weight * own.interval_s + (1.0 - weight) * median_s
-        spread_s = weight * own.deviation_s + (1.0 - weight) * UNKNOWN_SPREAD * median_s
-        return SpeedEstimate(interval_s, spread_s)
+        member = self._members.get(target)
+        summary = self._summary(member.pool if member else "", now)
+        return self._estimate(target, member, summary, now)
+
+    def ranking(self, pool: str, now: float) -> Sequence[tuple[float, str]]:
+        """Return expected intervals in seconds and ids, the fastest target first.
+
+        They are a tenth of a second old at most. Empty if nothing was measured.
+        """
+        return self._summary(pool, now).ranking
+
+    def slower_than(self, pool: str, interval_s: float, now: float) -> frozenset[str]:
+        """Return the targets of a pool whose expected interval is longer."""
+        ranking = self.ranking(pool, now)
+        first = bisect.bisect_right(ranking, interval_s, key=lambda entry: entry[0])
+        return frozenset(target for _, target in ranking[first:])
+
+    def usual_interval_s(self, pool: str, now: float) -> float | None:
+        """Return the median interval of a pool's targets in seconds, if known."""
+        ranking = self.ranking(pool, now)
+        return ranking[(len(ranking) - 1) // 2][0] if ranking else None
 
     def forget(self, target: str) -> None:
         """Remove what is known of a target, for example after it was replaced."""
-        self._measurements.pop(target, None)
+        for known in (self._measured, self._remote, self._members):
+            known.pop(target, None)
+
+    def _estimate(
+        self, target: str, member: _Member | None, summary: _PoolSummary, now: float
+    ) -> SpeedEstimate | None:
+        if summary.usual is None:
+            return None
+        value, variance = summary.usual, UNKNOWN_DEVIATION**2
+        if member is not None:
+            value = summary.usual_by_zone.get(member.zone, value)
+            usually_reported = summary.reported_by_zone.get(
+                member.zone, summary.reported
+            )
+            value += member.reports.expected(now) - usually_reported
+        remote, own = self._remote.get(target), self._measured.get(target)
+        if remote is not None:
+            value, variance = _combine(
+                value,
+                variance,
+                math.log(remote.interval_s),
+                remote.deviation**2 + _drift(now - remote.measured_at),
+            )
+        if own is not None:
+            value, variance = _combine(
+                value, variance, own.value, own.variance + _drift(now - own.updated_at)
+            )
+        interval_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, math.exp(value)))
+        return SpeedEstimate(interval_s, interval_s * math.sqrt(variance))
+
+    def _summary(self, pool: str, now: float) -> _PoolSummary:
+        summary = self._summaries.get(pool)
+        if summary is None or not 0 <= now - summary.computed_at < SUMMARY_MAX_AGE_S:
+            summary = self._summaries[pool] = self._summarize(pool, now)
+        return summary
+
+    def _summarize(self, pool: str, now: float) -> _PoolSummary:
+        ids = self._ids_by_pool.get(pool)
+        if ids is None:
+            ids = frozenset(self._measured)
+        values: dict[str, list[float]] = {}
+        reports: dict[str, list[float]] = {}
+        for target in ids:
+            member = self._members.get(target)
+            zone = member.zone if member is not None else ""
+            if member is not None:
+                reports.setdefault(zone, []).append(member.reports.expected(now))
+            value = self._last_value(target, now)
+            if value is not None:
+                values.setdefault(zone, []).append(value)
+        summary = _PoolSummary(
+            now,
+            _median_of([v for zone in values.values() for v in zone]),
+            _medians_by_zone(values),
+            _median_of([v for zone in reports.values() for v in zone]) or 0.0,
+            _medians_by_zone(reports),
+        )
+        for target in ids:
+            estimate = self._estimate(target, self._members.get(target), summary, now)
+            if estimate is not None:
+                summary.ranking.append((estimate.event_interval_s, target))
+        summary.ranking.sort()
+        return summary
+
+    def _last_value(self, target: str, now: float) -> float | None:
+        """Return the logarithm of the interval that was measured last."""
+        own, remote = self._measured.get(target), self._remote.get(target)
+        if own is not None and (remote is None or own.updated_at >= remote.measured_at):
+            return own.value if now - own.updated_at < RETENTION_S else None
+        if remote is not None and now - remote.measured_at < RETENTION_S:
+            return math.log(remote.interval_s)
+        return None
+
+    def _remove_outdated(self, now: float) -> None:
+        self._cleaned_at = now
+        for target, average in list(self._measured.items()):
+            if now - average.updated_at > RETENTION_S:
+                del self._measured[target]
+        for target, speed in list(self._remote.items()):
+            if now - speed.measured_at > RETENTION_S:
+                del self._remote[target]
+
+
+def _combine(
+    first: float, first_variance: float, second: float, second_variance: float
+) -> tuple[float, float]:
+    """Return the mean of two values, weighed by their variances, and its variance."""
+    total = first_variance + second_variance
+    if total <= 0.0:
+        return second, 0.0
+    weight = first_variance / total
+    return first + weight * (second - first), weight * second_variance
+
+
+def _drift(age_s: float) -> float:
+    """Return the variance by which a value has drifted from what was measured."""
+    exponent = min(50.0, max(0.0, age_s) / MEASUREMENT_DECAY_S)
+    return UNKNOWN_DEVIATION**2 * math.expm1(exponent)
+
+
+def _median_of(values: list[float]) -> float | None:
+    return statistics.median(values) if values else None
+
+
+def _medians_by_zone(values: dict[str, list[float]]) -> dict[str, float]:
+    """Return the medians of the zones in which enough targets are known."""
+    return {
+        zone: statistics.median(known)
+        for zone, known in values.items()
+        if len(known) >= MIN_ZONE_TARGETS
+    }
