Move running texts by what they still lack and by the estimate of speeds

Cause: a text left its engine only if that was twice as slow as the median, and looked neither at what it still lacked nor at whether a faster engine was free.

Ruled out: a margin of one standard deviation. A text has a chance to move with each event; with an error of a fifth in each estimate, texts at engines as fast as the others lost more than they stood to gain (test). A margin on differences instead of ratios: it hid a target that had just turned slow, because its spread rose with its interval.

Change: in pools whose targets tell how long work takes, texts avoid targets at which they are expected to take 0.25 s longer than usual, unless others wait in the pool, and move if what they still lack is done sooner elsewhere, the restart and a margin from both spreads taken off. A text moves 4 times at most, stays 0.5 s, and does not return for 4 s; a budget per pool lets texts with the longest rest go first. A pause for new weights is no measurement. One interval changes the estimate by half at most. Metrics count moves by reason, and measured against expected intervals.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -12,12 +12,12 @@
 from ..gateway.access import match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
+from ..steps.lengths import expected_remaining_events
 from ..tables import Route, Snapshot
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .codec import encode_result, max_encoded_bytes
-from .engine_latency import EngineLatencyTracker
 from .generation import (
     EngineClient,
     EngineSwitchError,
@@ -29,6 +29,7 @@
     Transcript,
 )
 from .model import COMPLETED, ERRORED, Job, JobItem, JobResult, ScoringCall
+from .moving import TextMoves, TextRun
 from .repository import CHUNK_BYTES, JobRepository
 
 __all__ = ["ItemTask", "JobContext"]
@@ -97,8 +98,8 @@
         Calls engines and scoring services.
     now : callable
         Returns seconds since 1970 by the fleet's clock.
-    engine_latencies : EngineLatencyTracker
-        Measured event latencies of the engines.
+    moves : TextMoves
+        Decides which engines texts avoid and leave.
     reacquire : callable
         Tries to reacquire a job that the store does not show as owned by this daemon;
         returns whether that succeeded, as an outcome.
@@ -111,7 +112,7 @@
     snapshot: Callable[[], Snapshot]
     engine_client: EngineClient
     now: Callable[[], float]
-    engine_latencies: EngineLatencyTracker
+    moves: TextMoves
     reacquire: Callable[[Any], Outcome[bool]]
     may_be_outdated: Callable[[], bool] = lambda: False
 
@@ -143,6 +144,7 @@
     transcript: Transcript
     context: JobContext = field(repr=False)
     _has_waited: bool = False
+    _run: TextRun = field(factory=TextRun)
 
     def run(self) -> JobResult | None:
         """Return the result of the item; None if the task was cancelled."""
@@ -260,6 +262,7 @@
     def _generate(self, route: Route) -> None:
         pool = route.select_pool(random.random())
         self._restart_without_software(pool)
+        expected_events = self._remaining_events(pool)
         work = WorkRequest(
             pool=pool,
             workspace=self.job.workspace,
@@ -267,12 +270,15 @@
             deadline=boottime() + ASSIGNMENT_WAIT_S,
             affinity=self.item.group,
             restartable=True,
-            exclude=self.context.engine_latencies.slow_engines(boottime()),
+            exclude=self.context.moves.avoided_targets(
+                pool, self._run, expected_events, boottime()
+            ),
             model=self.item.model,
             oldest_version=self.job.oldest_version,
             software=self.transcript.software if self.transcript.events else None,
             purpose="item",
             is_resubmitted=True,
+            expected_events=expected_events,
         )
         with self._assign(work) as assignment:
             self.transcript.software = assignment.software
@@ -284,7 +290,7 @@
                         self.job,
                         self.item,
                         self.transcript,
-                        self._make_event_callback(assignment),
+                        self._make_event_callback(assignment, work),
                     )
                 self._require_single_version(route)
             except (NotStartedError, StaleWeightsError, EngineSwitchError):
@@ -355,31 +361,38 @@
             self.transcript.restart()
             raise StaleWeightsError("the text has several weight versions")
 
-    def _make_event_callback(self, assignment: Assignment) -> Callable[[], None]:
+    def _remaining_events(self, pool: str) -> float:
+        """Return the expected number of events that the text still lacks."""
+        settings = self.context.dispatcher.directory.pool(pool)
+        return expected_remaining_events(
+            self.item.length_hint,
+            settings.tokens_per_event if settings is not None else 1,
+            len(self.transcript.events),
+        )
+
+    def _make_event_callback(
+        self, assignment: Assignment, work: WorkRequest
+    ) -> Callable[[], None]:
         """Return a callback that measures events and raises if the item should move.
 
         An item stays where it is while no other target can go on with its text.
         """
-        engine = assignment.id
-        engine_latencies, directory = (
-            self.context.engine_latencies,
-            self.context.dispatcher.directory,
-        )
+        engine, moves = assignment.id, self.context.moves
         last_event_at: float | None = None
 
-        def can_move() -> bool:
-            pool, software = assignment.pool, assignment.software
-            return directory.serves_software(pool, software, excluded=engine)
-
         def on_event() -> None:
             nonlocal last_event_at
             now = boottime()
             if last_event_at is not None:
-                engine_latencies.record(engine, now - last_event_at, now)
-                if engine_latencies.is_slow(engine, now) and can_move():
+                is_pause = len(set(self.transcript.versions[-2:])) > 1
+                moves.record_interval(assignment, now - last_event_at, is_pause, now)
+                remaining_events = self._remaining_events(assignment.pool)
+                if moves.should_leave(
+                    assignment, work, self._run, remaining_events, now
+                ):
                     raise EngineSwitchError(f"{engine} is slow")
             last_event_at = now
-            if directory.is_leaving(engine) and can_move():
+            if moves.must_leave(assignment):
                 raise EngineSwitchError(f"{engine} is leaving")
 
         return on_event
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -18,10 +18,10 @@
 from ..targets import Dispatcher
 from ..telemetry import define as define_event
 from ..telemetry import log
-from .engine_latency import EngineLatencyTracker
 from .generation import EngineClient, Transcript
 from .items import JobContext
 from .model import Job, JobResult
+from .moving import TextMoves
 from .owned import OwnedJob
 from .reading import JobReader, ResultPage
 from .registry import RECOVERY_GRACE_S, JobRegistry, owner_vm
@@ -140,7 +140,7 @@
             snapshot=self.snapshot,
             engine_client=self.engine_client,
             now=self.now,
-            engine_latencies=EngineLatencyTracker(),
+            moves=TextMoves(self.dispatcher),
             reacquire=self._ownership_manager.reacquire,
             may_be_outdated=lambda: self.may_be_outdated(),
         )
--- a/mulberryport/jobs/tests/builders.py
+++ b/mulberryport/jobs/tests/builders.py
@@ -9,6 +9,7 @@
 from ...coordination.tests.builders import MemoryStore, until
 from ...membership import Member, Members
 from ...outcomes import NotDone, Unknown
+from ...runtime.clock import boottime
 from ...tables import (
     MODEL_ENGINE,
     PLAIN_SERVICE,
@@ -18,9 +19,10 @@
     Snapshot,
     SnapshotHolder,
     Tables,
+    TargetSpec,
     Workspace,
 )
-from ...targets import Dispatcher, TargetDirectory
+from ...targets import Dispatcher, LoadReport, TargetDirectory, WorkRequest
 from ...targets.vm_list import ListedVm
 from ..generation import EngineClient
 from ..model import Job, JobItem, ScoringCall
@@ -311,3 +313,22 @@
         for owned in list(self.jobs.registry.owned.values()):
             owned.close("the daemon died")
         self.store.expire(self.session.lease)
+
+
+def uneven_dispatcher(targets=8):
+    """Return a dispatcher for pool p, whose targets tell how long work takes there."""
+    directory = TargetDirectory()
+    dispatcher = Dispatcher(directory, "a")
+    specs = tuple(
+        TargetSpec(f"t{n}", f"127.0.0.1:{n + 1}", "a") for n in range(targets)
+    )
+    pool = Pool(name="p", kind=MODEL_ENGINE, targets=specs, tokens_per_event=75)
+    snapshot = Snapshot(1, "c", Tables(pools={"p": pool}))
+    directory.apply_snapshot(snapshot)
+    dispatcher.apply_snapshot(snapshot)
+    for spec in specs:
+        report = LoadReport(1, 0, 8, slowdown=1.0)
+        directory.record_load(spec.id, report, boottime())
+    with dispatcher.assign(WorkRequest(pool="p", workspace="w")):
+        assert dispatcher.is_uneven("p")
+    return dispatcher
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -4,6 +4,12 @@
 from .ejection import Ejector
 from .limits import ConcurrencyLimit
 from .model import LoadReport, ShedError, TargetView, WorkRequest
+from .moving import (
+    MoveBudget,
+    expected_gain_s,
+    longest_interval_s,
+    may_move_again,
+)
 from .permits import (
     COLD_RATE_FRACTION,
     MAX_PERMIT_WAIT_S,
@@ -16,7 +22,7 @@
 from .scheduler import Grant, PoolScheduler, Result
 from .selection import choose_target
 from .sharing import Shares, max_min_fair_shares
-from .speeds import SpeedEstimate, TargetSpeeds
+from .speeds import RemoteSpeed, SpeedEstimate, TargetSpeeds
 
 __all__ = [
     "COLD_RATE_FRACTION",
@@ -30,6 +36,7 @@
     "FairQueue",
     "Grant",
     "LoadReport",
+    "MoveBudget",
     "PoolScheduler",
     "Result",
     "RetryBudget",
@@ -40,8 +47,12 @@
     "TargetView",
     "QueuedRequest",
     "RateLimitReport",
+    "RemoteSpeed",
     "WorkRequest",
     "choose_target",
+    "expected_gain_s",
     "latest_report",
+    "longest_interval_s",
     "max_min_fair_shares",
+    "may_move_again",
 ]
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -191,6 +191,17 @@
         """Remove a request from the queue."""
         self.queue.remove(queued)
 
+    def could_start(self, target: str, work: WorkRequest) -> bool:
+        """Return whether a target is free and may run a request without a permit."""
+        candidate = self.targets.get(target)
+        return (
+            candidate is not None
+            and not candidate.is_rate_limited
+            and candidate.free_slots > 0
+            and candidate in self.targets.usable
+            and self.targets.admits(candidate, work)
+        )
+
     def wanted_permits(self, now: float, requested: Collection[str]) -> list[str]:
         """Return the targets for which permits should be requested now.
 
--- a/mulberryport/routing/speeds.py
+++ b/mulberryport/routing/speeds.py
@@ -1,6 +1,6 @@
 """Estimate of the speed of each target, from events, reports and other daemons.
 
-Three sources are combined, each weighed by its variance:
+Three sources are combined, the later ones weighed by their variance and age:
 
 - the usual speed of the targets of the same zone, or of the whole pool, corrected by
   how slow the target itself says that it is;
@@ -27,12 +27,16 @@
 MEASUREMENT_DECAY_S = 4.0
 # Time over which intervals are averaged. Within it, an interval counts by the time that
 # it covers, so that a target that turned slow is known after a few of its long ones.
-AVERAGING_TIME_S = 0.4
-# One interval changes the average by this factor at most: it may be a pause.
+AVERAGING_TIME_S = 0.25
+# One interval may be a pause: it changes the average by half at most, and by half of
+# this factor.
+MAX_STEP_WEIGHT = 0.5
 MAX_STEP_RATIO = 4.0
 # Standard deviation of the logarithm of the interval of a target of which nothing is
-# known, and of a single event before the target's own spread is known.
+# known, and of a single event before the target's own spread is known. A target may be
+# several times slower than usual, so that measurements are weighed by a wider one.
 UNKNOWN_DEVIATION = 0.3
+SLOW_PHASE_DEVIATION = 0.7
 EVENT_DEVIATION = 0.3
 # The average covers this many events at most, whatever their rate.
 MAX_EFFECTIVE_EVENTS = 16.0
@@ -104,16 +108,21 @@
 
     def add(self, interval_s: float, now: float) -> None:
         age_s = max(0.0, now - self.updated_at)
-        # After a pause, the new value replaces the old one in part at least.
+        # After a while, the new value replaces the old one in part at least.
         forgotten = 1.0 - math.exp(-age_s / MEASUREMENT_DECAY_S)
-        factor = 1.0 - math.exp(-interval_s / AVERAGING_TIME_S)
-        factor = max(factor, forgotten, 1.0 / MAX_EFFECTIVE_EVENTS)
-        factor = max(factor, 1.0 / (self.effective_events + 1.0))
+        covered = 1.0 - math.exp(-interval_s / AVERAGING_TIME_S)
+        factor = max(
+            min(MAX_STEP_WEIGHT, covered),
+            forgotten,
+            1.0 / MAX_EFFECTIVE_EVENTS,
+            1.0 / (self.effective_events + 1.0),
+        )
         limit = math.log(MAX_STEP_RATIO)
         error = math.log(interval_s) - self.value
         error = max(-limit, min(limit, error))
         self.value += factor * error
-        self.deviation += factor * (abs(error) - self.deviation)
+        remaining_error = (1.0 - factor) * abs(error)
+        self.deviation += factor * (remaining_error - self.deviation)
         self.effective_events = min(self.effective_events + 1.0, 1.0 / factor)
         self.updated_at = max(self.updated_at, now)
 
@@ -334,16 +343,13 @@
             value += member.reports.expected(now) - usually_reported
         remote, own = self._remote.get(target), self._measured.get(target)
         if remote is not None:
-            value, variance = _combine(
-                value,
-                variance,
-                math.log(remote.interval_s),
-                remote.deviation**2 + _drift(now - remote.measured_at),
-            )
+            weight = _weight(remote.deviation**2, now - remote.measured_at)
+            value += weight * (math.log(remote.interval_s) - value)
+            variance += weight * (remote.deviation**2 - variance)
         if own is not None:
-            value, variance = _combine(
-                value, variance, own.value, own.variance + _drift(now - own.updated_at)
-            )
+            weight = _weight(own.variance, now - own.updated_at)
+            value += weight * (own.value - value)
+            variance += weight * (own.variance - variance)
         interval_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, math.exp(value)))
         return SpeedEstimate(interval_s, interval_s * math.sqrt(variance))
 
@@ -400,21 +406,10 @@
                 del self._remote[target]
 
 
-def _combine(
-    first: float, first_variance: float, second: float, second_variance: float
-) -> tuple[float, float]:
-    """Return the mean of two values, weighed by their variances, and its variance."""
-    total = first_variance + second_variance
-    if total <= 0.0:
-        return second, 0.0
-    weight = first_variance / total
-    return first + weight * (second - first), weight * second_variance
-
-
-def _drift(age_s: float) -> float:
-    """Return the variance by which a value has drifted from what was measured."""
-    exponent = min(50.0, max(0.0, age_s) / MEASUREMENT_DECAY_S)
-    return UNKNOWN_DEVIATION**2 * math.expm1(exponent)
+def _weight(variance: float, age_s: float) -> float:
+    """Return the weight of a measurement against what is known without it."""
+    certainty = SLOW_PHASE_DEVIATION**2 / (SLOW_PHASE_DEVIATION**2 + variance)
+    return certainty * math.exp(-max(0.0, age_s) / MEASUREMENT_DECAY_S)
 
 
 def _median_of(values: list[float]) -> float | None:
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -23,6 +23,7 @@
     Result,
     Shares,
     ShedError,
+    SpeedEstimate,
     TargetSpeeds,
     TargetView,
     WorkRequest,
@@ -173,6 +174,32 @@
         scheduler = self._schedulers.get(pool)
         return scheduler is not None and scheduler.targets.is_uneven
 
+    def best_alternative(
+        self, work: WorkRequest, excluded: Collection[str]
+    ) -> SpeedEstimate | None:
+        """Return the speed of the fastest target that could take a request now.
+
+        Parameters
+        ----------
+        work : WorkRequest
+            The request.
+        excluded : collection of str
+            Ids of targets that do not count.
+
+        Returns
+        -------
+        SpeedEstimate or None
+            None if no target is free, or nothing is known of any target's speed.
+        """
+        scheduler = self._schedulers.get(work.pool)
+        if scheduler is None:
+            return None
+        now = boottime()
+        for _, target in self.speeds.ranking(work.pool, now):
+            if target not in excluded and scheduler.could_start(target, work):
+                return self.speeds.estimate(target, now)
+        return None
+
     @contextmanager
     def assign(self, request: WorkRequest) -> Iterator[Assignment]:
         """Wait for a target and hold one of its slots until the context exits.
@@ -369,7 +396,10 @@
         if settings is not None:
             scheduler.queue.max_length = settings.queue
         self._refreshed_at[pool] = now
-        scheduler.update(self.directory.views(pool), now)
+        views = self.directory.views(pool)
+        scheduler.update(views, now)
+        if scheduler.targets.is_uneven:
+            self.speeds.update_pool(pool, views, now)
 
 
 def _log_ejection(target: str, out: bool) -> None:
--- a/mulberryport/targets/tests/test_dispatcher.py
+++ b/mulberryport/targets/tests/test_dispatcher.py
@@ -213,3 +213,24 @@
     assert third._schedulers["p"].ejector.ejected == ("t0",)
     with third.assign(WorkRequest("p", "light")) as assignment:
         assert assignment.id == "t1"
+
+
+def test_reported_slowness_reaches_the_estimate_of_speeds():
+    # Guards against reports that no decision uses, and against an estimate that keeps
+    # targets that left the pool.
+    dispatcher = make_dispatcher(targets=3, concurrency=8)
+    for target in ("t0", "t1", "t2", "elsewhere"):
+        dispatcher.speeds.record_interval(target, 0.05, boottime())
+    for _ in range(6):
+        for target, slowdown in (("t0", 1.0), ("t1", 1.0), ("t2", 5.0)):
+            report = LoadReport(0, 0, 8, slowdown=slowdown)
+            dispatcher.directory.record_load(target, report, boottime())
+        eventlet.sleep(0.11)
+        with dispatcher.assign(WorkRequest("p", "light")):
+            assert dispatcher.is_uneven("p")
+    dispatcher.speeds.record_interval("t0", 0.05, boottime())
+    fastest = [target for _, target in dispatcher.speeds.ranking("p", boottime())]
+    assert len(fastest) == 3 and fastest[-1] == "t2"
+    alternative = dispatcher.best_alternative(WorkRequest("p", "light"), {"t0"})
+    assert 0.03 < alternative.event_interval_s < 0.06
+    assert dispatcher.best_alternative(WorkRequest("p", "light"), set(fastest)) is None
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -12,10 +12,12 @@
 __all__ = [
     "ANSWER_SECONDS",
     "EVENTS",
+    "ITEM_MOVES",
     "LIMITED_TARGET_REQUESTS",
     "LONG_TURN_SECONDS",
     "RATE_LIMIT_REFUSALS",
     "SAMPLE_STALENESS",
+    "SPEED_ERROR_RATIO",
     "Counter",
     "Gauge",
     "Histogram",
@@ -41,6 +43,15 @@
     "mulberryport_rate_limit_refusals_total",
     "Requests refused because of the rate limits of all targets of a pool.",
 )
+ITEM_MOVES = Counter(
+    "mulberryport_item_moves_total",
+    "Texts that moved to another engine, by pool and reason.",
+)
+SPEED_ERROR_RATIO = Histogram(
+    "mulberryport_event_interval_ratio",
+    "Measured time between two events relative to the expected, by pool.",
+    buckets=[0.25, 0.5, 0.7, 0.85, 1, 1.15, 1.4, 2, 4],
+)
 SAMPLE_STALENESS = Histogram(
     "mulberryport_sample_staleness_versions",
     "Weight versions by which delivered samples were behind, by workspace.",
