Choose targets of uneven pools by the time until a request ends

Cause: the cost of a target was a fraction of its capacity, and the home of a prompt could be 70% of its capacity busier than the best target. A reading of milliseconds was bought with a wait of a run time, and a fast target cost as much as a slow one.

Change: items name the parts of their prompt and the events that they still lack. Each daemon remembers what the targets read for it (routing/prefixes.py), until they restart, change their weights or need the memory. In pools whose targets tell how long work takes, the cost is a time in seconds (routing/completion.py): wait, reading, generation, lack of memory, zone, connection. Nearly equal times are decided by the kept prompt, the home, the connection and at random. Other pools are served as before. Two counters.

--- a/mulberryport/jobs/codec.py
+++ b/mulberryport/jobs/codec.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import orjson
-from attrs import fields
+from attrs import evolve, fields
 
 from .generation import Transcript
 from .model import Job, JobItem, JobResult, ScoringCall
@@ -43,6 +43,10 @@
             "submitted_at": job.submitted_at,
             "configuration_revision": job.configuration_revision,
             "items": [_item_to_json(item) for item in job.items],
+            # Earlier builds refuse items with fields that they do not know.
+            "prompts": [
+                (item.prompt_parts, item.max_output_tokens) for item in job.items
+            ],
         }
     )
 
@@ -58,6 +62,9 @@
     try:
         values = orjson.loads(content)
         items = tuple(_item_from_json(item) for item in values.pop("items"))
+        prompts = values.get("prompts", ())
+        if len(prompts) == len(items):
+            items = tuple(map(_add_prompt, items, prompts))
         known = {name: values[name] for name in JOB_FIELDS if name in values}
         return Job(items=items, **known)
     except (KeyError, TypeError, AttributeError) as error:
@@ -166,6 +173,15 @@
         raise ValueError(f"not a result: {error!r}") from error
 
 
+def _add_prompt(item: JobItem, prompt: Any) -> JobItem:
+    parts, max_output_tokens = prompt
+    return evolve(
+        item,
+        prompt_parts=tuple((part, tokens) for part, tokens in parts),
+        max_output_tokens=max_output_tokens,
+    )
+
+
 def _item_to_json(item: JobItem) -> dict[str, Any]:
     call = item.scoring
     return {
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -12,6 +12,7 @@
 from ..gateway.access import match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
+from ..steps import expected_remaining_events
 from ..tables import Route, Snapshot
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
@@ -260,6 +261,7 @@
     def _generate(self, route: Route) -> None:
         pool = route.select_pool(random.random())
         self._restart_without_software(pool)
+        settings = self.context.dispatcher.directory.pool(pool)
         work = WorkRequest(
             pool=pool,
             workspace=self.job.workspace,
@@ -273,6 +275,15 @@
             software=self.transcript.software if self.transcript.events else None,
             purpose="item",
             is_resubmitted=True,
+            prompt_parts=self.item.prompt_parts,
+            expected_events=expected_remaining_events(
+                min(
+                    self.item.length_hint,
+                    self.item.max_output_tokens or self.item.length_hint,
+                ),
+                settings.tokens_per_event if settings is not None else 1,
+                len(self.transcript.events),
+            ),
         )
         with self._assign(work) as assignment:
             self.transcript.software = assignment.software
--- a/mulberryport/jobs/model.py
+++ b/mulberryport/jobs/model.py
@@ -50,6 +50,11 @@
         The caller's estimate of the number of output tokens; 0 if there is none.
     scoring : ScoringCall or None
         Request that scores the text, if any.
+    prompt_parts : tuple of (str, int)
+        Parts of the prompt in their order: id and tokens. The id is empty if only the
+        tokens are known.
+    max_output_tokens : int
+        Tokens of the longest text that may be generated; 0 if not known.
     """
 
     id: str
@@ -60,6 +65,8 @@
     model: str = ""
     length_hint: int = 0
     scoring: ScoringCall | None = None
+    prompt_parts: tuple[tuple[str, int], ...] = ()
+    max_output_tokens: int = 0
 
 
 @frozen(kw_only=True)
--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -26,7 +26,7 @@
 from . import names
 from .counts import parse_count
 
-__all__ = ["BatchInterface", "parse_job"]
+__all__ = ["BatchInterface", "parse_job", "parse_prompt_parts", "parse_token_counts"]
 
 # Time before the caller's deadline at which waiting for the store ends.
 RESPONSE_MARGIN_S = 0.3
@@ -35,6 +35,10 @@
 MAX_WAIT_S = 1.0
 # A store outage lasts a few seconds; callers shorten this delay to fit their deadline.
 RETRY_AFTER_S = 2.0
+MAX_PROMPT_PARTS = 64
+MAX_PART_ID_CHARS = 64
+MAX_PREFIX_CHARS = 8192
+HEX_DIGITS = frozenset("0123456789abcdef")
 
 
 def parse_job(
@@ -85,6 +89,9 @@
     lowercase_headers = {name.lower(): value for name, value in headers.items()}
     scorer = entry.get("scorer")
     hint = lowercase_headers.get("x-length-hint", "")
+    prefix = lowercase_headers.get(names.PROMPT_PREFIX.lower(), "")
+    counts = lowercase_headers.get(names.TOKEN_COUNTS.lower(), "")
+    prompt_tokens, max_output_tokens = parse_token_counts(counts)
     return JobItem(
         id=_decode_text(entry["id"]),
         path=_decode_text(entry["path"]),
@@ -93,6 +100,8 @@
         group=str(entry.get("group") or ""),
         model=lowercase_headers.get(names.MODEL.lower(), ""),
         length_hint=parse_count(hint) or 0,
+        prompt_parts=parse_prompt_parts(prefix) or _single_part(prompt_tokens),
+        max_output_tokens=max_output_tokens,
         scoring=None
         if scorer is None
         else ScoringCall(
@@ -104,6 +113,50 @@
     )
 
 
+def parse_prompt_parts(text: str) -> tuple[tuple[str, int], ...]:
+    """Return the parts of a prompt that a header names; none if it is malformed.
+
+    Examples
+    --------
+    >>> parse_prompt_parts("9c2e41:300, 5d07b8:240")
+    (('9c2e41', 300), ('5d07b8', 240))
+    >>> parse_prompt_parts("9c2e41:300,5d07b8:-1")
+    ()
+    """
+    if not text or len(text) > MAX_PREFIX_CHARS:
+        return ()
+    parts = []
+    for entry in text.split(","):
+        part, _, tokens_text = entry.strip().lower().partition(":")
+        tokens = parse_count(tokens_text)
+        if (
+            not 0 < len(part) <= MAX_PART_ID_CHARS
+            or not HEX_DIGITS.issuperset(part)
+            or not tokens
+        ):
+            return ()
+        parts.append((part, tokens))
+    return tuple(parts) if len(parts) <= MAX_PROMPT_PARTS else ()
+
+
+def parse_token_counts(text: str) -> tuple[int, int]:
+    """Return the tokens of the prompt and of the longest answer; 0 if malformed.
+
+    Examples
+    --------
+    >>> parse_token_counts("540,400"), parse_token_counts("540"), parse_token_counts("")
+    ((540, 400), (0, 0), (0, 0))
+    """
+    prompt_text, _, output_text = text.partition(",")
+    prompt, output = parse_count(prompt_text), parse_count(output_text)
+    return (0, 0) if prompt is None or output is None else (prompt, output)
+
+
+def _single_part(tokens: int) -> tuple[tuple[str, int], ...]:
+    """Return the parts of a prompt of which only the length is known."""
+    return (("", tokens),) if tokens else ()
+
+
 def _decode_text(value: object) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"{value!r} is not text")
--- a/mulberryport/platform/names.py
+++ b/mulberryport/platform/names.py
@@ -16,11 +16,13 @@
     "LOAD",
     "MODEL",
     "NOT_RUN",
+    "PROMPT_PREFIX",
     "RESUMES",
     "RATE_LIMIT",
     "REQUEST_ID",
     "STAMP",
     "TENANT",
+    "TOKEN_COUNTS",
     "URGENCY",
     "VERSIONS",
     "WAIT",
@@ -54,6 +56,11 @@
 # Priority from 0 (highest) to 9.
 URGENCY = "X-Urgency"
 MODEL = "X-Model"
+# Parts of the prompt in their order, as ID:TOKENS with hexadecimal ids, separated by
+# commas. The last part belongs to the request itself.
+PROMPT_PREFIX = "X-Prompt-Prefix"
+# Numbers of tokens of the prompt and of the longest answer, separated by a comma.
+TOKEN_COUNTS = "X-Token-Counts"
 # Longest time in milliseconds for which a read may wait for results.
 WAIT = "X-Wait-Ms"
 
--- a/mulberryport/platform/tests/test_batches.py
+++ b/mulberryport/platform/tests/test_batches.py
@@ -12,7 +12,7 @@
 from ...jobs.repository import MAX_RECORD_BYTES
 from ...jobs.tests.builders import JobDaemon, make_tables
 from ...tables import Snapshot, SnapshotHolder
-from ..batches import BatchInterface
+from ..batches import BatchInterface, parse_job
 
 
 @define
@@ -88,3 +88,29 @@
     batches.submit(make_call(make_submission(1_000_000), responses))
     assert responses[0].startswith("202")
     daemon.die()
+
+
+def parse_item(headers):
+    """Return the item of a submission with some headers."""
+    item = {"id": "i1", "path": "/drafts/1", "headers": headers, "body": ""}
+    content = orjson.dumps({"items": [item]})
+    return parse_job(content, "job1", make_call(b"", []), 1000.0, 1).items[0]
+
+
+def test_prompt_of_an_item_is_read_from_its_headers():
+    item = parse_item({"x-prompt-prefix": "9C2e:300,5d:9", "X-Token-Counts": "309,400"})
+    assert item.prompt_parts == (("9c2e", 300), ("5d", 9))
+    assert item.max_output_tokens == 400
+    assert parse_item({"X-Token-Counts": "309,400"}).prompt_parts == (("", 309),)
+
+
+@pytest.mark.parametrize(
+    "prefix",
+    ["x:1", "9c:", ":3", "9c", "9c:-1", "9c:0", "9c:nan", "9c:1,,5d:2", "9c:1" * 3000]
+    + ["9c:99999999999", ",".join(["9c:1"] * 65), "9" * 65 + ":1"],
+)
+def test_malformed_prompt_counts_as_not_given(prefix):
+    # Guards against a job that is refused, or weighed wrongly, for a header that only
+    # helps to choose a target.
+    item = parse_item({"X-Prompt-Prefix": prefix, "X-Token-Counts": "5,-1"})
+    assert (item.prompt_parts, item.max_output_tokens) == ((), 0)
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -6,6 +6,7 @@
 
 import heapq
 import math
+import statistics
 from collections.abc import Callable, Collection, Iterable
 
 import xxhash
@@ -13,6 +14,7 @@
 
 from .limits import ConcurrencyLimit
 from .model import TargetView, WorkRequest
+from .prefixes import KeptPrefixes
 from .speeds import TargetSpeeds
 
 __all__ = ["Candidate", "CandidateSet"]
@@ -29,6 +31,14 @@
 MIN_SLOTS = 1
 # Targets beyond the third would rarely have the prefix in their caches.
 MAX_AFFINITY_TARGETS = 3
+# Interval of the events of a pool about which nothing is known yet.
+DEFAULT_EVENT_INTERVAL_S = 0.05
+# Time constant with which a reported slowdown loses its weight. Other programs on the
+# target's machine change it many times a second.
+SLOWDOWN_DECAY_S = 0.1
+MIN_RUN_TIME_S = 0.001
+MAX_RUN_TIME_S = 600.0
+RUN_TIME_SMOOTHING_FACTOR = 0.05
 AFFINITY_CACHE_SIZE = 4096
 
 
@@ -55,6 +65,10 @@
         none.
     permits_expire_at : float
         Boot time after which the permits must not be used.
+    event_interval_s : float
+        Expected time in seconds between two events of a stream; in uneven pools only.
+    relative_duration : float
+        How long work takes, relative to the pool; in uneven pools only.
     """
 
     view: TargetView
@@ -65,6 +79,8 @@
     failure_penalty: float = 0.0
     permits: float = math.inf
     permits_expire_at: float = math.inf
+    event_interval_s: float = DEFAULT_EVENT_INTERVAL_S
+    relative_duration: float = 1.0
     _own_requests_at_report: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -148,11 +164,17 @@
         Targets that are healthy, not leaving and not ejected.
     speeds : TargetSpeeds
         Measured speeds of the targets.
+    prefixes : KeptPrefixes
+        What the targets are believed to keep of prompts.
+    mean_run_time_s : float
+        Mean time in seconds that a request takes at a target; 0 if not known.
     """
 
     zone: str
     connected: Callable[[], Collection[str]] = frozenset
     speeds: TargetSpeeds = field(factory=TargetSpeeds)
+    prefixes: KeptPrefixes = field(factory=KeptPrefixes)
+    mean_run_time_s: float = 0.0
     usable: list[Candidate] = field(factory=list)
     _all: dict[str, Candidate] = field(factory=dict)
     # Targets that left the pool while requests still ran there, so that a target
@@ -230,6 +252,19 @@
         mean = sum(counts) / len(counts) if counts else 0.0
         for candidate in current.values():
             candidate.update_load_estimate(mean)
+        if self._is_uneven:
+            self._update_durations(now)
+            self._update_prefixes()
+
+    def record_run_time(self, run_time_s: float) -> None:
+        """Record how long a request took at its target, in seconds."""
+        if not MIN_RUN_TIME_S <= run_time_s <= MAX_RUN_TIME_S:
+            return
+        if not self.mean_run_time_s:
+            self.mean_run_time_s = run_time_s
+        self.mean_run_time_s += RUN_TIME_SMOOTHING_FACTOR * (
+            run_time_s - self.mean_run_time_s
+        )
 
     def update_eligibility(self, ejected: Iterable[str]) -> None:
         """Update which targets may be selected for which kinds of requests."""
@@ -290,5 +325,39 @@
             self._affinity_cache[key] = preferred
         return preferred
 
+    def _update_durations(self, now: float) -> None:
+        """Update how long events and work take at each target."""
+        ids = list(self._all)
+        intervals = {}
+        for target in ids:
+            estimate = self.speeds.estimate(target, ids, now)
+            if estimate is not None and 0.0 < estimate.event_interval_s < math.inf:
+                intervals[target] = estimate.event_interval_s
+        median_s = statistics.median(intervals.values()) if intervals else 0.0
+        for candidate in self._all.values():
+            interval_s = intervals.get(candidate.id)
+            if interval_s is not None:
+                candidate.event_interval_s = interval_s
+                candidate.relative_duration = interval_s / median_s
+            else:
+                duration = _reported_duration(candidate.view)
+                typical_s = median_s or DEFAULT_EVENT_INTERVAL_S
+                candidate.event_interval_s = typical_s * duration
+                candidate.relative_duration = duration
+
+    def _update_prefixes(self) -> None:
+        self.prefixes.retain(self._all)
+        for candidate in self._all.values():
+            self.prefixes.update(candidate.view, candidate.remote_requests)
+
     def _accepts_non_restartable(self, candidate: Candidate) -> bool:
         return not (candidate.view.cheap and self._has_on_demand)
+
+
+def _reported_duration(view: TargetView) -> float:
+    """Return how long work takes at a target, as far as its report still tells."""
+    slowdown = view.report.slowdown if view.report is not None else None
+    if slowdown is None:
+        return 1.0
+    weight = math.exp(-max(0.0, view.report_age) / SLOWDOWN_DECAY_S)
+    return 1.0 + (slowdown - 1.0) * weight
--- /dev/null
+++ b/mulberryport/routing/completion.py
@@ -0,0 +1,299 @@
+"""Selection of the target at which a request is expected to end first.
+
+Used for pools whose targets tell how long work takes there at the moment. The cost of
+a target is a time in seconds: the wait for a slot, the reading of what the target does
+not keep of the prompt, the generation, and what the request takes from those that run
+there. Functions of candidates and a random number generator, without I/O or state.
+"""
+
+import enum
+import math
+import random
+from collections.abc import Collection
+
+from attrs import frozen
+
+from .candidates import Candidate, CandidateSet
+from .model import WorkRequest
+from .prefixes import KeptPrefixes
+
+__all__ = ["Choice", "Reason", "choose_earliest", "completion_time"]
+
+# Reading speed of targets. It is not reported, and at the usual speeds the reading is
+# short compared with what the time to the first event varies by.
+READING_TOKENS_PER_S = 300_000.0
+# Run time of a request about which nothing is known.
+DEFAULT_RUN_TIME_S = 0.05
+# Fraction by which a full target generates more slowly than an idle one.
+FULL_BATCH_SLOWING = 0.05
+# A request to another zone takes this much longer.
+REMOTE_ZONE_S = 0.003
+# Handshake of a new connection, which also occupies a slot for a moment.
+NEW_CONNECTION_S = 0.005
+# Time lost by a failure, for each unit of the failure penalty.
+FAILURE_TIME_S = 1.0
+# Fractions of the time of a request: where it would take an on-demand target that
+# others need, and, for requests that prefer idle targets, where own requests run. The
+# latter is below the smallest penalty of a failure.
+ON_DEMAND_FRACTION = 0.1
+BUSY_FRACTION = 0.4
+# Times that differ by less than this fraction of the run time count as equal, more if
+# the news of the load is old, so that daemons do not all choose the same target.
+EQUAL_TIME_FRACTION = 0.02
+UNCERTAIN_TIME_FRACTION = 0.2
+MIN_EQUAL_TIME_S = 0.001
+# Fraction of the text that is lost on average when memory runs out.
+PREEMPTED_FRACTION = 0.5
+# Targets that are compared; in larger pools a sample.
+MAX_COMPARED = 64
+SAMPLED_AT_RANDOM = 24
+SAMPLED_OF_A_KIND = 16
+MAX_TIME_S = 1e6
+
+
+class Reason(enum.Enum):
+    """What decided for a target."""
+
+    PREFIX = "prefix"
+    SPEED = "speed"
+    ROOM = "room"
+
+
+@frozen
+class Choice:
+    """The target of a request.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The target.
+    kept_tokens : int
+        Tokens of the prompt that the target is believed to keep.
+    reason : Reason
+        What decided for it.
+    """
+
+    candidate: Candidate
+    kept_tokens: int = 0
+    reason: Reason = Reason.ROOM
+
+
+def expected_wait(candidate: Candidate, run_time_s: float) -> float:
+    """Return the expected wait in seconds for a slot of a target.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The target; the older the news of its load, the wider the range of requests
+        that may run there.
+    run_time_s : float
+        Mean run time of the requests there.
+    """
+    capacity = candidate.capacity
+    requests = candidate.own_requests + candidate.remote_requests
+    excess = requests + 1.0 - capacity
+    spread = 1.0 + candidate.uncertainty * capacity
+    if excess <= -spread:
+        return 0.0
+    if excess < spread:
+        # Mean of the excess, if it is evenly distributed within the spread.
+        excess = (excess + spread) ** 2 / (4.0 * spread)
+    return excess * run_time_s / capacity
+
+
+def completion_time(
+    candidate: Candidate,
+    work: WorkRequest,
+    targets: CandidateSet,
+    kept_tokens: int,
+    is_connected: bool,
+) -> float:
+    """Return the expected time in seconds until a request ends at a target.
+
+    It includes what the request takes from those that run there. The result is finite
+    and not negative, whatever targets report.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The target.
+    work : WorkRequest
+        The request.
+    targets : CandidateSet
+        The pool.
+    kept_tokens : int
+        Tokens of the prompt that the target need not read.
+    is_connected : bool
+        Whether this daemon has an idle connection to it.
+    """
+    prefixes = targets.prefixes
+    duration = candidate.relative_duration
+    run_time_s = (
+        work.expected_events * candidate.event_interval_s
+        or (targets.mean_run_time_s or DEFAULT_RUN_TIME_S) * duration
+    )
+    requests = candidate.own_requests + candidate.remote_requests
+    running = min(requests, candidate.capacity)
+    slowing = FULL_BATCH_SLOWING * running / candidate.capacity
+    time_s = expected_wait(candidate, targets.mean_run_time_s * duration or run_time_s)
+    # The others generate more slowly by as much as this one does.
+    time_s += run_time_s * (1.0 + 2.0 * slowing)
+    if work.prompt_parts:
+        prompt_tokens = sum([tokens for _, tokens in work.prompt_parts])
+        missing = max(0, prompt_tokens - kept_tokens)
+        # The others wait while the prompt is read.
+        time_s += missing / READING_TOKENS_PER_S * (1.0 + running)
+        time_s += _preemption_time(
+            candidate, work, prefixes, missing, run_time_s, prompt_tokens
+        )
+    if candidate.view.zone != targets.zone:
+        time_s += REMOTE_ZONE_S
+    if not is_connected:
+        time_s += NEW_CONNECTION_S
+    time_s += candidate.failure_penalty * (run_time_s + FAILURE_TIME_S)
+    if work.restartable and targets.prefers_cheap and not candidate.view.cheap:
+        time_s += ON_DEMAND_FRACTION * run_time_s
+    if work.prefers_idle and candidate.own_requests:
+        time_s += BUSY_FRACTION * (run_time_s + FAILURE_TIME_S)
+    return time_s if 0.0 <= time_s < MAX_TIME_S else MAX_TIME_S
+
+
+def _preemption_time(
+    candidate: Candidate,
+    work: WorkRequest,
+    prefixes: KeptPrefixes,
+    missing_tokens: int,
+    run_time_s: float,
+    prompt_tokens: int,
+) -> float:
+    """Return the time lost if the request is put back for lack of memory."""
+    if not prefixes.memory_tokens:
+        return 0.0
+    needed = missing_tokens + prefixes.output_tokens(work.expected_events)
+    free = prefixes.free_tokens(candidate.id, candidate.remote_requests)
+    if needed <= free:
+        return 0.0
+    again_s = PREEMPTED_FRACTION * run_time_s + prompt_tokens / READING_TOKENS_PER_S
+    return (needed - free) / needed * again_s
+
+
+def choose_earliest(
+    targets: CandidateSet, work: WorkRequest, generator: random.Random, now: float
+) -> Choice | None:
+    """Choose the target at which a request is expected to end first.
+
+    Full targets are used only if no other has room, and targets that name a rate limit
+    only if no other can take the request. Of targets with nearly equal times, one that
+    keeps the beginning of the prompt is preferred, then the home of the prefix or
+    group, then one with an idle connection, and a random one among the rest.
+
+    Parameters
+    ----------
+    targets : CandidateSet
+        Targets of the pool.
+    work : WorkRequest
+        The request.
+    generator : random.Random
+        Random number generator.
+    now : float
+        Boot time.
+
+    Returns
+    -------
+    Choice or None
+        None if no target can take the request now.
+    """
+    connected = targets.connected()
+    fitting = [
+        candidate
+        for candidate in _compared(targets, work, generator, connected)
+        if candidate.free_slots > 0
+        and candidate.id not in work.exclude
+        and work.accepts_versions_of(candidate.view)
+    ]
+    if targets.has_rate_limited:
+        unlimited = [c for c in fitting if not c.is_rate_limited]
+        fitting = unlimited or fitting
+    with_room = [c for c in fitting if c.own_requests + c.remote_requests < c.capacity]
+    compared = with_room or fitting
+    if not compared:
+        return None
+    kept = {
+        target: targets.prefixes.kept_tokens(target, work.model, work.prompt_parts, now)
+        for target in targets.prefixes.holders(work.model, work.prompt_parts)
+    }
+    times = [
+        (
+            completion_time(c, work, targets, kept.get(c.id, 0), c.id in connected),
+            c,
+        )
+        for c in compared
+    ]
+    earliest_s, earliest = min(times, key=_first)
+    margin_s = _equal_time(earliest, work, targets)
+    home = targets.affinity_targets(work)[:1]
+    chosen = max(
+        (c for time_s, c in times if time_s <= earliest_s + margin_s),
+        key=lambda c: (
+            kept.get(c.id, 0),
+            c.id in home,
+            c.id in connected,
+            generator.random(),
+        ),
+    )
+    kept_tokens = kept.get(chosen.id, 0)
+    if kept_tokens:
+        reason = Reason.PREFIX
+    elif any(c.event_interval_s < chosen.event_interval_s for c in fitting):
+        reason = Reason.ROOM
+    else:
+        reason = Reason.SPEED
+    return Choice(chosen, kept_tokens, reason)
+
+
+def _first(pair: tuple[float, Candidate]) -> float:
+    return pair[0]
+
+
+def _equal_time(
+    candidate: Candidate, work: WorkRequest, targets: CandidateSet
+) -> float:
+    """Return the difference in seconds below which times count as equal."""
+    run_time_s = (
+        work.expected_events * candidate.event_interval_s
+        or targets.mean_run_time_s
+        or DEFAULT_RUN_TIME_S
+    )
+    fraction = EQUAL_TIME_FRACTION + UNCERTAIN_TIME_FRACTION * candidate.uncertainty
+    margin_s = max(MIN_EQUAL_TIME_S, fraction * run_time_s)
+    return margin_s if math.isfinite(margin_s) else MAX_TIME_S
+
+
+def _compared(
+    targets: CandidateSet,
+    work: WorkRequest,
+    generator: random.Random,
+    connected: Collection[str],
+) -> Collection[Candidate]:
+    """Return the targets that are compared: all, or a sample of a large pool."""
+    eligible = targets.eligible_for(work, local=False)
+    if len(eligible) <= MAX_COMPARED:
+        return eligible
+    local = targets.eligible_for(work, local=True)
+    known = set(eligible)
+    named = (
+        *list(connected)[:SAMPLED_OF_A_KIND],
+        *list(targets.prefixes.holders(work.model, work.prompt_parts))[
+            :SAMPLED_OF_A_KIND
+        ],
+        *targets.affinity_targets(work),
+    )
+    sample = {
+        *generator.sample(eligible, SAMPLED_AT_RANDOM),
+        *generator.sample(local, min(SAMPLED_OF_A_KIND, len(local))),
+        *(c for c in map(targets.get, named) if c in known),
+    }
+    # A nearly full pool is searched as a whole.
+    if not any(c.free_slots > 0 for c in sample):
+        return eligible
+    return sorted(sample, key=lambda candidate: candidate.id)
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -14,9 +14,11 @@
 from attrs import define, field
 
 from .candidates import Candidate, CandidateSet
+from .completion import Choice, Reason, choose_earliest
 from .ejection import Ejector
 from .model import ShedError, TargetView, WorkRequest
 from .permits import COLD_PERMIT_LIFETIME_S, PERMIT_LIFETIME_S
+from .prefixes import Reading
 from .queue import FairQueue, QueuedRequest
 from .retries import RetryBudget
 from .selection import choose_target
@@ -48,11 +50,31 @@
 
 @define(eq=False)
 class Grant:
-    """A slot at a target, allocated to one request until it is released."""
+    """A slot at a target, allocated to one request until it is released.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The target.
+    work : WorkRequest
+        The request.
+    probe : bool
+        Whether the request shows if an ejected target works again.
+    reason : Reason or None
+        What decided for the target; None in pools that are not uneven.
+    kept_tokens : int
+        Tokens of the prompt that the target is believed to keep.
+    started_at : float
+        Boot time of the allocation.
+    """
 
     candidate: Candidate
     work: WorkRequest
     probe: bool = False
+    reason: Reason | None = None
+    kept_tokens: int = 0
+    started_at: float = 0.0
+    _reading: Reading | None = None
 
 
 @define(eq=False)
@@ -70,7 +92,7 @@
     generator : random.Random
         Random number generator.
     choose : callable
-        Selects the target of a request.
+        Selects the target of a request in pools that are not uneven.
     budget : RetryBudget
         Limits retries.
     ejector : Ejector
@@ -160,14 +182,13 @@
         self._drop_expired_permits(now)
         probe_target = self._probe_target_for(work, now)
         if probe_target is not None:
-            return self._allocate(probe_target, work, probe=True)
+            return self._allocate(probe_target, work, now, probe=True)
         unconfirmed = self._unconfirmed_target_for(work, now)
         if unconfirmed is not None:
-            return self._allocate(unconfirmed, work)
+            return self._allocate(unconfirmed, work, now)
         at_capacity = self._saturated or self._running_count >= self.shares.max_running
-        candidate = (
-            None if at_capacity else self.choose(*self._selection_arguments(work))
-        )
+        choice = None if at_capacity else self._choose(work, now)
+        candidate = choice.candidate if choice is not None else None
         if candidate is None and not at_capacity and _is_unrestricted(work):
             self._saturated = True
         if candidate is not None:
@@ -177,7 +198,7 @@
                 candidate.free_slots > 0
                 and self._running_count < self.shares.max_running
             ):
-                return self._allocate(candidate, work)
+                return self._allocate(candidate, work, now, choice=choice)
         self._refuse_beyond_rate_limits(work, now)
         queued = QueuedRequest(work, notify)
         evicted = self.queue.add(queued)
@@ -264,6 +285,10 @@
         elif grant.probe:
             self.ejector.probe_cancelled(candidate.id)
         candidate.own_requests -= 1
+        if result is Result.SUCCEEDED and self.targets.is_uneven:
+            self.targets.record_run_time(now - grant.started_at)
+        if grant._reading is not None:
+            self.targets.prefixes.finish(grant._reading, result is Result.SUCCEEDED)
         self._running_count -= 1
         self._running_by_workspace[grant.work.workspace] -= 1
         if result is not Result.CANCELLED:
@@ -279,25 +304,48 @@
         """Consume one retry from the budget; return whether one was available."""
         return self.budget.try_consume(now)
 
-    def _selection_arguments(
-        self, work: WorkRequest
-    ) -> tuple[CandidateSet, WorkRequest, random.Random]:
-        return self.targets, work, self.generator
+    def _choose(self, work: WorkRequest, now: float) -> Choice | None:
+        if self.targets.is_uneven:
+            return choose_earliest(self.targets, work, self.generator, now)
+        candidate = self.choose(self.targets, work, self.generator)
+        return Choice(candidate) if candidate is not None else None
 
     def _update_eligibility(self) -> None:
         self.targets.update_eligibility(self.ejector.ejected)
         self._saturated = False
 
     def _allocate(
-        self, candidate: Candidate, work: WorkRequest, probe: bool = False
+        self,
+        candidate: Candidate,
+        work: WorkRequest,
+        now: float,
+        *,
+        probe: bool = False,
+        choice: Choice | None = None,
     ) -> Grant:
+        if choice is None:
+            choice = Choice(candidate, self._kept_tokens(candidate, work, now))
+        reading = None
+        if self.targets.is_uneven:
+            reading = self.targets.prefixes.start(
+                candidate.view, work.model, work.prompt_parts, work.expected_events, now
+            )
         candidate.own_requests += 1
         candidate.permits -= 1
         self._running_count += 1
         self._running_by_workspace[work.workspace] += 1
         if probe:
             self.ejector.probe_started(candidate.id)
-        return Grant(candidate, work, probe)
+        reason = choice.reason if self.targets.is_uneven else None
+        return Grant(candidate, work, probe, reason, choice.kept_tokens, now, reading)
+
+    def _kept_tokens(self, candidate: Candidate, work: WorkRequest, now: float) -> int:
+        """Return the tokens of a prompt that a target keeps; 0 in even pools."""
+        if not self.targets.is_uneven:
+            return 0
+        return self.targets.prefixes.kept_tokens(
+            candidate.id, work.model, work.prompt_parts, now
+        )
 
     def _dispatch_queued(self, candidate: Candidate, now: float) -> None:
         """Dispatch queued requests to the free slots of a target."""
@@ -310,11 +358,14 @@
                 lambda work: (
                     work.deadline > now and self.targets.admits(candidate, work)
                 ),
-                lambda work: candidate.id in self.targets.affinity_targets(work)[:1],
+                lambda work: (
+                    candidate.id in self.targets.affinity_targets(work)[:1]
+                    or self._kept_tokens(candidate, work, now) > 0
+                ),
             )
             if queued is None:
                 return
-            queued.notify(self._allocate(candidate, queued.work))
+            queued.notify(self._allocate(candidate, queued.work, now))
 
     def _dispatch_probes(self, now: float) -> None:
         for target in self.ejector.ejected:
@@ -329,7 +380,7 @@
                 )
             )
             if queued is not None:
-                queued.notify(self._allocate(candidate, queued.work, probe=True))
+                queued.notify(self._allocate(candidate, queued.work, now, probe=True))
 
     def _unconfirmed_target_for(
         self, work: WorkRequest, now: float
--- a/mulberryport/routing/tests/builders.py
+++ b/mulberryport/routing/tests/builders.py
@@ -20,9 +20,14 @@
     return WorkRequest("p", workspace, **values)
 
 
-def report(running: int = 0, waiting: int = 0, capacity: int = 8) -> LoadReport:
+def report(
+    running: int = 0,
+    waiting: int = 0,
+    capacity: int = 8,
+    slowdown: float | None = None,
+) -> LoadReport:
     """Return a load report."""
-    return LoadReport(running, waiting, capacity)
+    return LoadReport(running, waiting, capacity, slowdown=slowdown)
 
 
 def scheduler(views, queue: int = 8, seed: int = 1, **values) -> PoolScheduler:
--- a/mulberryport/routing/tests/test_scheduler.py
+++ b/mulberryport/routing/tests/test_scheduler.py
@@ -19,7 +19,13 @@
         "healthy": st.booleans(),
         "cheap": st.booleans(),
         "zone": st.sampled_from("ab"),
-        "report": st.none() | st.builds(report, st.integers(0, 9), st.integers(0, 9)),
+        "report": st.none()
+        | st.builds(
+            report,
+            st.integers(0, 9),
+            st.integers(0, 9),
+            slowdown=st.none() | st.floats(0.1, 10.0),
+        ),
         "report_age": st.floats(0, 20),
         "limit": st.integers(1, 5),
     }
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -31,7 +31,12 @@
 from ..tables import Snapshot
 from ..telemetry import define as define_event
 from ..telemetry import log
-from ..telemetry.metrics import LIMITED_TARGET_REQUESTS, RATE_LIMIT_REFUSALS
+from ..telemetry.metrics import (
+    EXPECTED_KEPT_TOKENS,
+    LIMITED_TARGET_REQUESTS,
+    RATE_LIMIT_REFUSALS,
+    TARGET_CHOICES,
+)
 from .directory import TargetDirectory
 from .permits import LocalPermits
 
@@ -188,6 +193,9 @@
         """
         scheduler, grant = self._acquire_grant(request)
         target = grant.candidate.id
+        if grant.reason is not None:
+            TARGET_CHOICES.inc({"pool": request.pool, "reason": grant.reason.value})
+            EXPECTED_KEPT_TOKENS.add({"pool": request.pool}, grant.kept_tokens)
         assignment = Assignment(grant.candidate.view)
         limit = self.directory.rate_limits.limit(target)
         if limit is not None:
@@ -368,6 +376,9 @@
         settings = self.directory.pool(pool)
         if settings is not None:
             scheduler.queue.max_length = settings.queue
+            prefixes = scheduler.targets.prefixes
+            prefixes.memory_tokens = settings.cache_tokens
+            prefixes.tokens_per_event = settings.tokens_per_event
         self._refreshed_at[pool] = now
         scheduler.update(self.directory.views(pool), now)
 
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -12,10 +12,12 @@
 __all__ = [
     "ANSWER_SECONDS",
     "EVENTS",
+    "EXPECTED_KEPT_TOKENS",
     "LIMITED_TARGET_REQUESTS",
     "LONG_TURN_SECONDS",
     "RATE_LIMIT_REFUSALS",
     "SAMPLE_STALENESS",
+    "TARGET_CHOICES",
     "Counter",
     "Gauge",
     "Histogram",
@@ -41,6 +43,15 @@
     "mulberryport_rate_limit_refusals_total",
     "Requests refused because of the rate limits of all targets of a pool.",
 )
+EXPECTED_KEPT_TOKENS = Counter(
+    "mulberryport_expected_kept_tokens_total",
+    "Tokens of prompts that the chosen target was expected to keep, by pool.",
+)
+TARGET_CHOICES = Counter(
+    "mulberryport_target_choices_total",
+    "Requests to pools of uneven targets, by pool and by what decided for the target: "
+    "prefix, speed or room.",
+)
 SAMPLE_STALENESS = Histogram(
     "mulberryport_sample_staleness_versions",
     "Weight versions by which delivered samples were behind, by workspace.",
