--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -12,7 +12,7 @@
 from ..gateway.access import match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
-from ..steps.lengths import expected_remaining_events
+from ..steps import expected_remaining_events
 from ..tables import Route, Snapshot
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
@@ -278,6 +278,7 @@
             software=self.transcript.software if self.transcript.events else None,
             purpose="item",
             is_resubmitted=True,
+            prompt_parts=self.item.prompt_parts,
             expected_events=expected_events,
         )
         with self._assign(work) as assignment:
@@ -364,8 +365,9 @@
     def _remaining_events(self, pool: str) -> float:
         """Return the expected number of events that the text still lacks."""
         settings = self.context.dispatcher.directory.pool(pool)
+        hint, most = self.item.length_hint, self.item.max_output_tokens
         return expected_remaining_events(
-            self.item.length_hint,
+            min(hint, most or hint),
             settings.tokens_per_event if settings is not None else 1,
             len(self.transcript.events),
         )
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -12,12 +12,14 @@
 __all__ = [
     "ANSWER_SECONDS",
     "EVENTS",
+    "EXPECTED_KEPT_TOKENS",
     "ITEM_MOVES",
     "LIMITED_TARGET_REQUESTS",
     "LONG_TURN_SECONDS",
     "RATE_LIMIT_REFUSALS",
     "SAMPLE_STALENESS",
     "SPEED_ERROR_RATIO",
+    "TARGET_CHOICES",
     "Counter",
     "Gauge",
     "Histogram",
@@ -52,6 +54,15 @@
     "Measured time between two events relative to the expected, by pool.",
     buckets=[0.25, 0.5, 0.7, 0.85, 1, 1.15, 1.4, 2, 4],
 )
+EXPECTED_KEPT_TOKENS = Counter(
+    "mulberryport_expected_kept_tokens_total",
+    "Tokens of prompts that the chosen target was expected to keep, by pool.",
+)
+TARGET_CHOICES = Counter(
+    "mulberryport_target_choices_total",
+    "Requests to pools of uneven targets, by pool and by what decided for the target: "
+    "prefix, speed or room.",
+)
 SAMPLE_STALENESS = Histogram(
     "mulberryport_sample_staleness_versions",
     "Weight versions by which delivered samples were behind, by workspace.",
