Share measured speeds of targets in heartbeats

Cause: each daemon found out by itself that a target had turned slow.

Ruled out: sharing all measurements. Most targets are as fast as usual, and heartbeats would grow with the pool. What others told is not passed on, and says nothing about the usual speed, since only what is unusual is told.

--- a/mulberryport/platform/daemon.py
+++ b/mulberryport/platform/daemon.py
@@ -39,6 +39,7 @@
 from ..targets import Dispatcher, TargetDirectory
 from ..targets.connections import ConnectionPool
 from ..targets.permits import PermitExchange
+from ..targets.speed_exchange import SpeedExchange
 from ..targets.traffic import TrafficExchange
 from ..telemetry import configure_logging, log
 from ..telemetry import define as define_event
@@ -298,6 +299,9 @@
             lambda heartbeat: self.mirrors.apply_revisions(heartbeat),
             permits.apply_reports,
         ]
+        SpeedExchange(self.dispatcher.speeds).attach(
+            heartbeats.contributors, heartbeats.listeners
+        )
 
     def _may_have_missed_ends(self) -> bool:
         """Whether jobs may have ended without this daemon knowing.
--- a/mulberryport/routing/speeds.py
+++ b/mulberryport/routing/speeds.py
@@ -51,10 +51,11 @@
 # Measurements of targets that were not used for this time are removed.
 RETENTION_S = 60.0
 MIN_INTERVAL_S, MAX_INTERVAL_S = 1e-4, 60.0
+MAX_DEVIATION = 5.0
 # Usual speeds and the order of a pool's targets are computed again after this time.
 SUMMARY_MAX_AGE_S = 0.1
-# Bound on the targets of which other daemons report speeds.
-MAX_TARGETS = 4096
+# Others are told of targets that are faster or slower than the usual by this factor.
+UNUSUAL_RATIO = 1.15
 
 
 @frozen
@@ -85,11 +86,23 @@
         Standard deviation of the logarithm of the average.
     measured_at : float
         Boot time of the last event.
+    born : int
+        Time of the target's start, which tells apart targets that used the same id.
     """
 
     interval_s: float
     deviation: float
     measured_at: float
+    born: int = 0
+
+    @property
+    def is_possible(self) -> bool:
+        """Whether the values can be true."""
+        return (
+            MIN_INTERVAL_S <= self.interval_s <= MAX_INTERVAL_S
+            and 0.0 <= self.deviation <= MAX_DEVIATION
+            and math.isfinite(self.measured_at)
+        )
 
 
 @define
@@ -264,27 +277,43 @@
         target : str
             Id of the target; targets of no known pool are ignored.
         speed : RemoteSpeed
-            The measurement. Impossible ones are ignored.
+            The measurement. It is ignored if it is impossible, or says something
+            about another target under the same id.
         """
-        is_possible = (
-            MIN_INTERVAL_S <= speed.interval_s <= MAX_INTERVAL_S
-            and 0.0 <= speed.deviation <= 1.0
-            and math.isfinite(speed.measured_at)
-        )
-        if not is_possible or target not in self._members:
+        member = self._members.get(target)
+        if member is None or member.born != speed.born or not speed.is_possible:
             return
         known = self._remote.get(target)
         if known is None or known.measured_at < speed.measured_at:
             self._remote[target] = speed
 
-    def measured_since(self, since: float) -> dict[str, RemoteSpeed]:
-        """Return what this daemon has measured since a boot time, by target."""
+    def unusual_since(self, since: float, now: float) -> dict[str, RemoteSpeed]:
+        """Return measurements that others should know, the most unusual first.
+
+        Parameters
+        ----------
+        since : float
+            Boot time; targets without an event since then are left out.
+        now : float
+            Boot time.
+        """
+        deviations = {
+            target: abs(average.value - usual)
+            for target, average in self._measured.items()
+            if average.updated_at >= since
+            and target in self._members
+            and (usual := self._summary(self._members[target].pool, now).usual)
+            is not None
+        }
+        unusual = [t for t, d in deviations.items() if d > math.log(UNUSUAL_RATIO)]
         return {
             target: RemoteSpeed(
-                math.exp(average.value), math.sqrt(average.variance), average.updated_at
+                math.exp(self._measured[target].value),
+                math.sqrt(self._measured[target].variance),
+                self._measured[target].updated_at,
+                self._members[target].born,
             )
-            for target, average in self._measured.items()
-            if average.updated_at >= since and target in self._members
+            for target in sorted(unusual, key=lambda target: -deviations[target])
         }
 
     def estimate(self, target: str, now: float) -> SpeedEstimate | None:
@@ -363,6 +392,8 @@
         ids = self._ids_by_pool.get(pool)
         if ids is None:
             ids = frozenset(self._measured)
+        # Other daemons tell only what is unusual, which says little about the usual.
+        has_own = any(target in self._measured for target in ids)
         values: dict[str, list[float]] = {}
         reports: dict[str, list[float]] = {}
         for target in ids:
@@ -370,7 +401,7 @@
             zone = member.zone if member is not None else ""
             if member is not None:
                 reports.setdefault(zone, []).append(member.reports.expected(now))
-            value = self._last_value(target, now)
+            value = self._last_value(target, has_own, now)
             if value is not None:
                 values.setdefault(zone, []).append(value)
         summary = _PoolSummary(
@@ -387,14 +418,16 @@
         summary.ranking.sort()
         return summary
 
-    def _last_value(self, target: str, now: float) -> float | None:
+    def _last_value(self, target: str, is_own: bool, now: float) -> float | None:
         """Return the logarithm of the interval that was measured last."""
-        own, remote = self._measured.get(target), self._remote.get(target)
-        if own is not None and (remote is None or own.updated_at >= remote.measured_at):
-            return own.value if now - own.updated_at < RETENTION_S else None
-        if remote is not None and now - remote.measured_at < RETENTION_S:
-            return math.log(remote.interval_s)
-        return None
+        if is_own:
+            own = self._measured.get(target)
+            is_recent = own is not None and now - own.updated_at < RETENTION_S
+            return own.value if is_recent else None
+        remote = self._remote.get(target)
+        if remote is None or now - remote.measured_at >= RETENTION_S:
+            return None
+        return math.log(remote.interval_s)
 
     def _remove_outdated(self, now: float) -> None:
         self._cleaned_at = now
