Let targets that a text avoided at its start count for a move

Cause: a text excludes the targets that are slow when it is assigned, and these stayed excluded when a faster target was looked for later.

Change: only targets that the text left a short time ago are excluded.

--- a/mulberryport/jobs/moving.py
+++ b/mulberryport/jobs/moving.py
@@ -185,7 +185,8 @@
         if here.event_interval_s <= fastest_s:
             return False
         there = self.dispatcher.best_alternative(
-            evolve(work, software=assignment.software),
+            # What it avoided when it began may be fast by now.
+            evolve(work, software=assignment.software, exclude=frozenset()),
             run.left_targets(now) | {assignment.id},
         )
         if there is None:
--- a/mulberryport/jobs/tests/test_moving.py
+++ b/mulberryport/jobs/tests/test_moving.py
@@ -36,9 +36,9 @@
     return stack.enter_context(moves.dispatcher.assign(work))
 
 
-def _should_leave(moves, assignment, run, remaining_events):
+def _should_leave(moves, assignment, run, remaining_events, work=WORK):
     now = boottime()
-    return moves.should_leave(assignment, WORK, run, remaining_events, now)
+    return moves.should_leave(assignment, work, run, remaining_events, now)
 
 
 def test_text_leaves_a_slow_engine_only_if_much_of_it_is_left(moves):
@@ -54,6 +54,14 @@
     assert run.left_targets(now + 5.0) == frozenset()
 
 
+def test_targets_that_a_text_avoided_when_it_began_count_again(moves):
+    # Guards against a text that stays at a slow engine since others were slow before.
+    work = evolve(WORK, exclude=frozenset(f"t{n}" for n in range(1, 8)))
+    with ExitStack() as stack:
+        assignment = _assign(stack, moves)
+        assert _should_leave(moves, assignment, TextRun(), 20.0, work)
+
+
 def test_text_stays_if_one_target_alone_seems_to_be_very_fast(moves):
     # Guards against texts that all leave good targets after one false measurement.
     for _ in range(30):
