--- a/mulberryport/jobs/tests/test_moving.py
+++ b/mulberryport/jobs/tests/test_moving.py
@@ -36,9 +36,9 @@
     return stack.enter_context(moves.dispatcher.assign(work))
 
 
-def _should_leave(moves, assignment, run, remaining_events):
+def _should_leave(moves, assignment, run, remaining_events, work=WORK):
     now = boottime()
-    return moves.should_leave(assignment, WORK, run, remaining_events, now)
+    return moves.should_leave(assignment, work, run, remaining_events, now)
 
 
 def test_text_leaves_a_slow_engine_only_if_much_of_it_is_left(moves):
@@ -54,6 +54,23 @@
     assert run.left_targets(now + 5.0) == frozenset()
 
 
+def test_targets_that_a_text_avoided_when_it_began_count_again(moves):
+    # Guards against a text that stays at a slow engine since others were slow before.
+    work = evolve(WORK, exclude=frozenset(f"t{n}" for n in range(1, 8)))
+    with ExitStack() as stack:
+        assignment = _assign(stack, moves)
+        assert _should_leave(moves, assignment, TextRun(), 20.0, work)
+
+
+def test_text_stays_if_one_target_alone_seems_to_be_very_fast(moves):
+    # Guards against texts that all leave good targets after one false measurement.
+    for _ in range(30):
+        moves.dispatcher.speeds.record_interval("t1", FAST_S / 4, boottime())
+    eventlet.sleep(0.15)
+    with ExitStack() as stack:
+        assert not _should_leave(moves, _assign(stack, moves, "t2"), TextRun(), 100.0)
+
+
 def test_text_stays_while_no_faster_target_is_free(moves):
     # Guards against a text that gives up its place and waits for another one.
     with ExitStack() as stack:
@@ -107,7 +124,7 @@
         assert moves.avoided_targets("engines", TextRun(), 1.0, now) == {assignment.id}
         run = TextRun(moves=100)
         assert moves.should_leave(assignment, work, run, 1.0, now)
-        assert not daemon.dispatcher.speeds.measured_since(0.0)
+        assert not daemon.dispatcher.speeds.ranking("engines", now)
     daemon.die()
 
 
