Discard what a target kept of a model when it refuses a request

Cause: a target that loads new weights refuses requests before its new version is known here. What it had kept went on attracting requests of the same prompt.

Ruled out: discarding only the parts of the refused request, which leaves those of earlier requests of its group.

Change: the end of a request that was not read discards all parts of its model there.

With the discarding left out, its test fails.

--- a/mulberryport/routing/prefixes.py
+++ b/mulberryport/routing/prefixes.py
@@ -44,14 +44,14 @@
     ----------
     target : str
         Id of the target.
-    added : tuple
-        Parts that the target did not keep before.
+    model : str
+        The model.
     running_tokens : float
         Tokens that the request itself takes while it runs.
     """
 
     target: str
-    added: tuple[PartKey, ...]
+    model: str
     running_tokens: float
     _memory: _Memory
 
@@ -158,11 +158,9 @@
         memory = self._memories.get(target)
         if memory is None:
             memory = self._memories[target] = _Memory(view.born, {**view.versions})
-        added = []
         for part, tokens in parts:
-            key = (model, part)
-            if part and not self._keep(target, memory, key, tokens, now):
-                added.append(key)
+            if part:
+                self._keep(target, memory, (model, part), tokens, now)
         running_tokens = self.output_tokens(expected_events) + min(
             parts[-1][1], self.memory_tokens or parts[-1][1]
         )
@@ -171,7 +169,7 @@
             running_tokens - self._request_tokens
         )
         self._trim(target, memory, self.free_tokens(target, 0.0))
-        return Reading(target, tuple(added), running_tokens, memory)
+        return Reading(target, model, running_tokens, memory)
 
     def finish(self, reading: Reading, was_read: bool) -> None:
         """Note that a request ended.
@@ -181,13 +179,13 @@
         reading : Reading
             What ``start`` returned.
         was_read : bool
-            Whether the target is known to have read the prompt.
+            Whether the target is known to have read the prompt. Otherwise it may be
+            loading weights, which discards what it kept for the model.
         """
         memory = reading._memory
         memory.running_tokens = max(0.0, memory.running_tokens - reading.running_tokens)
         if not was_read and self._memories.get(reading.target) is memory:
-            for key in reading.added:
-                self._discard(reading.target, memory, key)
+            self._discard_model(reading.target, memory, reading.model)
 
     def update(self, view: TargetView, other_requests: float) -> None:
         """Discard what a target has lost by a restart, new weights or lack of memory.
@@ -209,8 +207,7 @@
         for model, version in view.versions.items():
             known = memory.versions.get(model)
             if known and known != version:
-                for key in [key for key in memory.parts if key[0] == model]:
-                    self._discard(view.id, memory, key)
+                self._discard_model(view.id, memory, model)
             memory.versions[model] = version
         self._trim(view.id, memory, self.free_tokens(view.id, other_requests))
 
@@ -221,15 +218,14 @@
 
     def _keep(
         self, target: str, memory: _Memory, key: PartKey, tokens: int, now: float
-    ) -> bool:
-        """Store a part as the last used one; return whether it was there before."""
+    ) -> None:
+        """Store a part as the last used one."""
         known = memory.parts.pop(key, None)
         if known is not None:
             memory.kept_tokens -= known[0]
         memory.parts[key] = (tokens, now)
         memory.kept_tokens += tokens
         self._holders.setdefault(key, set()).add(target)
-        return known is not None and now - known[1] <= RETENTION_S
 
     def _trim(self, target: str, memory: _Memory, free_tokens: float) -> None:
         """Discard the least recently used parts that do not fit."""
@@ -238,6 +234,10 @@
         ):
             self._discard(target, memory, next(iter(memory.parts)))
 
+    def _discard_model(self, target: str, memory: _Memory, model: str) -> None:
+        for key in [key for key in memory.parts if key[0] == model]:
+            self._discard(target, memory, key)
+
     def _discard(self, target: str, memory: _Memory, key: PartKey) -> None:
         known = memory.parts.pop(key, None)
         if known is None:
--- a/mulberryport/routing/tests/test_prefixes.py
+++ b/mulberryport/routing/tests/test_prefixes.py
@@ -59,11 +59,15 @@
     assert _kept(prefixes, (("dd", 300),)) == 0
 
 
-def test_what_a_refused_request_would_have_read_is_not_kept():
-    # Guards against a full target that looks better with each refusal.
+def test_target_that_refuses_keeps_nothing_for_the_model():
+    # Guards against requests that all go to a target that is loading new weights, and
+    # against a full target that looks better with each refusal.
     prefixes, reading = _started()
+    prefixes.start(TARGET, "m", (SHARED, OWN), 10.0, 0.0)
+    prefixes.start(TARGET, "other", (SHARED, OWN), 10.0, 0.0)
     prefixes.finish(reading, was_read=False)
     assert _kept(prefixes) == 0
+    assert _kept(prefixes, model="other") == 300
     assert prefixes.free_tokens("t", 0.0) == float("inf")
 
 
