Compute what a request needs once for all targets

Cause: the times of 48 targets were computed from properties that were read several times. Change: the parts that depend on the request alone are computed once for a choice, and the capacity of a target once for its time.

--- a/mulberryport/routing/completion.py
+++ b/mulberryport/routing/completion.py
@@ -15,9 +15,15 @@
 
 from .candidates import Candidate, CandidateSet
 from .model import WorkRequest
-from .prefixes import KeptPrefixes
 
-__all__ = ["Choice", "Reason", "choose_earliest", "completion_time"]
+__all__ = [
+    "Choice",
+    "Demand",
+    "Reason",
+    "choose_earliest",
+    "completion_time",
+    "demand_of",
+]
 
 # Reading speed of targets. It is not reported, and at the usual speeds the reading is
 # short compared with what the time to the first event varies by.
@@ -78,21 +84,59 @@
     reason: Reason = Reason.ROOM
 
 
-def expected_wait(candidate: Candidate, run_time_s: float) -> float:
+@frozen
+class Demand:
+    """What a request needs, the same at all targets of a pool.
+
+    Parameters
+    ----------
+    work : WorkRequest
+        The request.
+    prompt_tokens, output_tokens : float
+        Tokens of its prompt, and expected tokens of its text.
+    mean_run_time_s : float
+        Mean run time in seconds of the pool's requests; 0 if not known.
+    """
+
+    work: WorkRequest
+    prompt_tokens: float
+    output_tokens: float
+    mean_run_time_s: float
+
+
+def demand_of(work: WorkRequest, targets: CandidateSet) -> Demand:
+    """Return what a request needs at the targets of its pool."""
+    return Demand(
+        work,
+        sum([tokens for _, tokens in work.prompt_parts]),
+        targets.prefixes.output_tokens(work.expected_events),
+        targets.mean_run_time_s,
+    )
+
+
+def expected_wait(
+    requests: float, capacity: int, uncertainty: float, run_time_s: float
+) -> float:
     """Return the expected wait in seconds for a slot of a target.
 
     Parameters
     ----------
-    candidate : Candidate
-        The target; the older the news of its load, the wider the range of requests
-        that may run there.
+    requests : float
+        Estimated number of requests that run or wait there.
+    capacity : int
+        Requests that it runs at the same time.
+    uncertainty : float
+        Uncertainty of the estimate, as a fraction of the capacity.
     run_time_s : float
         Mean run time of the requests there.
+
+    Examples
+    --------
+    >>> expected_wait(2, 8, 0.0, 1.0), expected_wait(16, 8, 0.0, 1.0)
+    (0.0, 1.125)
     """
-    capacity = candidate.capacity
-    requests = candidate.own_requests + candidate.remote_requests
     excess = requests + 1.0 - capacity
-    spread = 1.0 + candidate.uncertainty * capacity
+    spread = 1.0 + uncertainty * capacity
     if excess <= -spread:
         return 0.0
     if excess < spread:
@@ -103,7 +147,7 @@
 
 def completion_time(
     candidate: Candidate,
-    work: WorkRequest,
+    demand: Demand,
     targets: CandidateSet,
     kept_tokens: int,
     is_connected: bool,
@@ -117,8 +161,8 @@
     ----------
     candidate : Candidate
         The target.
-    work : WorkRequest
-        The request.
+    demand : Demand
+        What the request needs.
     targets : CandidateSet
         The pool.
     kept_tokens : int
@@ -126,57 +170,46 @@
     is_connected : bool
         Whether this daemon has an idle connection to it.
     """
-    prefixes = targets.prefixes
+    work, view = demand.work, candidate.view
     duration = candidate.relative_duration
+    mean_run_time_s = demand.mean_run_time_s * duration
     run_time_s = (
         work.expected_events * candidate.event_interval_s
-        or (targets.mean_run_time_s or DEFAULT_RUN_TIME_S) * duration
+        or mean_run_time_s
+        or DEFAULT_RUN_TIME_S * duration
     )
+    capacity = candidate.capacity
     requests = candidate.own_requests + candidate.remote_requests
-    running = min(requests, candidate.capacity)
-    slowing = FULL_BATCH_SLOWING * running / candidate.capacity
-    time_s = expected_wait(candidate, targets.mean_run_time_s * duration or run_time_s)
+    running = requests if requests < capacity else capacity
+    time_s = expected_wait(
+        requests, capacity, candidate.uncertainty, mean_run_time_s or run_time_s
+    )
     # The others generate more slowly by as much as this one does.
-    time_s += run_time_s * (1.0 + 2.0 * slowing)
-    if work.prompt_parts:
-        prompt_tokens = sum([tokens for _, tokens in work.prompt_parts])
-        missing = max(0, prompt_tokens - kept_tokens)
+    time_s += run_time_s * (1.0 + 2.0 * FULL_BATCH_SLOWING * running / capacity)
+    if demand.prompt_tokens:
+        missing = max(0.0, demand.prompt_tokens - kept_tokens)
         # The others wait while the prompt is read.
         time_s += missing / READING_TOKENS_PER_S * (1.0 + running)
-        time_s += _preemption_time(
-            candidate, work, prefixes, missing, run_time_s, prompt_tokens
-        )
-    if candidate.view.zone != targets.zone:
+        needed = missing + demand.output_tokens
+        free = targets.prefixes.free_tokens(view.id, candidate.remote_requests)
+        if needed > free:
+            # The newest request is put back, and its prompt read again.
+            again_s = demand.prompt_tokens / READING_TOKENS_PER_S
+            again_s += PREEMPTED_FRACTION * run_time_s
+            time_s += (needed - free) / needed * again_s
+    if view.zone != targets.zone:
         time_s += REMOTE_ZONE_S
     if not is_connected:
         time_s += NEW_CONNECTION_S
-    time_s += candidate.failure_penalty * (run_time_s + FAILURE_TIME_S)
-    if work.restartable and targets.prefers_cheap and not candidate.view.cheap:
+    if candidate.failure_penalty:
+        time_s += candidate.failure_penalty * (run_time_s + FAILURE_TIME_S)
+    if not view.cheap and work.restartable and targets.prefers_cheap:
         time_s += ON_DEMAND_FRACTION * run_time_s
     if work.prefers_idle and candidate.own_requests:
         time_s += BUSY_FRACTION * (run_time_s + FAILURE_TIME_S)
     return time_s if 0.0 <= time_s < MAX_TIME_S else MAX_TIME_S
 
 
-def _preemption_time(
-    candidate: Candidate,
-    work: WorkRequest,
-    prefixes: KeptPrefixes,
-    missing_tokens: int,
-    run_time_s: float,
-    prompt_tokens: int,
-) -> float:
-    """Return the time lost if the request is put back for lack of memory."""
-    if not prefixes.memory_tokens:
-        return 0.0
-    needed = missing_tokens + prefixes.output_tokens(work.expected_events)
-    free = prefixes.free_tokens(candidate.id, candidate.remote_requests)
-    if needed <= free:
-        return 0.0
-    again_s = PREEMPTED_FRACTION * run_time_s + prompt_tokens / READING_TOKENS_PER_S
-    return (needed - free) / needed * again_s
-
-
 def choose_earliest(
     targets: CandidateSet, work: WorkRequest, generator: random.Random, now: float
 ) -> Choice | None:
@@ -204,12 +237,14 @@
         None if no target can take the request now.
     """
     connected = targets.connected()
+    exclude = work.exclude
+    accepts_all = not work.oldest_version and work.software is None
     fitting = [
         candidate
         for candidate in _compared(targets, work, generator, connected)
-        if candidate.free_slots > 0
-        and candidate.id not in work.exclude
-        and work.accepts_versions_of(candidate.view)
+        if candidate.view.id not in exclude
+        and (accepts_all or work.accepts_versions_of(candidate.view))
+        and candidate.free_slots > 0
     ]
     if targets.has_rate_limited:
         unlimited = [c for c in fitting if not c.is_rate_limited]
@@ -222,9 +257,10 @@
         target: targets.prefixes.kept_tokens(target, work.model, work.prompt_parts, now)
         for target in targets.prefixes.holders(work.model, work.prompt_parts)
     }
+    demand = demand_of(work, targets)
     times = [
         (
-            completion_time(c, work, targets, kept.get(c.id, 0), c.id in connected),
+            completion_time(c, demand, targets, kept.get(c.id, 0), c.id in connected),
             c,
         )
         for c in compared
--- a/mulberryport/routing/tests/test_completion.py
+++ b/mulberryport/routing/tests/test_completion.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 
 from ..candidates import CandidateSet
-from ..completion import MAX_TIME_S, Reason, choose_earliest, completion_time
+from ..completion import MAX_TIME_S, Reason, choose_earliest, completion_time, demand_of
 from ..model import LoadReport
 from ..scheduler import Result
 from ..speeds import SpeedEstimate, TargetSpeeds
@@ -186,8 +186,9 @@
     targets.update_views(views, 0.0)
     targets.update_eligibility([])
     request = work(prompt_parts=parts, expected_events=events)
+    demand = demand_of(request, targets)
     for candidate in targets.all:
-        time_s = completion_time(candidate, request, targets, kept, False)
+        time_s = completion_time(candidate, demand, targets, kept, False)
         assert 0.0 <= time_s <= MAX_TIME_S
     choose_earliest(targets, request, random.Random(1), 0.0)
 
