Go on with the texts of ended jobs when their items come again

Cause: a trainer ends a step when it has read enough groups and brings the items of the others again with a later step, under the same ids. All of their text was generated again, also texts that were complete but not read yet.

Ruled out: reading the previous job's checkpoint from the store, which holds texts of ten events or more and nothing of results; it would cost a read of the store per step, for the few steps whose owner changed. Sharing a text between two open jobs: events would stand twice.

Change: where targets tell how slow they are, the owner of an ended job keeps its results and partial texts in memory (60 s, 12 MB, oldest first). A later job of the same workspace and route lists a complete text at once with its score, and goes on with a partial one by Last-Event-Id at a target with the same software, if request, group, model and scoring call are the same and all versions fit its oldest version. Failures start anew with each job, but an item is given up after three times the attempts of one job in all.

Proved by breaking: version check, digest check, condition on uneven targets, sum of failures, copied lists, count of bytes; each makes a test fail.

--- a/mulberryport/jobs/generation.py
+++ b/mulberryport/jobs/generation.py
@@ -57,12 +57,15 @@
         Number of attempts that the engine or the scoring service reported as failed.
     software : str
         Software version of the engines that made the events.
+    earlier_failures : int
+        Number of failed attempts in earlier jobs that had the same item.
     """
 
     events: list[str] = field(factory=list, repr=False)
     versions: list[int] = field(factory=list, repr=False)
     failures: int = 0
     software: str = ""
+    earlier_failures: int = 0
 
     def add(self, data: str, version: int) -> None:
         """Append the data of the next event."""
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -12,6 +12,7 @@
 from ..gateway.access import match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
+from ..steps import CarriedTexts
 from ..tables import Route, Snapshot
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
@@ -77,6 +78,9 @@
 ASSIGNMENT_WAIT_S = 1.0
 # Scoring calls are retried after this timeout.
 SCORING_TIMEOUT_S = 3.0
+# An item that several jobs brought is not attempted again after this many times the
+# attempts of one job have failed.
+MAX_ATTEMPTS_FACTOR = 3
 # Allows for clock skew between this daemon and the previous owner.
 CLOCK_SKEW_MARGIN_S = 1.0
 
@@ -104,6 +108,8 @@
         returns whether that succeeded, as an outcome.
     may_be_outdated : callable
         Returns whether the job may have ended without this daemon knowing by now.
+    carried : CarriedTexts
+        Texts of ended jobs.
     """
 
     repository: JobRepository
@@ -114,6 +120,7 @@
     engine_latencies: EngineLatencyTracker
     reacquire: Callable[[Any], Outcome[bool]]
     may_be_outdated: Callable[[], bool] = lambda: False
+    carried: CarriedTexts = field(factory=CarriedTexts)
 
 
 class ItemGivenUpError(Exception):
@@ -185,6 +192,7 @@
             self._generate(route)
             score = self._score() if self.item.scoring is not None else ""
         except ItemRejectedError as error:
+            self.transcript.failures += route.attempts
             raise ItemGivenUpError(f"rejected: {error}") from error
         except ItemFailedError:
             self.transcript.failures += 1
@@ -254,8 +262,12 @@
         age = self.context.now() - self.job.submitted_at
         if age > route.batch.give_up + CLOCK_SKEW_MARGIN_S:
             raise ItemGivenUpError(f"expired: submitted {age:.1f} s ago")
-        if self.transcript.failures >= route.attempts:
-            raise ItemGivenUpError(f"attempts: {self.transcript.failures} have failed")
+        failures = self.transcript.failures
+        if failures >= route.attempts:
+            raise ItemGivenUpError(f"attempts: {failures} have failed")
+        failures += self.transcript.earlier_failures
+        if failures >= MAX_ATTEMPTS_FACTOR * route.attempts:
+            raise ItemGivenUpError(f"attempts: {failures} have failed in several jobs")
 
     def _generate(self, route: Route) -> None:
         pool = route.select_pool(random.random())
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -17,10 +17,11 @@
 from ..runtime.waits import supervise
 from ..telemetry import define as define_event
 from ..telemetry import log
-from .codec import encode_result, max_encoded_bytes
+from .carrying import keep_texts, reuse_texts
+from .codec import decode_result, encode_result, max_encoded_bytes
 from .generation import Transcript
 from .items import ItemTask, JobContext
-from .model import Job, JobItem, JobResult
+from .model import COMPLETED, Job, JobItem, JobResult
 from .repository import FINISHED, JobHead
 
 __all__ = ["OwnedJob"]
@@ -128,6 +129,7 @@
         self._transcripts = dict(transcripts)
         committed_ids = {result.id for result in committed}
         remaining = [item for item in self.job.items if item.id not in committed_ids]
+        remaining = self._reuse_texts(remaining)
         # The longest items determine when a step completes, so they start first.
         for item in sorted(remaining, key=lambda item: -item.length_hint):
             self._threads.append(eventlet.spawn(self._run_item, item))
@@ -170,6 +172,13 @@
         eventlet.spawn(_kill_threads, threads).wait()
         self.progress.notify_all()
 
+    def carry_texts(self) -> None:
+        """Keep the texts of the ended job for later jobs that bring its items again."""
+        results = [decode_result(result) for result in self._committed]
+        keep_texts(
+            self.job, [*results, *self._pending], self._transcripts, self.context
+        )
+
     def hand_over(self) -> None:
         """Stop, and release the job with its partial transcripts to another daemon."""
         if self._closed:
@@ -189,6 +198,15 @@
         }
         self.context.repository.release(self.job.id, self.ownership, unfinished)
 
+    def _reuse_texts(self, items: list[JobItem]) -> list[JobItem]:
+        """Take the texts of ended jobs; return the items still to be generated."""
+        without_text = [item for item in items if item.id not in self._transcripts]
+        reused = reuse_texts(self.job, without_text, self.context)
+        self._transcripts |= reused.transcripts
+        self._pending.extend(reused.results)
+        finished = {result.id for result in reused.results}
+        return [item for item in items if item.id not in finished]
+
     def _run_item(self, item: JobItem) -> None:
         transcript = self._transcripts.setdefault(item.id, Transcript())
         result = ItemTask(self.job, item, transcript, self.context).run()
@@ -285,7 +303,11 @@
         position = len(self._committed)
         self._committed.extend(encode_result(result) for result in batch)
         for result in batch:
-            self._transcripts.pop(result.id, None)
+            transcript = self._transcripts.pop(result.id, None)
+            if transcript is not None and result.state != COMPLETED:
+                # Only its failures count, if a later job brings the item again.
+                transcript.restart()
+                self._transcripts[result.id] = transcript
         del self._pending[: len(batch)]
         log(
             RESULTS_LISTED,
--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+import eventlet
 from attrs import define, evolve, field
 
 from ..coordination import Change, Item, Mirror, Session
@@ -155,13 +156,15 @@
         owned.close(reason)
         if owned.is_complete:
             self.on_completed(job_id, owned.committed)
+        elif reason == ENDED:
+            eventlet.spawn_n(owned.carry_texts)
 
     def record_end(self, job_id: str, revision: int) -> None:
         """Record the end of a job, before the mirror delivers it, and stop the job."""
         head = self.heads.get(job_id)
         if head is not None and head.revision < revision:
             self.heads[job_id] = evolve(head, state=ENDED, revision=revision)
-        self.remove_owned(job_id, "ended")
+        self.remove_owned(job_id, ENDED)
 
     def ranked_members(self, key: str) -> list[Member]:
         """Return the members in the order in which they claim a job.
--- /dev/null
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -0,0 +1,121 @@
+"""Tests of texts of ended jobs in later jobs that bring the same items."""
+
+import eventlet
+import pytest
+from attrs import evolve
+
+from ...outcomes import Done
+from ...routing import LoadReport
+from ...runtime.clock import boottime
+from ..generation import ItemFailedError
+from .builders import Engine, JobDaemon, MemoryStore, make_job, until
+from .test_service import deadline_in, read_all, wait_for_results
+
+
+class FailingEngine(Engine):
+    """Engines that fail at the end of each text."""
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate a text and fail."""
+        super().generate(view, job, item, transcript, on_event)
+        raise ItemFailedError("status 500")
+
+
+def start_daemon(engine, slowdown=1.0):
+    """Return a daemon whose engines report a slowdown, or none."""
+    daemon = JobDaemon(MemoryStore(), engine=engine)
+    report = LoadReport(0, 0, 8, slowdown=slowdown)
+    for name in ("e1", "e2"):
+        daemon.directory.record_load(name, report, boottime())
+    return daemon
+
+
+def run_first_job(engine, slowdown=1.0):
+    """End a job that has one result and partial texts; return daemon and job."""
+    engine.length = 8
+    engine.pauses = {f"job1-{n}": 0.1 for n in range(1, 4)}
+    daemon, job = start_daemon(engine, slowdown), make_job()
+    assert daemon.jobs.submit(job, deadline_in()) == Done(True)
+    owned = daemon.jobs.registry.owned["job1"]
+    assert until(lambda: len(owned.committed) == 1)
+    assert until(lambda: all(t.events for t in owned._transcripts.values()))
+    assert daemon.jobs.end("job1", "roads") == Done(True)
+    eventlet.sleep(0.05)
+    engine.calls.clear()
+    engine.pauses.clear()
+    return daemon, job
+
+
+def submit_again(daemon, job, name="job2", **changes):
+    """Submit the items of a job in another job."""
+    again = evolve(job, id=name, **changes)
+    assert daemon.jobs.submit(again, deadline_in()) == Done(True)
+
+
+def test_texts_of_an_ended_job_are_listed_or_go_on():
+    # Guards against work that is thrown away with each step, and against texts that do
+    # not hold the whole output of their item.
+    engine = Engine()
+    daemon, job = run_first_job(engine)
+    submit_again(daemon, job)
+    assert wait_for_results(daemon, 4, "job2")
+    assert sorted(call[0] for call in engine.calls) == ["job1-1", "job1-2", "job1-3"]
+    assert all(0 < events < 8 for _, events, _ in engine.calls)
+    for item, state, text, versions, score in read_all(daemon, "job2"):
+        assert text == "\n".join(f"{item}.{n}" for n in range(1, 9))
+        assert (state, versions) == ("completed", [5])
+        assert score == f"score of s{item[-1]}"
+    assert engine.scored.count("s0") == 1
+    daemon.die()
+
+
+@pytest.mark.parametrize("case", ["old versions", "other bodies", "even targets"])
+def test_texts_that_do_not_fit_start_over(case):
+    # Guards against results below the oldest version of their job, against the text of
+    # another prompt under the same id, and against changes where no target tells how
+    # slow it is.
+    engine = Engine()
+    daemon, job = run_first_job(engine, None if case == "even targets" else 1.0)
+    changes = {}
+    if case == "old versions":
+        engine.version = changes["oldest_version"] = 6
+        for name in ("e1", "e2"):
+            daemon.directory.record_weight_version(name, "m", 6)
+    if case == "other bodies":
+        changes["items"] = tuple(evolve(item, body=b"other") for item in job.items)
+    submit_again(daemon, job, **changes)
+    assert wait_for_results(daemon, 4, "job2")
+    assert sorted(call[:2] for call in engine.calls) == [
+        (f"job1-{n}", 0) for n in range(4)
+    ]
+    assert all(result[3] == [engine.version] for result in read_all(daemon, "job2"))
+    daemon.die()
+
+
+def test_two_open_jobs_with_one_item_do_not_share_its_text():
+    # Guards against events that stand twice, because two jobs append to one text.
+    engine = Engine()
+    daemon, job = run_first_job(engine)
+    engine.pause = 0.02
+    submit_again(daemon, job, "job2")
+    submit_again(daemon, job, "job3")
+    for name in ("job2", "job3"):
+        assert wait_for_results(daemon, 4, name)
+        for result in read_all(daemon, name):
+            assert result[2] == "\n".join(f"{result[0]}.{n}" for n in range(1, 9))
+    daemon.die()
+
+
+def test_an_item_that_fails_in_each_job_reaches_no_engine_in_the_end():
+    # Guards against an item that fails at each run, and that each of many steps sends
+    # to engines as often as the first.
+    engine = FailingEngine(pauses={"job1-1": 60.0})
+    daemon, job = start_daemon(engine), make_job(items=2)
+    for number in range(5):
+        name = f"step{number}"
+        submit_again(daemon, job, name)
+        assert wait_for_results(daemon, 1, name)
+        assert daemon.jobs.end(name, "roads") == Done(True)
+        eventlet.sleep(0.05)
+    assert sum(call[0] == "job1-0" for call in engine.calls) == 9
+    daemon.die()
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "ANSWER_SECONDS",
+    "CARRIED_TEXTS",
     "EVENTS",
     "LIMITED_TARGET_REQUESTS",
     "LONG_TURN_SECONDS",
@@ -28,6 +29,11 @@
     "Seconds from a request to the end of its answer, by route and outcome.",
     buckets=[0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100],
 )
+CARRIED_TEXTS = Counter(
+    "mulberryport_carried_texts_total",
+    "Texts of ended jobs whose items came again, by what became of them: finished, "
+    "partial, unfit.",
+)
 LONG_TURN_SECONDS = Histogram(
     "mulberryport_long_turn_seconds",
     "Seconds for which green threads kept the event loop from running, from 20 ms.",
