Keep the texts of finished jobs too for later jobs with their items

Change: texts are kept when a job finishes, as when it ends.

Proved by breaking: with the condition on ended jobs alone, the test of texts that are listed or go on fails.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -173,7 +173,7 @@
         self.progress.notify_all()
 
     def carry_texts(self) -> None:
-        """Keep the texts of the ended job for later jobs that bring its items again."""
+        """Keep the texts of a closed job for later ones that bring its items again."""
         results = [decode_result(result) for result in self._committed]
         keep_texts(
             self.job, [*results, *self._pending], self._transcripts, self.context
--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -14,6 +14,7 @@
 from .owned import OwnedJob
 from .repository import (
     ENDED,
+    FINISHED,
     HEAD_PREFIX,
     OWNER_PREFIX,
     JobHead,
@@ -156,7 +157,8 @@
         owned.close(reason)
         if owned.is_complete:
             self.on_completed(job_id, owned.committed)
-        elif reason == ENDED:
+        # The trainer may have stopped to read a job before all of it was finished.
+        if reason in (ENDED, FINISHED):
             eventlet.spawn_n(owned.carry_texts)
 
     def record_end(self, job_id: str, revision: int) -> None:
--- a/mulberryport/jobs/tests/test_carrying.py
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -53,8 +53,9 @@
 
 
 def test_texts_of_an_ended_job_are_listed_or_go_on():
-    # Guards against work that is thrown away with each step, and against texts that do
-    # not hold the whole output of their item.
+    # Guards against work that is thrown away with each step, also where a job finished
+    # before its trainer read all of it, and against texts that do not hold the whole
+    # output of their item.
     engine = Engine()
     daemon, job = run_first_job(engine)
     submit_again(daemon, job)
@@ -66,6 +67,11 @@
         assert (state, versions) == ("completed", [5])
         assert score == f"score of s{item[-1]}"
     assert engine.scored.count("s0") == 1
+    engine.calls.clear()
+    submit_again(daemon, job, "job3")
+    assert wait_for_results(daemon, 4, "job3")
+    assert sorted(read_all(daemon, "job3")) == sorted(read_all(daemon, "job2"))
+    assert not engine.calls
     daemon.die()
 
 
