--- a/mulberryport/jobs/carrying.py
+++ b/mulberryport/jobs/carrying.py
@@ -33,6 +33,14 @@
 )
 
 
+TEXTS_KEPT = define_event(
+    941,
+    "texts_kept",
+    "info",
+    "The texts of a closed job are kept for later jobs that bring its items again.",
+)
+
+
 @define
 class ReusedTexts:
     """Texts of ended jobs that a new job goes on with.
@@ -64,12 +72,21 @@
     transcripts : mapping of str to Transcript
         Partial texts, by item id.
     """
+    kept = 0
     finished = {result.id: result for result in results if result.state == COMPLETED}
     for item in job.items:
         yield_if_due()
         text = _text_of(job, item, finished.get(item.id), transcripts.get(item.id))
         if text is not None and _uneven_route(job, item, context) is not None:
             context.carried.keep(job.workspace, job.route, item.id, text, boottime())
+            kept += 1
+    log(
+        TEXTS_KEPT,
+        job=job.id,
+        kept=kept,
+        finished=len(finished),
+        size_bytes=context.carried.size_bytes,
+    )
 
 
 def reuse_texts(job: Job, items: Iterable[JobItem], context: JobContext) -> ReusedTexts:
