Send requests where room is, and refuse callers who cannot be served in time

A daemon counted old reports for 10 s, might always send one request to each target, and avoided a full one for a constant time or not at all. Callers waited until their deadline whatever was queued before them, and copies of requests had no bound.

Change, only for targets that tell how long work takes: reports age with run times; a target that reported a surplus or refused is avoided for a time that follows from run times; callers before the work of jobs within a workspace and priority; PoolScheduler.expected_wait_s; callers whose wait reaches past their deadline are refused at once, with a Retry-After within a third of the time they have left, by lot; copies need room, time and a budget.

--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -11,7 +11,14 @@
 
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse
-from ..targets import Assignment, Dispatcher, ShedError, TargetView, WorkRequest
+from ..targets import (
+    Assignment,
+    Dispatcher,
+    NoRoomError,
+    ShedError,
+    TargetView,
+    WorkRequest,
+)
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .access import Access
@@ -224,7 +231,10 @@
                 stack.enter_context(assignment_stack.pop_all())
                 return assignment, response
         except ShedError as error:
-            if failure is None:
+            is_told_when = isinstance(error, NoRoomError) and not (
+                call.active.sent_attempts
+            )
+            if failure is None or is_told_when:
                 raise _refusal(error) from error
             break
         except BlockedError as error:
@@ -305,7 +315,13 @@
             max_attempts=call.access.route.attempts,
             hedge_delay_s=hedge_delay_s,
             # A first attempt that still waits for a target is not slow.
-            may_run_beside=lambda: bool(assigned_targets) and not guard.is_suspect,
+            may_run_beside=lambda: (
+                bool(assigned_targets)
+                and not guard.is_suspect
+                and client.dispatcher.may_hedge(
+                    evolve(work, exclude=work.exclude | assigned_targets)
+                )
+            ),
             discard=lambda result: result[0].close(),
         )
     except ServerFailedError as error:
@@ -354,7 +370,7 @@
         # failure, since the load report describes the target better.
         count_start = None
         call.active.sent_attempts -= 1
-        assignment.cancelled()
+        assignment.refused()
         if isinstance(error, MisdirectedError):
             client.dispatcher.directory.mark_address_reused(assignment.id)
         raise
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -287,7 +287,10 @@
                         self._make_event_callback(assignment),
                     )
                 self._require_single_version(route)
-            except (NotStartedError, StaleWeightsError, EngineSwitchError):
+            except NotStartedError:
+                assignment.refused()
+                raise
+            except (StaleWeightsError, EngineSwitchError):
                 assignment.cancelled()
                 raise
             except (ItemFailedError, ItemRejectedError):
@@ -434,7 +437,7 @@
                 assignment.view, call, SCORING_TIMEOUT_S
             )
         except NotStartedError:
-            assignment.cancelled()
+            assignment.refused()
             raise
         except ItemFailedError:
             assignment.succeeded()
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -30,7 +30,12 @@
 from ..targets.connections import ConnectionPool, drain_refusal
 from . import names
 from .counts import parse_count
-from .target_reports import MISDIRECTED_STATUS, belongs_to_request, record_reports
+from .target_reports import (
+    MISDIRECTED_STATUS,
+    belongs_to_request,
+    parse_load,
+    record_reports,
+)
 
 __all__ = ["EngineCalls", "EventParser"]
 
@@ -38,6 +43,7 @@
 # for a second, or longer while several engines load.
 EVENT_TIMEOUT_S = 2.5
 # An engine that refuses a request is full or loading the model, which takes a second.
+# Engines of uneven pools that say that they are full are not suspended.
 MODEL_SUSPENSION_S = 0.3
 # Events are small; the parser handles a part without letting others run.
 READ_SIZE_BYTES = 8 * 1024
@@ -207,7 +213,10 @@
             )
         except NotStartedError:
             complete = drain_refusal(response)
-            self.directory.suspend_model(view.id, item.model, MODEL_SUSPENSION_S)
+            # A full target that tells its speed is avoided as its run times say.
+            load = parse_load(response.headers.get(names.LOAD) or "")
+            if load is None or load.slowdown is None or not load.is_full:
+                self.directory.suspend_model(view.id, item.model, MODEL_SUSPENSION_S)
             raise
         finally:
             self._release_connection(view, connection, response, complete)
--- a/mulberryport/routing/__init__.py
+++ b/mulberryport/routing/__init__.py
@@ -3,7 +3,7 @@
 from .candidates import Candidate, CandidateSet
 from .ejection import Ejector
 from .limits import ConcurrencyLimit
-from .model import LoadReport, ShedError, TargetView, WorkRequest
+from .model import LoadReport, NoRoomError, ShedError, TargetView, WorkRequest
 from .permits import (
     COLD_RATE_FRACTION,
     MAX_PERMIT_WAIT_S,
@@ -30,6 +30,7 @@
     "FairQueue",
     "Grant",
     "LoadReport",
+    "NoRoomError",
     "PoolScheduler",
     "Result",
     "RetryBudget",
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -13,6 +13,7 @@
 
 from .limits import ConcurrencyLimit
 from .model import TargetView, WorkRequest
+from .room import RunTimes, TargetRoom
 from .speeds import TargetSpeeds
 
 __all__ = ["Candidate", "CandidateSet"]
@@ -27,6 +28,10 @@
 # Slots that a daemon may always use, however many others have taken. Without them,
 # a daemon that starts while others fill the pool would never get a slot.
 MIN_SLOTS = 1
+# A report of a target that tells how long work takes there decays with the time in
+# which the requests that it counts end.
+DECAY_RUNS = 4.0
+MIN_REPORT_DECAY_S = 0.5
 # Targets beyond the third would rarely have the prefix in their caches.
 MAX_AFFINITY_TARGETS = 3
 AFFINITY_CACHE_SIZE = 4096
@@ -55,6 +60,11 @@
         none.
     permits_expire_at : float
         Boot time after which the permits must not be used.
+    room : TargetRoom
+        Refusals of the target and run times there.
+    is_full : bool
+        Whether the target has no room, by its report or after a refusal; only known of
+        targets that tell how long work takes there.
     """
 
     view: TargetView
@@ -65,6 +75,8 @@
     failure_penalty: float = 0.0
     permits: float = math.inf
     permits_expire_at: float = math.inf
+    room: TargetRoom = field(factory=TargetRoom)
+    is_full: bool = False
     _own_requests_at_report: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -97,6 +109,8 @@
     @property
     def free_slots(self) -> int:
         """Requests that this daemon may start at the target now."""
+        if self.is_full:
+            return 0
         available = self.capacity * (1.0 + CAPACITY_SLACK) - self.remote_requests
         slots = min(self.limit.value, max(MIN_SLOTS, int(available)))
         return int(min(slots - self.own_requests, self.permits))
@@ -123,13 +137,47 @@
         elif self.permits == math.inf:
             self.permits = 0
 
-    def update_load_estimate(self, pool_mean: float) -> None:
+    @property
+    def tells_slowdown(self) -> bool:
+        """Whether the target tells how long work takes there at the moment."""
+        report = self.view.report
+        return report is not None and report.slowdown is not None
+
+    def update_room(self, pool_run_s: float, age_s: float, now: float) -> None:
+        """Update whether the target has room.
+
+        Parameters
+        ----------
+        pool_run_s : float
+            Mean run time of the pool in seconds.
+        age_s : float
+            Seconds since the newest report.
+        now : float
+            Boot time.
+        """
+        remote = self.reported_remote_requests()
+        if remote is None or not self.tells_slowdown:
+            self.is_full = False
+            return
+        tolerated = CAPACITY_SLACK * self.capacity
+        surplus = remote + self.own_requests + 1 - self.capacity - tolerated
+        self.is_full = self.room.is_full(
+            surplus, self.capacity, pool_run_s, reported_at=now - age_s, now=now
+        )
+
+    def update_load_estimate(
+        self, pool_mean: float, pool_run_s: float = REPORT_DECAY_S
+    ) -> None:
         """Move the load estimate towards the mean of the pool as the report ages."""
         reported = self.reported_remote_requests()
         if reported is None:
             self.remote_requests, self.uncertainty = pool_mean, 1.0
             return
-        weight = math.exp(-self.view.report_age / REPORT_DECAY_S)
+        decay_s = REPORT_DECAY_S
+        if self.tells_slowdown:
+            runs_s = DECAY_RUNS * self.room.run_s(pool_run_s)
+            decay_s = min(REPORT_DECAY_S, max(MIN_REPORT_DECAY_S, runs_s))
+        weight = math.exp(-self.view.report_age / decay_s)
         self.remote_requests = pool_mean + (reported - pool_mean) * weight
         self.uncertainty = 1.0 - weight
 
@@ -148,11 +196,14 @@
         Targets that are healthy, not leaving and not ejected.
     speeds : TargetSpeeds
         Measured speeds of the targets.
+    run_times : RunTimes
+        Measured run times of this daemon's requests.
     """
 
     zone: str
     connected: Callable[[], Collection[str]] = frozenset
     speeds: TargetSpeeds = field(factory=TargetSpeeds)
+    run_times: RunTimes = field(factory=RunTimes)
     usable: list[Candidate] = field(factory=list)
     _all: dict[str, Candidate] = field(factory=dict)
     # Targets that left the pool while requests still ran there, so that a target
@@ -165,6 +216,9 @@
     _has_cheap: bool = False
     _has_rate_limited: bool = False
     _is_uneven: bool = False
+    _updated_at: float = -math.inf
+    # Targets that had no room, of which only those are looked at between two updates.
+    _full: list[Candidate] = field(factory=list)
 
     def __len__(self) -> int:
         return len(self._all)
@@ -228,8 +282,44 @@
         reported = [c.reported_remote_requests() for c in current.values()]
         counts = [count for count in reported if count is not None]
         mean = sum(counts) / len(counts) if counts else 0.0
+        self._updated_at = now
         for candidate in current.values():
-            candidate.update_load_estimate(mean)
+            candidate.update_load_estimate(mean, self.run_times.assumed_s)
+        self._full = list(current.values()) if self._is_uneven else []
+        self.update_room(now)
+
+    @property
+    def full_count(self) -> int:
+        """Number of targets that have no room."""
+        return len(self._full)
+
+    def update_room(self, now: float) -> None:
+        """Update which of the targets that had no room have some again."""
+        since_update_s = max(0.0, now - self._updated_at)
+        for candidate in self._full:
+            age_s = candidate.view.report_age + since_update_s
+            candidate.update_room(self.run_times.assumed_s, age_s, now)
+        self._full = [candidate for candidate in self._full if candidate.is_full]
+
+    def record_refusal(self, candidate: Candidate, draw: float, now: float) -> None:
+        """Avoid a target that has refused a request because it was full.
+
+        Parameters
+        ----------
+        candidate : Candidate
+            The target.
+        draw : float
+            Random number from 0 to 1 that spreads the daemons that were refused.
+        now : float
+            Boot time.
+        """
+        if not self._is_uneven:
+            return
+        run_s = self.run_times.assumed_s
+        candidate.room.record_refusal(candidate.capacity, run_s, draw, now)
+        if candidate not in self._full:
+            self._full.append(candidate)
+        self.update_room(now)
 
     def update_eligibility(self, ejected: Iterable[str]) -> None:
         """Update which targets may be selected for which kinds of requests."""
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -6,7 +6,7 @@
 
 from .rate_limits import RateLimitReport
 
-__all__ = ["LoadReport", "ShedError", "TargetView", "WorkRequest"]
+__all__ = ["LoadReport", "NoRoomError", "ShedError", "TargetView", "WorkRequest"]
 
 
 class ShedError(Exception):
@@ -25,6 +25,10 @@
         self.retry_after = retry_after
 
 
+class NoRoomError(ShedError):
+    """The targets of a pool have no room for the request before its deadline."""
+
+
 @frozen
 class LoadReport:
     """A load report of a target, which may be out of date.
@@ -51,6 +55,11 @@
     leaving: bool = False
     slowdown: float | None = None
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no slot is free."""
+        return self.running + self.waiting >= self.capacity
+
 
 @frozen(kw_only=True)
 class TargetView:
--- a/mulberryport/routing/queue.py
+++ b/mulberryport/routing/queue.py
@@ -39,47 +39,59 @@
         Called once with the outcome: a ``Grant`` or a ``ShedError``.
     skip_count : int
         Number of times that a later request of its workspace was served first.
+    gives_way : bool
+        Whether the request is served after the others of its workspace and priority.
     """
 
     work: WorkRequest
     notify: Callable[[object], None]
     skip_count: int = 0
+    gives_way: bool = False
+
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """Rank among the requests of its workspace; higher ones are served first."""
+        return self.work.priority, not self.gives_way
 
 
 @define(eq=False)
 class Flow:
-    """The queued requests of one workspace, by priority and then by arrival."""
+    """The queued requests of one workspace, by rank and then by arrival."""
 
     workspace: str
     deficit: float = 0.0
     has_quantum: bool = False
     length: int = 0
-    _by_priority: dict[int, dict[QueuedRequest, None]] = field(factory=dict)
+    _by_rank: dict[tuple[int, bool], dict[QueuedRequest, None]] = field(factory=dict)
 
     def add(self, queued: QueuedRequest) -> None:
-        """Append a request to those of the same priority."""
-        self._by_priority.setdefault(queued.work.priority, {})[queued] = None
+        """Append a request to those of the same rank."""
+        self._by_rank.setdefault(queued.rank, {})[queued] = None
         self.length += 1
 
     def remove(self, queued: QueuedRequest) -> bool:
         """Remove a request; return whether it was queued."""
-        same_priority = self._by_priority.get(queued.work.priority, {})
-        if queued not in same_priority:
+        same_rank = self._by_rank.get(queued.rank, {})
+        if queued not in same_rank:
             return False
-        del same_priority[queued]
-        if not same_priority:
-            del self._by_priority[queued.work.priority]
+        del same_rank[queued]
+        if not same_rank:
+            del self._by_rank[queued.rank]
         self.length -= 1
         return True
 
     def __iter__(self) -> Iterator[QueuedRequest]:
         """Iterate over the requests in the order in which they are served."""
-        for priority in sorted(self._by_priority, reverse=True):
-            yield from self._by_priority[priority]
+        for rank in sorted(self._by_rank, reverse=True):
+            yield from self._by_rank[rank]
+
+    def count_before(self, rank: tuple[int, bool]) -> int:
+        """Return the number of requests that a new one of a rank is served after."""
+        return sum(len(queued) for r, queued in self._by_rank.items() if r >= rank)
 
     def lowest_ranked(self) -> QueuedRequest:
         """Return the request that would be served last."""
-        return next(reversed(self._by_priority[min(self._by_priority)]))
+        return next(reversed(self._by_rank[min(self._by_rank)]))
 
     def next_fitting(
         self,
@@ -102,7 +114,7 @@
                 first = queued
                 if first.skip_count >= LOOK_AHEAD:
                     return first
-            if work.priority != first.work.priority or examined >= LOOK_AHEAD:
+            if queued.rank != first.rank or examined >= LOOK_AHEAD:
                 break
             examined += 1
             if prefers(work):
@@ -186,6 +198,21 @@
             for queued in islice(flow, LOOK_AHEAD)
         )
 
+    def count_before(self, queued: QueuedRequest) -> float:
+        """Return how many requests would be served before a new one.
+
+        Those of other workspaces count as far as their shares reach until then.
+        """
+        workspace = queued.work.workspace
+        flows = {flow.workspace: flow for flow in self._all_flows()}
+        own = flows.pop(workspace, None)
+        own_count = own.count_before(queued.rank) if own is not None else 0
+        weight = self.weight_of(workspace)
+        return own_count + sum(
+            min(flow.length, (own_count + 1) * self.weight_of(name) / weight)
+            for name, flow in flows.items()
+        )
+
     def remove(self, queued: QueuedRequest) -> bool:
         """Remove a request; return whether it was queued."""
         workspace = queued.work.workspace
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -15,10 +15,11 @@
 
 from .candidates import Candidate, CandidateSet
 from .ejection import Ejector
-from .model import ShedError, TargetView, WorkRequest
+from .model import NoRoomError, ShedError, TargetView, WorkRequest
 from .permits import COLD_PERMIT_LIFETIME_S, PERMIT_LIFETIME_S
 from .queue import FairQueue, QueuedRequest
 from .retries import RetryBudget
+from .room import retry_delay_s
 from .selection import choose_target
 from .sharing import Shares
 
@@ -34,6 +35,8 @@
 # Delay after which a caller whose targets are all evacuated may come back. An operator
 # takes an evacuation back in his own time.
 EVACUATION_RETRY_AFTER_S = 2.0
+# Copies of requests that run are started for at most this part of the requests.
+HEDGES_PER_REQUEST = 0.1
 # Limits below this rate count as this rate when a wait is estimated.
 MIN_REQUESTS_PER_S = 0.1
 
@@ -44,6 +47,7 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    REFUSED = "refused"
 
 
 @define(eq=False)
@@ -53,6 +57,7 @@
     candidate: Candidate
     work: WorkRequest
     probe: bool = False
+    granted_at: float = 0.0
 
 
 @define(eq=False)
@@ -73,6 +78,8 @@
         Selects the target of a request.
     budget : RetryBudget
         Limits retries.
+    hedge_budget : RetryBudget
+        Limits copies of requests that still run.
     ejector : Ejector
         Excludes failing targets.
     on_ejection : callable
@@ -88,6 +95,9 @@
         choose_target
     )
     budget: RetryBudget = field(factory=RetryBudget)
+    hedge_budget: RetryBudget = field(
+        factory=lambda: RetryBudget(ratio=HEDGES_PER_REQUEST)
+    )
     ejector: Ejector = field(factory=Ejector)
     on_ejection: Callable[[str, bool], None] = field(default=lambda *_: None)
     # Whether an unrestricted request found no free slot since the last release.
@@ -142,11 +152,12 @@
         ------
         ShedError
             The queue is full, the deadline has passed, the pool has no targets or only
-            evacuated ones, or the rate limits of its targets do not allow the request
-            before its deadline.
+            evacuated ones, or neither its rate limits nor the expected wait for a slot
+            allow the request before its deadline.
         """
         if not work.exclude:
             self.budget.record_request()
+            self.hedge_budget.record_request()
         if not len(self.targets):
             raise ShedError(f"pool {work.pool} has no targets")
         if work.deadline <= now:
@@ -157,13 +168,14 @@
                 retry_after=EVACUATION_RETRY_AFTER_S,
             )
         self._last_request_at = now
+        self._update_room(now)
         self._drop_expired_permits(now)
         probe_target = self._probe_target_for(work, now)
         if probe_target is not None:
-            return self._allocate(probe_target, work, probe=True)
+            return self._allocate(probe_target, work, now, probe=True)
         unconfirmed = self._unconfirmed_target_for(work, now)
         if unconfirmed is not None:
-            return self._allocate(unconfirmed, work)
+            return self._allocate(unconfirmed, work, now)
         at_capacity = self._saturated or self._running_count >= self.shares.max_running
         candidate = (
             None if at_capacity else self.choose(*self._selection_arguments(work))
@@ -177,16 +189,62 @@
                 candidate.free_slots > 0
                 and self._running_count < self.shares.max_running
             ):
-                return self._allocate(candidate, work)
-        self._refuse_beyond_rate_limits(work, now)
-        queued = QueuedRequest(work, notify)
+                return self._allocate(candidate, work, now)
+        self._refuse_beyond_deadline(work, now)
+        queued = QueuedRequest(work, notify, gives_way=self._gives_way(work))
         evicted = self.queue.add(queued)
         if evicted is queued:
-            raise ShedError(f"the queue of pool {work.pool} is full")
+            raise self._queue_full_error(work, now)
         if evicted is not None:
-            evicted.notify(ShedError(f"the queue of pool {work.pool} is full"))
+            evicted.notify(self._queue_full_error(evicted.work, now))
         return queued
 
+    def expected_wait_s(self, work: WorkRequest, now: float) -> float:
+        """Return how long a request that comes now is expected to wait for a slot.
+
+        The wait follows from the free slots, from the requests that are queued before
+        it by the shares of their workspaces, and from the rate at which requests end.
+
+        Parameters
+        ----------
+        work : WorkRequest
+            The request.
+        now : float
+            Boot time.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if a slot is free, or if nothing was measured yet.
+        """
+        run_s = self.targets.run_times.mean_s
+        if not run_s or self._has_free_slot(work):
+            return 0.0
+        queued = QueuedRequest(work, print, gives_way=self._gives_way(work))
+        return (self.queue.count_before(queued) + 1) * run_s / self._own_slots()
+
+    def may_hedge(self, work: WorkRequest, now: float) -> bool:
+        """Consume one copy of a request that still runs, if it should be started.
+
+        A copy needs a free slot at another target, time to end before the deadline, and
+        a part of the pool's budget for copies. Pools whose targets do not tell how long
+        work takes allow all copies.
+
+        Parameters
+        ----------
+        work : WorkRequest
+            The request; ``exclude`` holds the targets at which it runs.
+        now : float
+            Boot time.
+        """
+        if not self.targets.is_uneven:
+            return True
+        self._update_room(now)
+        run_s = self.targets.run_times.mean_s or 0.0
+        if now + run_s >= work.deadline or len(self.queue):
+            return False
+        return self._has_free_slot(work) and self.hedge_budget.try_consume(now)
+
     def cancel(self, queued: QueuedRequest) -> None:
         """Remove a request from the queue."""
         self.queue.remove(queued)
@@ -266,7 +324,8 @@
         candidate.own_requests -= 1
         self._running_count -= 1
         self._running_by_workspace[grant.work.workspace] -= 1
-        if result is not Result.CANCELLED:
+        self._record_room(grant, result, now)
+        if result not in (Result.CANCELLED, Result.REFUSED):
             failures = self.ejector.record(candidate.id).consecutive_failures
             candidate.failure_penalty = min(
                 MAX_FAILURE_PENALTY, FAILURE_PENALTY * failures
@@ -289,7 +348,11 @@
         self._saturated = False
 
     def _allocate(
-        self, candidate: Candidate, work: WorkRequest, probe: bool = False
+        self,
+        candidate: Candidate,
+        work: WorkRequest,
+        now: float,
+        probe: bool = False,
     ) -> Grant:
         candidate.own_requests += 1
         candidate.permits -= 1
@@ -297,7 +360,7 @@
         self._running_by_workspace[work.workspace] += 1
         if probe:
             self.ejector.probe_started(candidate.id)
-        return Grant(candidate, work, probe)
+        return Grant(candidate, work, probe, now)
 
     def _dispatch_queued(self, candidate: Candidate, now: float) -> None:
         """Dispatch queued requests to the free slots of a target."""
@@ -314,7 +377,7 @@
             )
             if queued is None:
                 return
-            queued.notify(self._allocate(candidate, queued.work))
+            queued.notify(self._allocate(candidate, queued.work, now))
 
     def _dispatch_probes(self, now: float) -> None:
         for target in self.ejector.ejected:
@@ -329,7 +392,7 @@
                 )
             )
             if queued is not None:
-                queued.notify(self._allocate(candidate, queued.work, probe=True))
+                queued.notify(self._allocate(candidate, queued.work, now, probe=True))
 
     def _unconfirmed_target_for(
         self, work: WorkRequest, now: float
@@ -359,13 +422,70 @@
             if candidate.permits_expire_at <= now:
                 candidate.permits, candidate.permits_expire_at = 0, math.inf
 
+    def _update_room(self, now: float) -> None:
+        full_count = self.targets.full_count
+        self.targets.update_room(now)
+        if self.targets.full_count < full_count:
+            self._saturated = False
+
+    def _record_room(self, grant: Grant, result: Result, now: float) -> None:
+        """Record what the end of a request says about the room at its target."""
+        if result is Result.SUCCEEDED:
+            self.targets.run_times.record(now - grant.granted_at)
+            grant.candidate.room.record_run(now - grant.granted_at)
+        elif result is Result.REFUSED:
+            draw = self.generator.random()
+            self.targets.record_refusal(grant.candidate, draw, now)
+        self._update_room(now)
+
+    def _gives_way(self, work: WorkRequest) -> bool:
+        """Whether a request waits behind those of callers who wait for an answer."""
+        return self.targets.is_uneven and work.is_resubmitted
+
+    def _has_free_slot(self, work: WorkRequest) -> bool:
+        return self._running_count < self.shares.max_running and any(
+            candidate.free_slots > 0 and self.targets.admits(candidate, work)
+            for candidate in self.targets.eligible_for(work, local=False)
+        )
+
+    def _own_slots(self) -> float:
+        """Return the slots of the pool that this daemon uses, or has a share in."""
+        capacity = sum(candidate.capacity for candidate in self.targets.usable)
+        ratio = self.shares.fleet_to_own_demand(sum(self.demand.values()))
+        return max(1.0, self._running_count, capacity / ratio)
+
+    def _queue_full_error(self, work: WorkRequest, now: float) -> ShedError:
+        reason = f"the queue of pool {work.pool} is full"
+        if not self.targets.is_uneven:
+            return ShedError(reason)
+        return NoRoomError(reason, self._retry_delay_s(work, now))
+
+    def _retry_delay_s(self, work: WorkRequest, now: float) -> float:
+        expected_s = self.expected_wait_s(work, now)
+        return retry_delay_s(expected_s, work.deadline - now, self.generator.random())
+
+    def _refuse_beyond_deadline(self, work: WorkRequest, now: float) -> None:
+        """Raise ``ShedError`` if a request cannot be expected to run in time."""
+        if work.is_resubmitted:
+            return
+        self._refuse_beyond_rate_limits(work, now)
+        if not self.targets.is_uneven:
+            return
+        wait_s = self.expected_wait_s(work, now)
+        if now + wait_s > work.deadline:
+            raise NoRoomError(
+                f"a request of pool {work.pool} waits for {wait_s:.2f} s now, which "
+                "leaves no time before the deadline",
+                self._retry_delay_s(work, now),
+            )
+
     def _refuse_beyond_rate_limits(self, work: WorkRequest, now: float) -> None:
         """Raise ``ShedError`` if rate limits keep a request waiting past its deadline.
 
         Its wait follows from the limits of all targets that admit it and from the
         queued requests of all daemons, as far as they are known.
         """
-        if not self._limited or work.is_resubmitted:
+        if not self._limited:
             return
         targets = [
             candidate
--- a/mulberryport/targets/__init__.py
+++ b/mulberryport/targets/__init__.py
@@ -2,12 +2,13 @@
 
 from ..routing import LoadReport, TargetView
 from .directory import TargetDirectory
-from .dispatcher import Assignment, Dispatcher, ShedError, WorkRequest
+from .dispatcher import Assignment, Dispatcher, NoRoomError, ShedError, WorkRequest
 
 __all__ = [
     "Assignment",
     "Dispatcher",
     "LoadReport",
+    "NoRoomError",
     "ShedError",
     "TargetDirectory",
     "TargetView",
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -18,6 +18,7 @@
     Ejector,
     FairQueue,
     Grant,
+    NoRoomError,
     PoolScheduler,
     QueuedRequest,
     Result,
@@ -31,11 +32,24 @@
 from ..tables import Snapshot
 from ..telemetry import define as define_event
 from ..telemetry import log
-from ..telemetry.metrics import LIMITED_TARGET_REQUESTS, RATE_LIMIT_REFUSALS
+from ..telemetry.metrics import (
+    FULL_TARGET_REFUSALS,
+    HEDGES_HELD_BACK,
+    LIMITED_TARGET_REQUESTS,
+    NO_ROOM_REFUSALS,
+    RATE_LIMIT_REFUSALS,
+)
 from .directory import TargetDirectory
 from .permits import LocalPermits
 
-__all__ = ["Assignment", "Dispatcher", "ShedError", "TrafficReport", "WorkRequest"]
+__all__ = [
+    "Assignment",
+    "Dispatcher",
+    "NoRoomError",
+    "ShedError",
+    "TrafficReport",
+    "WorkRequest",
+]
 
 TARGET_EJECTED = define_event(
     700,
@@ -57,6 +71,13 @@
     "A request was assigned to a target that names a rate limit.",
 )
 
+TARGET_FULL = define_event(
+    704,
+    "target_full",
+    "info",
+    "A target refused a request because it was full; it is avoided for a short time.",
+)
+
 # Target views older than this are rebuilt. Load reports arrive once a second, so
 # rebuilding more often would only add CPU cost in large pools.
 VIEW_MAX_AGE_S = 0.1
@@ -113,6 +134,10 @@
         """Report that the request ended for a reason unrelated to the target."""
         self._result = Result.CANCELLED
 
+    def refused(self) -> None:
+        """Report that the target did not run the request."""
+        self._result = Result.REFUSED
+
 
 @frozen
 class TrafficReport:
@@ -210,6 +235,8 @@
         finally:
             self.directory.request_finished(target, request.restartable)
             result = assignment.result or default
+            if result is Result.REFUSED:
+                result = self._classify_refusal(grant)
             if result is Result.FAILED:
                 self.directory.record_failure(target)
             scheduler.release(grant, result, boottime(), assignment.latency)
@@ -226,6 +253,20 @@
         scheduler = self._schedulers.get(pool)
         return scheduler is not None and scheduler.consume_retry_budget(boottime())
 
+    def may_hedge(self, request: WorkRequest) -> bool:
+        """Consume one copy of a request that still runs, if it should be started.
+
+        Parameters
+        ----------
+        request : WorkRequest
+            The request; ``exclude`` holds the targets at which it runs.
+        """
+        scheduler = self._schedulers.get(request.pool)
+        if scheduler is None or scheduler.may_hedge(request, boottime()):
+            return True
+        HEDGES_HELD_BACK.inc({"pool": request.pool})
+        return False
+
     def waiting_count(self, pool: str) -> int:
         """Return the number of requests queued for a pool."""
         scheduler = self._schedulers.get(pool)
@@ -296,7 +337,9 @@
         try:
             admission = scheduler.submit(request, event.send, now)
         except ShedError as error:
-            if error.retry_after is not None:
+            if isinstance(error, NoRoomError):
+                NO_ROOM_REFUSALS.inc({"pool": request.pool})
+            elif error.retry_after is not None:
                 RATE_LIMIT_REFUSALS.inc({"pool": request.pool})
             raise
         self._request_permits(request.pool)
@@ -304,6 +347,23 @@
             admission = self._await_grant(scheduler, admission, event)
         return scheduler, admission
 
+    def _classify_refusal(self, grant: Grant) -> Result:
+        """Return and log the result of a request that its target did not run.
+
+        A target that has not reported since that it is full refused for another reason,
+        or was not asked.
+        """
+        work, target = grant.work, grant.candidate.id
+        state = self.directory.get_state(target)
+        report = state.report if state is not None else None
+        if report is None or report.slowdown is None or not report.is_full:
+            return Result.CANCELLED
+        if state.reported_at < grant.granted_at:
+            return Result.CANCELLED
+        log(TARGET_FULL, target=target, pool=work.pool, purpose=work.purpose)
+        FULL_TARGET_REFUSALS.inc({"pool": work.pool, "purpose": work.purpose})
+        return Result.REFUSED
+
     def _await_grant(
         self,
         scheduler: PoolScheduler,
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -12,8 +12,11 @@
 __all__ = [
     "ANSWER_SECONDS",
     "EVENTS",
+    "FULL_TARGET_REFUSALS",
+    "HEDGES_HELD_BACK",
     "LIMITED_TARGET_REQUESTS",
     "LONG_TURN_SECONDS",
+    "NO_ROOM_REFUSALS",
     "RATE_LIMIT_REFUSALS",
     "SAMPLE_STALENESS",
     "Counter",
@@ -41,6 +44,18 @@
     "mulberryport_rate_limit_refusals_total",
     "Requests refused because of the rate limits of all targets of a pool.",
 )
+FULL_TARGET_REFUSALS = Counter(
+    "mulberryport_full_target_refusals_total",
+    "Requests that targets refused because they were full, by pool and purpose.",
+)
+NO_ROOM_REFUSALS = Counter(
+    "mulberryport_no_room_refusals_total",
+    "Requests refused because no slot was expected before their deadline, by pool.",
+)
+HEDGES_HELD_BACK = Counter(
+    "mulberryport_hedges_held_back_total",
+    "Copies of running requests that were not started, by pool.",
+)
 SAMPLE_STALENESS = Histogram(
     "mulberryport_sample_staleness_versions",
     "Weight versions by which delivered samples were behind, by workspace.",
