--- a/mulberryport/platform/tests/test_daemon.py
+++ b/mulberryport/platform/tests/test_daemon.py
@@ -26,6 +26,7 @@
         peer="127.0.0.1:8003",
         store="127.0.0.1:8004",
         seeds="",
+        extra="",
     )
     return EntryDaemon(parse_entry_settings(text, "entry.ini"))
 
