Let daemons that start follow a provider after three seconds

Cause: a daemon that has just started hears few others, takes itself for a relay and watches the store for 25 s. A direct watch holds a session open, which is renewed each 0.75 s. After a loss of all daemons it happens again.

Ruled out: a shorter idle timeout, since the watch holds the session and not a request; no session during a direct watch, since its renewals show a silent store.

Change: direct watches that begin within the first 3 s without a provider end after 3 s, one call more for each mirror of a daemon.

With the rule taken out the new test fails.

--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -53,6 +53,10 @@
 WARM_UP_STEP_S = 0.05
 # How long a provider is not called after a failure.
 PROVIDER_BACKOFF_S = 3.0
+# A daemon that has just started hears few others, so that it may take itself for one
+# that must watch the store. It looks again after this time, since each direct watch
+# also keeps a session open.
+SETTLING_WAIT_S = 3.0
 
 
 class ProviderSilentError(BaseException):
@@ -272,9 +276,11 @@
             changes = tuple(_decode_change(change) for change in reply.changes)
             return Done(Changes(changes, reply.revision))
         # After a failure of the provider the wait is short, to return to one soon.
-        outcome = self.store.watch(
-            prefix, after, min(wait, PROVIDER_BACKOFF_S) if vm else wait
-        )
+        if vm:
+            wait = min(wait, PROVIDER_BACKOFF_S)
+        elif boottime() - self._created_at < SETTLING_WAIT_S:
+            wait = min(wait, SETTLING_WAIT_S)
+        outcome = self.store.watch(prefix, after, wait)
         if isinstance(outcome, Done) and isinstance(outcome.value, Changes):
             self._newest_revision = max(self._newest_revision, outcome.value.revision)
         return outcome
--- a/mulberryport/coordination/tests/test_feeds.py
+++ b/mulberryport/coordination/tests/test_feeds.py
@@ -308,3 +308,21 @@
     assert len(providers) == 2
     for followed in chosen.values():
         assert not followed or set(followed) == providers
+
+
+def test_daemon_that_hears_a_provider_late_follows_it_soon():
+    # Guards against daemons that watch the store, and keep a session open, for a long
+    # time after their start, because they heard no provider at first.
+    waits = []
+
+    class RecordingStore:
+        def watch(self, prefix, after, wait):
+            waits.append(wait)
+            return NotDone("nothing changed")
+
+    source = SharedWatch(RecordingStore(), FakePeers(), list)
+    source.watch("a/", 0, 25.0)
+    assert waits[-1] <= feeds.PROVIDER_BACKOFF_S
+    source._created_at -= 2 * feeds.SETTLING_WAIT_S
+    source.watch("a/", 0, 25.0)
+    assert waits[-1] == 25.0
