Refuse the callers that wait when all zones are evacuated

Cause: a caller that came after the evacuation of all zones was refused at once, but one that waited in the queue at that moment waited on until its deadline.

Ruled out: refusing queued items too. They would come back several times a second, and nobody waits for their answer.

Change: the update of a pool all of whose zones are evacuated refuses queued callers with the same delay.

Without the change the new test finds no refusal.

--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -120,6 +120,8 @@
         # A pool without targets, for example a removed one, sheds its whole queue.
         for queued in self.queue.pop_expired(now if len(self.targets) else math.inf):
             queued.notify(ShedError("no target was free before the deadline"))
+        if self.targets.is_evacuated:
+            self._refuse_queued_callers()
         for candidate in sorted(self.targets.usable, key=lambda c: c.load):
             self._dispatch_queued(candidate, now)
         self._dispatch_probes(now)
@@ -152,10 +154,7 @@
         if work.deadline <= now:
             raise ShedError("the deadline passed before the request could start")
         if self.targets.is_evacuated and not work.is_resubmitted:
-            raise ShedError(
-                f"all zones of pool {work.pool} are evacuated",
-                retry_after=EVACUATION_RETRY_AFTER_S,
-            )
+            raise _evacuated_error(work)
         self._last_request_at = now
         self._drop_expired_permits(now)
         probe_target = self._probe_target_for(work, now)
@@ -359,6 +358,11 @@
             if candidate.permits_expire_at <= now:
                 candidate.permits, candidate.permits_expire_at = 0, math.inf
 
+    def _refuse_queued_callers(self) -> None:
+        """Refuse the queued requests of callers, who can come back later."""
+        while queued := self.queue.pop(lambda work: not work.is_resubmitted):
+            queued.notify(_evacuated_error(queued.work))
+
     def _refuse_beyond_rate_limits(self, work: WorkRequest, now: float) -> None:
         """Raise ``ShedError`` if rate limits keep a request waiting past its deadline.
 
@@ -400,6 +404,13 @@
         return None
 
 
+def _evacuated_error(work: WorkRequest) -> ShedError:
+    return ShedError(
+        f"all zones of pool {work.pool} are evacuated",
+        retry_after=EVACUATION_RETRY_AFTER_S,
+    )
+
+
 def _is_unrestricted(work: WorkRequest) -> bool:
     """Whether a request can run at any target of its pool."""
     return (
--- a/mulberryport/routing/tests/test_scheduler.py
+++ b/mulberryport/routing/tests/test_scheduler.py
@@ -207,3 +207,16 @@
     pool_scheduler.submit(work("w"), lambda _: None, 1.0)
     pool_scheduler.update(views, 1.5)
     assert 10 <= pool_scheduler._running_count <= 12
+
+
+def test_waiting_callers_are_refused_once_all_zones_are_evacuated():
+    # Guards against callers that wait until their deadline for evacuated targets.
+    pool_scheduler = scheduler([view("t")])
+    outcomes, resubmitted = [], []
+    while isinstance(pool_scheduler.submit(work(), outcomes.append, 0.0), Grant):
+        pass
+    pool_scheduler.submit(work(is_resubmitted=True), resubmitted.append, 0.0)
+    pool_scheduler.update([view("t", evacuated=True)], 0.1)
+    assert [type(outcome) for outcome in outcomes] == [ShedError]
+    assert outcomes[0].retry_after is not None
+    assert not resubmitted and len(pool_scheduler.queue) == 1
