Call no zone unknown before the targets are listed

Cause: a daemon that starts while a zone is evacuated may list the evacuations before the registrations. It then warned (event 1471) that the zone is unknown, which an operator reads as a misspelt name.

Ruled out: reading the evacuations after the registrations, since requests could then reach the zone in between.

Change: zones are compared only once targets are listed.

Without the change the new test finds the event.

--- a/mulberryport/platform/evacuations.py
+++ b/mulberryport/platform/evacuations.py
@@ -55,9 +55,11 @@
 
     def _on_change(self, change: Change) -> None:
         zone = change.key.removeprefix(EVACUATIONS_PREFIX)
+        # Before the targets are listed, all zones are unknown.
+        known_zones = self.directory.listed_zones or {zone}
         if not _is_zone(zone):
             log(EVACUATION_IGNORED, key=change.key[:MAX_ZONE_CHARS])
-        elif change.item is not None and zone not in self.directory.listed_zones:
+        elif change.item is not None and zone not in known_zones:
             log(EVACUATION_UNKNOWN_ZONE, evacuated_zone=zone)
         keys = (key.removeprefix(EVACUATIONS_PREFIX) for key in self.mirror.items)
         self.directory.apply_evacuations(filter(_is_zone, keys))
--- a/mulberryport/platform/tests/test_evacuations.py
+++ b/mulberryport/platform/tests/test_evacuations.py
@@ -12,6 +12,7 @@
 from ...tables import Pool, Snapshot, Tables
 from ...targets import Dispatcher, TargetDirectory
 from ...targets.vm_list import ListedVm
+from .. import evacuations
 from ..evacuations import EVACUATIONS_PREFIX, Evacuations
 from .builders import make_configuration, running
 
@@ -56,11 +57,11 @@
 
 def follow(directory, store):
     """Return the evacuations of a store, followed from now on."""
-    evacuations = Evacuations(Mirror(store, EVACUATIONS_PREFIX), directory)
-    evacuations.start()
-    evacuations.mirror.start()
-    assert until(lambda: evacuations.mirror.loaded)
-    return evacuations
+    followed = Evacuations(Mirror(store, EVACUATIONS_PREFIX), directory)
+    followed.start()
+    followed.mirror.start()
+    assert until(lambda: followed.mirror.loaded)
+    return followed
 
 
 def test_evacuated_zone_gets_nothing_until_it_is_taken_back():
@@ -118,15 +119,28 @@
     assert assigned_targets(dispatcher) == {"t-a"}
 
 
+def test_zone_is_not_called_unknown_before_targets_are_listed(monkeypatch):
+    # Guards against a warning at each start of a daemon while a zone is evacuated.
+    events = []
+    monkeypatch.setattr(evacuations, "log", lambda event, **_: events.append(event))
+    store, directory = MemoryStore(), TargetDirectory()
+    write(store, "a")
+    follow(directory, store)
+    assert until(lambda: directory.evacuated_zones == {"a"})
+    assert not events
+    follow(make_dispatcher(["b"]).directory, store)
+    assert events == [evacuations.EVACUATION_UNKNOWN_ZONE]
+
+
 def test_evacuation_is_kept_through_an_outage_of_the_store():
     # Guards against a zone that gets requests again because the store is away.
     store = MemoryStore()
     write(store, "a")
     dispatcher = make_dispatcher(["a", "b"])
-    evacuations = follow(dispatcher.directory, store)
+    followed = follow(dispatcher.directory, store)
     assert until(lambda: dispatcher.directory.evacuated_zones == {"a"})
     store.down = True
-    assert until(lambda: not evacuations.mirror.connected)
+    assert until(lambda: not followed.mirror.connected)
     assert assigned_targets(dispatcher) == {"t-b"}
 
 
