--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -151,6 +151,8 @@
         # A pool without targets, for example a removed one, sheds its whole queue.
         for queued in self.queue.pop_expired(now if len(self.targets) else math.inf):
             queued.notify(ShedError("no target was free before the deadline"))
+        if self.targets.is_evacuated:
+            self._refuse_queued_callers()
         for candidate in sorted(self.targets.usable, key=lambda c: c.load):
             self._dispatch_queued(candidate, now)
         self._dispatch_probes(now)
@@ -184,10 +186,7 @@
         if work.deadline <= now:
             raise ShedError("the deadline passed before the request could start")
         if self.targets.is_evacuated and not work.is_resubmitted:
-            raise ShedError(
-                f"all zones of pool {work.pool} are evacuated",
-                retry_after=EVACUATION_RETRY_AFTER_S,
-            )
+            raise _evacuated_error(work)
         self._last_request_at = now
         self._update_room(now)
         self._drop_expired_permits(now)
@@ -477,6 +476,11 @@
             if candidate.permits_expire_at <= now:
                 candidate.permits, candidate.permits_expire_at = 0, math.inf
 
+    def _refuse_queued_callers(self) -> None:
+        """Refuse the queued requests of callers, who can come back later."""
+        while queued := self.queue.pop(lambda work: not work.is_resubmitted):
+            queued.notify(_evacuated_error(queued.work))
+
     def _update_room(self, now: float) -> None:
         full_count = self.targets.full_count
         self.targets.update_room(now)
@@ -575,6 +579,13 @@
         return None
 
 
+def _evacuated_error(work: WorkRequest) -> ShedError:
+    return ShedError(
+        f"all zones of pool {work.pool} are evacuated",
+        retry_after=EVACUATION_RETRY_AFTER_S,
+    )
+
+
 def _is_unrestricted(work: WorkRequest) -> bool:
     """Whether a request can run at any target of its pool."""
     return (
