Name the reason for a target by more than equal speeds

Cause: a target counted as chosen for its room when another one was faster by any amount. Change: only a speed that differs by more than what counts as equal. With the comparison turned round, the test of fast targets fails.

--- a/mulberryport/routing/completion.py
+++ b/mulberryport/routing/completion.py
@@ -58,7 +58,11 @@
 
 
 class Reason(enum.Enum):
-    """What decided for a target."""
+    """What decided for a target.
+
+    It keeps the beginning of the prompt, it is among the fastest, or the faster ones
+    had no room.
+    """
 
     PREFIX = "prefix"
     SPEED = "speed"
@@ -278,9 +282,10 @@
         ),
     )
     kept_tokens = kept.get(chosen.id, 0)
+    faster_s = chosen.event_interval_s / (1.0 + EQUAL_TIME_FRACTION)
     if kept_tokens:
         reason = Reason.PREFIX
-    elif any(c.event_interval_s < chosen.event_interval_s for c in fitting):
+    elif any(c.event_interval_s < faster_s for c in fitting):
         reason = Reason.ROOM
     else:
         reason = Reason.SPEED
--- a/mulberryport/routing/tests/test_completion.py
+++ b/mulberryport/routing/tests/test_completion.py
@@ -62,6 +62,7 @@
     # Guards against texts that bind a step on targets that are 1.3 times slower.
     targets = _pool([_view("fast"), _view("slow")], {"fast": 0.05, "slow": 0.065})
     assert _choices(targets) == {"fast": 100}
+    assert _choose(targets, work(), random.Random(1)).reason is Reason.SPEED
 
 
 def test_slow_wave_is_avoided_and_a_prefix_there_does_not_attract():
@@ -88,6 +89,7 @@
         targets = _pool(views, {"full": 0.05, "idle": idle_s})
         _keep(targets, "full")
         assert _choices(targets) == {"idle": 100}
+    assert _choose(targets, work(), random.Random(1)).reason is Reason.ROOM
 
 
 def test_full_targets_are_used_if_no_other_has_room():
