Order the items of a step by what its trainer still needs

Cause: a trainer waits for a share of the groups, and a group counts when all its items have a result. The items of a group that binds the step, of one that is needed no more and of a step that is behind looked alike, in the queue and at the engines.

Ruled out: giving up items of groups that are not needed: the trainer may have read less than is listed, and later brings them again. Messages between daemons about their steps: the urgency that engines are told does it.

Change: where targets tell how slow they are, each item has a rank in its step: carried groups first, then the groups nearest to completion among the wanted ones and a few more, and in these the items that take half of the time of the longest or more. Where callers share the engines, items are no more urgent than they are. Metrics count complete groups and late steps.

--- a/mulberryport/jobs/carrying.py
+++ b/mulberryport/jobs/carrying.py
@@ -51,10 +51,13 @@
         Results of complete texts.
     transcripts : dict of str to Transcript
         Partial texts, by item id; without events if only the failures count.
+    items : set of str
+        Ids of the items that an ended job had.
     """
 
     results: list[JobResult] = field(factory=list)
     transcripts: dict[str, Transcript] = field(factory=dict)
+    items: set[str] = field(factory=set)
 
 
 def keep_texts(
@@ -63,7 +66,7 @@
     transcripts: Mapping[str, Transcript],
     context: JobContext,
 ) -> None:
-    """Keep the texts of an ended job, where targets tell how uneven they are.
+    """Keep the texts of a closed job, where jobs are scheduled as steps.
 
     Parameters
     ----------
@@ -77,16 +80,12 @@
     for item in job.items:
         yield_if_due()
         text = _text_of(job, item, finished.get(item.id), transcripts.get(item.id))
-        if text is not None and _uneven_route(job, item, context) is not None:
+        if text is not None and _step_route(job, item, context) is not None:
             context.carried.keep(job.workspace, job.route, item.id, text, boottime())
             kept += 1
-    log(
-        TEXTS_KEPT,
-        job=job.id,
-        kept=kept,
-        finished=len(finished),
-        size_bytes=context.carried.size_bytes,
-    )
+    if kept:
+        size_bytes = context.carried.size_bytes
+        log(TEXTS_KEPT, job=job.id, kept=kept, size_bytes=size_bytes)
 
 
 def reuse_texts(job: Job, items: Iterable[JobItem], context: JobContext) -> ReusedTexts:
@@ -98,17 +97,17 @@
         The items that have neither a result nor a partial text.
     """
     reused = ReusedTexts()
-    kept = unfit = 0
+    unfit = 0
     for item in items:
         yield_if_due()
         text = context.carried.find(job.workspace, job.route, item.id, boottime())
         if text is None or text.identity != _identity(job, item):
             unfit += text is not None
             continue
-        route = _uneven_route(job, item, context)
+        route = _step_route(job, item, context)
         if route is None or route.batch is None:
             continue
-        kept += 1
+        reused.items.add(item.id)
         is_single_version = route.batch.single_version
         if not text.fits(job.oldest_version, is_single_version=is_single_version) or (
             is_single_version and not _may_go_on(text, item, route, context)
@@ -188,14 +187,12 @@
     return digest.digest()
 
 
-def _uneven_route(job: Job, item: JobItem, context: JobContext) -> Route | None:
-    """Return the route of an item, if targets of its pools tell how slow they are."""
+def _step_route(job: Job, item: JobItem, context: JobContext) -> Route | None:
+    """Return the route of an item, if its jobs are scheduled as steps."""
     route = match_route(context.snapshot().tables, item.path, job.host)
     if route is None or route.batch is None:
         return None
-    pools = {route.pool, *(share.pool for share in route.split)}
-    is_uneven = any(context.dispatcher.is_uneven(pool) for pool in pools)
-    return route if is_uneven else None
+    return route if any(map(context.schedules_steps, route.pools)) else None
 
 
 def _may_go_on(
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -7,12 +7,12 @@
 
 import eventlet
 import greenlet
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from ..gateway.access import match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
-from ..steps import CarriedTexts
+from ..steps import USUAL_URGENCY, CarriedTexts, ItemRank
 from ..tables import Route, Snapshot
 from ..targets import Assignment, Dispatcher, ShedError, WorkRequest
 from ..telemetry import define as define_event
@@ -122,6 +122,10 @@
     may_be_outdated: Callable[[], bool] = lambda: False
     carried: CarriedTexts = field(factory=CarriedTexts)
 
+    def schedules_steps(self, pool: str) -> bool:
+        """Whether jobs are scheduled as steps: targets tell how uneven they are."""
+        return self.dispatcher.is_uneven(pool)
+
 
 class ItemGivenUpError(Exception):
     """An item has no text and will not be attempted again; states the reason."""
@@ -143,12 +147,16 @@
         Text generated so far.
     context : JobContext
         Services and settings for executing the item.
+    rank : callable
+        Returns the present rank of the item within its job, called with the seconds
+        since the submission and those within which the job is due.
     """
 
     job: Job
     item: JobItem
     transcript: Transcript
     context: JobContext = field(repr=False)
+    rank: Callable[[float, float], ItemRank]
     _has_waited: bool = False
 
     def run(self) -> JobResult | None:
@@ -272,10 +280,12 @@
     def _generate(self, route: Route) -> None:
         pool = route.select_pool(random.random())
         self._restart_without_software(pool)
+        rank = self._rank_in_step(route, pool)
+        item = evolve(self.item, urgency=rank.urgency) if rank else self.item
         work = WorkRequest(
             pool=pool,
             workspace=self.job.workspace,
-            priority=route.priority,
+            priority=max(0, route.priority - (rank.level if rank else 0)),
             deadline=boottime() + ASSIGNMENT_WAIT_S,
             affinity=self.item.group,
             restartable=True,
@@ -294,7 +304,7 @@
                     self.context.engine_client.generate(
                         assignment.view,
                         self.job,
-                        self.item,
+                        item,
                         self.transcript,
                         self._make_event_callback(assignment),
                     )
@@ -306,6 +316,21 @@
                 assignment.succeeded()
                 raise
 
+    def _rank_in_step(self, route: Route, pool: str) -> ItemRank | None:
+        """Return the rank of the item, if the jobs of a pool are scheduled as steps.
+
+        Where callers share the targets, no item is more urgent than their requests.
+        """
+        assert route.batch is not None
+        if not self.context.schedules_steps(pool):
+            return None
+        elapsed_s = self.context.now() - self.job.submitted_at
+        rank = self.rank(elapsed_s, route.batch.due)
+        routes = self.context.snapshot().tables.routes.values()
+        if any(other.batch is None and pool in other.pools for other in routes):
+            return evolve(rank, urgency=max(USUAL_URGENCY, rank.urgency))
+        return rank
+
     @contextmanager
     def _assign(self, work: WorkRequest) -> Iterator[Assignment]:
         with ExitStack() as stack:
--- a/mulberryport/jobs/model.py
+++ b/mulberryport/jobs/model.py
@@ -50,6 +50,9 @@
         The caller's estimate of the number of output tokens; 0 if there is none.
     scoring : ScoringCall or None
         Request that scores the text, if any.
+    urgency : int or None
+        How urgent a request for the item is at engines, 0 to 9 with 0 first; set by
+        the owner for one request, and never stored. None if it is not told.
     """
 
     id: str
@@ -60,6 +63,7 @@
     model: str = ""
     length_hint: int = 0
     scoring: ScoringCall | None = None
+    urgency: int | None = None
 
 
 @frozen(kw_only=True)
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -4,6 +4,8 @@
 the store in batches; readers see only committed results.
 """
 
+import math
+from functools import partial
 from typing import Any
 
 import eventlet
@@ -22,6 +24,7 @@
 from .generation import Transcript
 from .items import ItemTask, JobContext
 from .model import COMPLETED, Job, JobItem, JobResult
+from .progress import StepProgress
 from .repository import FINISHED, JobHead
 
 __all__ = ["OwnedJob"]
@@ -87,6 +90,7 @@
     _committed: list[bytes] = field(factory=list)
     _pending: list[JobResult] = field(factory=list)
     _transcripts: dict[str, Transcript] = field(factory=dict)
+    _step: StepProgress = field(init=False)
     _threads: list[Any] = field(factory=list)
     _result_ready: Notifier = field(factory=Notifier)
     _closed: bool = False
@@ -204,16 +208,26 @@
         reused = reuse_texts(self.job, without_text, self.context)
         self._transcripts |= reused.transcripts
         self._pending.extend(reused.results)
-        finished = {result.id for result in reused.results}
-        return [item for item in items if item.id not in finished]
+        reused_ids = {result.id for result in reused.results}
+        remaining = [item for item in items if item.id not in reused_ids]
+        finished = {item.id for item in self.job.items} - {i.id for i in remaining}
+        self._step = StepProgress(self.job, self._transcripts, reused.items, finished)
+        return remaining
 
     def _run_item(self, item: JobItem) -> None:
         transcript = self._transcripts.setdefault(item.id, Transcript())
-        result = ItemTask(self.job, item, transcript, self.context).run()
+        rank = partial(self._step.rank, item)
+        result = ItemTask(self.job, item, transcript, self.context, rank).run()
         if result is not None:
+            elapsed_s = self.context.now() - self.job.submitted_at
+            self._step.record_finished(item, elapsed_s, self._due_s())
             self._pending.append(result)
             self._result_ready.notify_all()
 
+    def _due_s(self) -> float:
+        route = self.context.snapshot().tables.routes.get(self.job.route)
+        return route.batch.due if route is not None and route.batch else math.inf
+
     def _commit_results(self) -> None:
         """Commit finished results in batches until the job is complete or closed."""
         while not self._closed and not self.is_complete:
--- a/mulberryport/jobs/tests/test_carrying.py
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -125,3 +125,35 @@
         eventlet.sleep(0.05)
     assert sum(call[0] == "job1-0" for call in engine.calls) == 9
     daemon.die()
+
+
+class UrgencyEngine(Engine):
+    """Engines that note how urgent each item is."""
+
+    urgencies = {}
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate a text."""
+        self.urgencies[item.id] = item.urgency
+        super().generate(view, job, item, transcript, on_event)
+
+
+@pytest.mark.parametrize("slowdown", [1.0, None])
+def test_items_that_bind_a_step_are_urgent_where_targets_are_uneven(slowdown):
+    # Guards against long items that wait behind short ones at engines, and against a
+    # new header where no target tells how slow it is.
+    engine = UrgencyEngine()
+    daemon, job = start_daemon(engine, slowdown), make_job(scored=False)
+    submit_again(daemon, make_job("job0", items=1, scored=False), "job0")
+    assert wait_for_results(daemon, 1, "job0")
+    hints = (400, 16, 16, 16)
+    items = [evolve(i, length_hint=h) for i, h in zip(job.items, hints, strict=True)]
+    engine.urgencies = {}
+    submit_again(daemon, evolve(job, items=tuple(items)), "job1")
+    assert wait_for_results(daemon, 4, "job1")
+    urgencies = engine.urgencies
+    if slowdown is None:
+        assert set(urgencies.values()) == {None}
+    else:
+        assert urgencies["job1-0"] < min(urgencies[f"job1-{n}"] for n in (1, 2, 3))
+    daemon.die()
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -188,6 +188,7 @@
         """
         headers = [
             *item.headers,
+            *_urgency_header(item),
             ("Host", job.host),
             (names.REQUEST_ID, item.id),
             (names.TENANT, job.workspace),
@@ -392,6 +393,14 @@
             connection.close()
 
 
+def _urgency_header(item: JobItem) -> list[tuple[str, str]]:
+    """Return the header that tells how urgent an item is, unless it brings one."""
+    has_own = any(name.lower() == names.URGENCY.lower() for name, _ in item.headers)
+    if item.urgency is None or has_own:
+        return []
+    return [(names.URGENCY, str(item.urgency))]
+
+
 def _skip_body(response: urllib3.BaseHTTPResponse, deadline: float) -> None:
     """Read a body that is not used, until a deadline in boot time."""
     size = 0
--- a/mulberryport/platform/tests/test_engines.py
+++ b/mulberryport/platform/tests/test_engines.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import pytest
+from attrs import evolve
 
 from ...jobs import (
     EngineSwitchError,
@@ -67,12 +68,13 @@
         except OSError:
             self.final_reads.append(b"")
 
-    def generate(self, transcript=None, on_event=lambda: None, **job):
-        """Generate the first item of a job on this engine."""
+    def generate(self, transcript=None, on_event=lambda: None, item=None, **job):
+        """Generate the first item of a job on this engine, changed."""
         transcript = transcript if transcript is not None else Transcript()
         made = make_job(**job)
         engines = EngineCalls(TargetDirectory())
-        engines.generate(self.view, made, made.items[0], transcript, on_event)
+        first = evolve(made.items[0], **item or {})
+        engines.generate(self.view, made, first, transcript, on_event)
         return transcript
 
 
@@ -91,6 +93,23 @@
     assert b"Last-Event-Id" not in engine.request_heads[0]
 
 
+@pytest.mark.parametrize(
+    ("item", "values"),
+    [
+        ({}, []),
+        ({"urgency": 3}, ["3"]),
+        ({"urgency": 3, "headers": (("x-urgency", "7"),)}, ["7"]),
+    ],
+)
+def test_an_engine_is_told_one_urgency(item, values):
+    # Guards against a header that is sent twice, and against changed headers of items.
+    engine = ScriptedEngine(EVENT % (1, b"a"), END)
+    engine.generate(item=item)
+    lines = engine.request_heads[0].decode("latin-1").split("\r\n")
+    headers = [line.split(": ", 1) for line in lines if ": " in line]
+    assert [v for name, v in headers if name.lower() == "x-urgency"] == values
+
+
 def test_generation_resumes_after_the_last_event():
     engine = ScriptedEngine(EVENT % (3, b"c"), END)
     transcript = engine.generate(Transcript(["a", "b"], [5, 5]))
--- a/mulberryport/steps/__init__.py
+++ b/mulberryport/steps/__init__.py
@@ -2,5 +2,14 @@
 
 from .carried import CarriedText, CarriedTexts
 from .lengths import expected_remaining_events
+from .priorities import USUAL_URGENCY, ItemRank, ItemState, StepSchedule
 
-__all__ = ["CarriedText", "CarriedTexts", "expected_remaining_events"]
+__all__ = [
+    "USUAL_URGENCY",
+    "CarriedText",
+    "CarriedTexts",
+    "ItemRank",
+    "ItemState",
+    "StepSchedule",
+    "expected_remaining_events",
+]
--- a/mulberryport/tables/model.py
+++ b/mulberryport/tables/model.py
@@ -193,6 +193,11 @@
     streaming: bool = False
     resumable: bool = False
 
+    @property
+    def pools(self) -> frozenset[str]:
+        """All pools that serve the route."""
+        return frozenset({self.pool, *(share.pool for share in self.split)})
+
     def is_idempotent(self, method: str) -> bool:
         """Return whether a request with this method may be executed repeatedly."""
         methods = self.idempotent_methods
--- a/mulberryport/telemetry/metrics.py
+++ b/mulberryport/telemetry/metrics.py
@@ -12,7 +12,9 @@
 __all__ = [
     "ANSWER_SECONDS",
     "CARRIED_TEXTS",
+    "COMPLETE_GROUPS",
     "EVENTS",
+    "LATE_STEPS",
     "LIMITED_TARGET_REQUESTS",
     "LONG_TURN_SECONDS",
     "RATE_LIMIT_REFUSALS",
@@ -34,6 +36,15 @@
     "Texts of ended jobs whose items came again, by what became of them: finished, "
     "partial, unfit.",
 )
+COMPLETE_GROUPS = Counter(
+    "mulberryport_complete_groups_total",
+    "Groups of batch jobs whose items all have a result, by workspace.",
+)
+LATE_STEPS = Counter(
+    "mulberryport_late_steps_total",
+    "Batch jobs whose wanted groups were complete only after their due time, by "
+    "workspace.",
+)
 LONG_TURN_SECONDS = Histogram(
     "mulberryport_long_turn_seconds",
     "Seconds for which green threads kept the event loop from running, from 20 ms.",
