--- a/mulberryport/jobs/model.py
+++ b/mulberryport/jobs/model.py
@@ -55,6 +55,9 @@
         tokens are known.
     max_output_tokens : int
         Tokens of the longest text that may be generated; 0 if not known.
+    urgency : int or None
+        How urgent a request for the item is at engines, 0 to 9 with 0 first; set by
+        the owner for one request, and never stored. None if it is not told.
     """
 
     id: str
@@ -67,6 +70,7 @@
     scoring: ScoringCall | None = None
     prompt_parts: tuple[tuple[str, int], ...] = ()
     max_output_tokens: int = 0
+    urgency: int | None = None
 
 
 @frozen(kw_only=True)
--- a/mulberryport/jobs/tests/test_moving.py
+++ b/mulberryport/jobs/tests/test_moving.py
@@ -145,7 +145,7 @@
     )
     job = make_job(items=1)
     item = evolve(job.items[0], length_hint=50 * 75)
-    task = ItemTask(job, item, Transcript(), context)
+    task = ItemTask(job, item, Transcript(), context, lambda *_: None)
     with dispatcher.assign(WORK) as assignment:
         on_event = task._make_event_callback(assignment, WORK)
         with pytest.raises(EngineSwitchError, match="is slow"):
--- a/mulberryport/peering/peers.py
+++ b/mulberryport/peering/peers.py
@@ -159,7 +159,11 @@
         for vm in wanted - self._tasks.keys():
             self._tasks[vm] = supervise(f"heartbeats {vm}", partial(self._run, vm))
         for vm in self._tasks.keys() - wanted:
-            self._tasks.pop(vm).kill()
+            # Ending a task lets others run, which may end the same tasks.
+            task = self._tasks.pop(vm, None)
+            if task is None:
+                continue
+            task.kill()
             peer_channel = self._channels.pop(vm, None)
             if peer_channel is not None:
                 peer_channel.channel.close()
--- a/mulberryport/peering/tests/test_peers.py
+++ b/mulberryport/peering/tests/test_peers.py
@@ -135,3 +135,18 @@
         wait_for(lambda: all(own.notices._streams for own in news), 5)
         nodes[0].peers.stop()
         wait_for(lambda: not any(own.notices._streams for own in news), 5)
+
+
+def test_tasks_that_another_pass_has_ended_are_skipped():
+    # Guards against a pass that fails with a KeyError, and starts no missing tasks, if
+    # another one runs while it ends a task.
+    with linked_nodes() as (first, _):
+        peers = first.peers
+
+        class Task:
+            def kill(self):
+                peers.update_heartbeat_tasks()
+
+        peers._tasks.update({f"gone{n}": Task() for n in range(3)})
+        peers.update_heartbeat_tasks()
+        assert not [vm for vm in peers._tasks if vm.startswith("gone")]
