Issue no permits for cold targets whose rate is not known

Cause: a daemon that has just started may be the issuer of a cold target before it has the configuration. It then knows no rate for the target, and permitted all that the others asked for at once.

Ruled out: leaving daemons without a configuration out of the order of issuers. All must compute the same order, and readiness is reported late.

Change: who asks says that the target is cold, and an issuer that knows no cold rate for it refuses. Daemons name only targets whose pool has a cold rate, so that a rate limit that a target names itself holds as before.

Without the refusal the first new test gets permits without end; with all cold targets named, the second gets none.

--- a/mulberryport/targets/permits.py
+++ b/mulberryport/targets/permits.py
@@ -212,7 +212,11 @@
         self._apply_cold(request.cold)
         target, rank = request.target, request.rank
         reply = peer_pb2.AcquirePermitReply()
-        if self._is_issuer(target, rank):
+        # A daemon that has no configuration yet does not know what a cold target takes.
+        knows_rate = (
+            not request.cold.target or self.rate_limits.cold.rate(target) is not None
+        )
+        if knows_rate and self._is_issuer(target, rank):
             reply.granted, reply.retry_after = self._local.issue(
                 target, self._rate_fraction(target, rank)
             )
@@ -229,9 +233,10 @@
         message: peer_pb2.AcquirePermitRequest | peer_pb2.AcquirePermitReply,
         target: str,
     ) -> None:
-        """Add what is known of a target's cold phase to a call or a reply."""
-        phase = self.rate_limits.cold.phase(target)
-        if phase is not None:
+        """Add the phase of a target that takes few requests to a call or a reply."""
+        cold = self.rate_limits.cold
+        phase = cold.phase(target)
+        if phase is not None and cold.rate(target) is not None:
             message.cold.CopyFrom(_cold_to_message(target, phase, boottime()))
 
     def _apply_cold(self, message: peer_pb2.ColdTarget) -> None:
--- a/mulberryport/targets/tests/test_cold_targets.py
+++ b/mulberryport/targets/tests/test_cold_targets.py
@@ -11,7 +11,7 @@
 from ..directory import TargetDirectory
 from ..dispatcher import Dispatcher, WorkRequest
 from ..vm_list import ListedVm
-from .builders import PermitFleet
+from .builders import PermitFleet, name_limit
 
 RATE, COLD_S = 8.0, 3.0
 # Ends a test early in which nothing bounds the permits.
@@ -176,6 +176,32 @@
     assert fleet.exchanges[issuer].rate_limits.cold.rate("t") == RATE
 
 
+def test_issuer_without_a_configuration_permits_nothing():
+    # Guards against a daemon that has just started, does not know the pool of a cold
+    # target yet, and permits whatever the others ask for.
+    fleet = make_fleet(5)
+    for exchange in fleet.exchanges.values():
+        exchange.rate_limits.cold.extend("t", "p", COLD_S)
+    issuer = exchange.members.owners("permits/t", 2)[0].vm
+    fleet.exchanges[issuer].rate_limits.cold.cold_rate_of = lambda pool: None
+    assert not run(fleet, 0.8)
+
+
+def test_cold_targets_of_other_pools_keep_their_named_rate_limit():
+    # Guards against deployments without cold rates whose targets get no permits because
+    # they say that they are cold.
+    fleet = make_fleet(5)
+    for exchange in fleet.exchanges.values():
+        exchange.rate_limits.cold.cold_rate_of = lambda pool: None
+        exchange.rate_limits.cold.record_report("t", "p", COLD_S)
+        name_limit(exchange.rate_limits, RATE, "t")
+    issuer = exchange.members.owners("permits/t", 2)[0].vm
+    other = next(e for vm, e in fleet.exchanges.items() if vm != issuer)
+    granted = []
+    acquire_for(other, 0.8, granted)
+    assert granted
+
+
 def test_less_is_sent_if_the_issuer_is_away():
     # Guards against a target that gets more than its bound while its issuer is lost.
     fleet = make_fleet(5)
