Count no refusals of evacuated pools as refusals by rate limits

Cause: the counter mulberryport_rate_limit_refusals_total counted every refusal that names a delay, and since evacuations are followed that includes pools all of whose zones are evacuated. An operator would look for a rate limit.

Change: refusals of evacuated pools are left out; events 806 and 807 and the gauge mulberryport_zone_evacuated show these.

Without the change the adapted test calls the counter.

--- a/mulberryport/platform/tests/test_evacuations.py
+++ b/mulberryport/platform/tests/test_evacuations.py
@@ -11,6 +11,7 @@
 from ...runtime.clock import boottime
 from ...tables import Pool, Snapshot, Tables
 from ...targets import Dispatcher, TargetDirectory
+from ...targets import dispatcher as dispatching
 from ...targets.vm_list import ListedVm
 from .. import evacuations
 from ..evacuations import EVACUATIONS_PREFIX, Evacuations
@@ -84,8 +85,10 @@
     assert assigned_targets(dispatcher) == {"t-a", "t-b"}
 
 
-def test_request_is_refused_at_once_if_all_its_zones_are_evacuated():
-    # Guards against callers that wait for targets that get nothing.
+def test_request_is_refused_at_once_if_all_its_zones_are_evacuated(monkeypatch):
+    # Guards against callers that wait for targets that get nothing, and against an
+    # operator who is told that rate limits are the cause.
+    monkeypatch.setattr(dispatching, "RATE_LIMIT_REFUSALS", None)
     dispatcher = make_dispatcher(["a", "b"])
     dispatcher.directory.apply_evacuations(["a", "b"])
     started_at = boottime()
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -296,7 +296,8 @@
         try:
             admission = scheduler.submit(request, event.send, now)
         except ShedError as error:
-            if error.retry_after is not None:
+            is_limited = not scheduler.targets.is_evacuated
+            if is_limited and error.retry_after is not None:
                 RATE_LIMIT_REFUSALS.inc({"pool": request.pool})
             raise
         self._request_permits(request.pool)
