--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -369,9 +369,10 @@
         try:
             admission = scheduler.submit(request, event.send, now)
         except ShedError as error:
+            is_evacuated = scheduler.targets.is_evacuated
             if isinstance(error, NoRoomError):
                 NO_ROOM_REFUSALS.inc({"pool": request.pool})
-            elif error.retry_after is not None:
+            elif error.retry_after is not None and not is_evacuated:
                 RATE_LIMIT_REFUSALS.inc({"pool": request.pool})
             raise
         self._request_permits(request.pool)
