Log which items engines refuse to begin, and why

Cause: refusals of items were logged nowhere.

Ruled out: nothing; this change is for finding out.

Change: event 945 with the status and the reported load.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -54,6 +54,13 @@
     "the one under which its job was accepted.",
 )
 
+ITEM_REFUSED = define_event(
+    945,
+    "item_refused",
+    "info",
+    "An engine did not begin an item; for example, it is full or loading a model.",
+)
+
 ITEM_WITHHELD = define_event(
     939,
     "item_withheld",
@@ -153,7 +160,10 @@
                 log(ITEM_MOVED, **self._log_fields(), reason=str(error))
             except ConfigurationBehindError:
                 self._wait_for_configuration()
-            except (ShedError, NotStartedError, StaleWeightsError):
+            except NotStartedError as error:
+                log(ITEM_REFUSED, **self._log_fields(), reason=str(error))
+                eventlet.sleep(RETRY_DELAY_S)
+            except (ShedError, StaleWeightsError):
                 eventlet.sleep(RETRY_DELAY_S)
             except (StreamInterruptedError, ItemFailedError) as error:
                 log(ITEM_ATTEMPT_FAILED, **self._log_fields(), error=str(error))
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -52,6 +52,7 @@
 MAX_TEXT_BYTES = 1024 * 1024
 # Parts between two events; an event comes in a few.
 MAX_PARTS_PER_EVENT = 4096
+MAX_LOGGED_CHARS = 40
 MAX_SCORE_BODY_BYTES = 1024 * 1024
 NO_VERSION_REASON = "the response has no weight version"
 # Fields of event streams that texts do not need; a comment has an empty name (HTML
@@ -314,7 +315,10 @@
             self.directory.mark_address_reused(view.id)
             raise NotStartedError("the address now belongs to another target")
         if headers.get(names.NOT_RUN):
-            raise NotStartedError(f"refused with status {response.status}")
+            load = (headers.get(names.LOAD) or "")[:MAX_LOGGED_CHARS]
+            raise NotStartedError(
+                f"{view.id} refused with status {response.status}, load {load!r}"
+            )
         if response.status == 422:
             raise ItemRejectedError("rejected permanently with status 422")
         if response.status >= 500:
