Count no time-out of a target as a failure of its item

Its text was complete at 28.267 s and it was given up at 32.456 s after "4 scoring calls failed", with no event 920 in between. Four calls of 0.2 s do not take 4.2 s; what takes 3 s without that event is a status of 500 or above at the end of the call's time of 3 s. Targets answer 504 then, and every status from 500 on counted as a failure of the item.

Ruled out: a refusal, an interrupted call or a wait for a slot, since each logs event 920. The log does not show the statuses, so that the trace rests on these times.

Change: status 504 counts as an interrupted call, which is repeated; it also counts for the ejection of its target. Failed scoring calls log event 920.

With the status taken out two tests fail.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -429,8 +429,9 @@
                 with self.context.dispatcher.assign(work) as assignment:
                     attempted_target = assignment.id
                     return self._call_scorer(assignment, call)
-            except ItemFailedError:
+            except ItemFailedError as error:
                 failures += 1
+                log(ITEM_ATTEMPT_FAILED, **self._log_fields(), error=str(error))
             except (ShedError, NotStartedError, StreamInterruptedError) as error:
                 log(ITEM_ATTEMPT_FAILED, **self._log_fields(), error=str(error))
                 excluded_targets = (
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -54,6 +54,8 @@
 MAX_PARTS_PER_EVENT = 4096
 MAX_LOGGED_CHARS = 40
 MAX_SCORE_BODY_BYTES = 1024 * 1024
+# Status of a target whose time for a request has run out.
+DEADLINE_STATUS = 504
 NO_VERSION_REASON = "the response has no weight version"
 # Fields of event streams that texts do not need; a comment has an empty name (HTML
 # standard, section 9.2.6).
@@ -321,6 +323,9 @@
             )
         if response.status == 422:
             raise ItemRejectedError("rejected permanently with status 422")
+        if response.status == DEADLINE_STATUS:
+            # The time ran out, which says nothing about the item.
+            raise StreamInterruptedError("the deadline passed at the target")
         if response.status >= 500:
             raise ItemFailedError(f"status {response.status}")
         if response.status != 200 or headers.get(names.REQUEST_ID) is None:
--- a/mulberryport/platform/tests/test_engines.py
+++ b/mulberryport/platform/tests/test_engines.py
@@ -157,6 +157,7 @@
         (421, "", NotStartedError),
         (422, "", ItemRejectedError),
         (500, "", ItemFailedError),
+        (504, "", StreamInterruptedError),
         (404, "", StreamInterruptedError),
     ],
 )
@@ -206,6 +207,10 @@
     failed = ScriptedEngine(b"body", END, status=500)
     with pytest.raises(ItemFailedError):
         engines.score(failed.view, call, 1.0)
+    # Guards against an item that is given up because the time of a call ran out.
+    late = ScriptedEngine(b"body", END, status=504)
+    with pytest.raises(StreamInterruptedError):
+        engines.score(late.view, call, 1.0)
     cut = ScriptedEngine(b"body", None)
     with pytest.raises(StreamInterruptedError):
         engines.score(cut.view, call, 1.0)
