Give a kept prompt no more weight when news is old

Cause: times count as equal over a wider range when the news of the load is old, so that daemons spread their requests. Within that range the kept prompt decided, so old news concentrated requests instead.

Ruled out: counting the saved reading alone, which leaves equal targets to chance.

With the narrower range left out, the test of stale news fails.

--- a/mulberryport/routing/completion.py
+++ b/mulberryport/routing/completion.py
@@ -7,7 +7,6 @@
 """
 
 import enum
-import math
 import random
 from collections.abc import Collection
 
@@ -270,14 +269,15 @@
         for c in compared
     ]
     earliest_s, earliest = min(times, key=_first)
-    margin_s = _equal_time(earliest, work, targets)
+    margin_s, uncertain_margin_s = _equal_times(earliest, work, targets)
     home = targets.affinity_targets(work)[:1]
-    chosen = max(
-        (c for time_s, c in times if time_s <= earliest_s + margin_s),
-        key=lambda c: (
-            kept.get(c.id, 0),
-            c.id in home,
-            c.id in connected,
+    # Old news does not make a kept prompt worth more.
+    _, chosen = max(
+        (pair for pair in times if pair[0] <= earliest_s + uncertain_margin_s),
+        key=lambda pair: (
+            kept.get(pair[1].id, 0) if pair[0] <= earliest_s + margin_s else 0,
+            pair[1].id in home,
+            pair[1].id in connected,
             generator.random(),
         ),
     )
@@ -296,18 +296,22 @@
     return pair[0]
 
 
-def _equal_time(
+def _equal_times(
     candidate: Candidate, work: WorkRequest, targets: CandidateSet
-) -> float:
-    """Return the difference in seconds below which times count as equal."""
-    run_time_s = (
+) -> tuple[float, float]:
+    """Return the differences in seconds below which times count as equal.
+
+    The second one is for the age of the news.
+    """
+    run_time_s = min(
         work.expected_events * candidate.event_interval_s
         or targets.mean_run_time_s
-        or DEFAULT_RUN_TIME_S
+        or DEFAULT_RUN_TIME_S,
+        MAX_TIME_S,
     )
-    fraction = EQUAL_TIME_FRACTION + UNCERTAIN_TIME_FRACTION * candidate.uncertainty
-    margin_s = max(MIN_EQUAL_TIME_S, fraction * run_time_s)
-    return margin_s if math.isfinite(margin_s) else MAX_TIME_S
+    margin_s = max(MIN_EQUAL_TIME_S, EQUAL_TIME_FRACTION * run_time_s)
+    uncertain_s = UNCERTAIN_TIME_FRACTION * candidate.uncertainty * run_time_s
+    return margin_s, margin_s + uncertain_s
 
 
 def _compared(
--- a/mulberryport/routing/tests/test_completion.py
+++ b/mulberryport/routing/tests/test_completion.py
@@ -134,6 +134,9 @@
     assert len(_choices(_pool([_view("a"), _view("b")], speeds))) == 1
     old = [_view("a", age=10.0), _view("b", age=10.0)]
     assert _choices(_pool(old, speeds))["b"] > 20
+    kept = _pool(old, speeds)
+    _keep(kept, "b")
+    assert _choices(kept)["a"] > 20
 
 
 def test_home_is_chosen_where_nothing_is_known():
