Store the longest partial texts of a job when not all of them fit

Cause: the partial texts of a job are stored in one value of at most 700 kB. If they had more, none was stored, and after the loss of the owner, or of all daemons, all began again. A job of 100 items with texts of some 20 events of 400 bytes comes near that.

Ruled out: several values a job: more of the calls that the store allows, for the short texts that cost least to make again.

Change: the longest texts that fit are stored.

Proved by breaking: with the former rule the test of the loss of an owner in mid-step fails.

--- a/mulberryport/jobs/codec.py
+++ b/mulberryport/jobs/codec.py
@@ -120,14 +120,26 @@
     return [_result_from_json(values) for values in orjson.loads(content)]
 
 
-def encode_transcripts(transcripts: dict[str, Transcript]) -> bytes:
-    """Encode partial transcripts, keyed by item id."""
-    return orjson.dumps(
-        {
-            item: [t.events, t.versions, t.failures, t.software]
-            for item, t in transcripts.items()
-        }
-    )
+def encode_transcripts(
+    transcripts: dict[str, Transcript], max_bytes: int | None = None
+) -> bytes:
+    """Encode partial transcripts, keyed by item id.
+
+    Parameters
+    ----------
+    max_bytes : int or None
+        Largest size of the result; the shortest transcripts are left out first. None
+        if there is no limit.
+    """
+    longest_first = sorted(transcripts.items(), key=lambda entry: -len(entry[1].events))
+    size, entries = len(b"{}"), {}
+    for item, t in longest_first:
+        entry = orjson.dumps([t.events, t.versions, t.failures, t.software])
+        entry_size = len(orjson.dumps(item)) + len(b":,") + len(entry)
+        if max_bytes is None or size + entry_size <= max_bytes:
+            size += entry_size
+            entries[item] = orjson.Fragment(entry)
+    return orjson.dumps(entries)
 
 
 def decode_transcripts(content: bytes) -> dict[str, Transcript]:
--- a/mulberryport/jobs/repository.py
+++ b/mulberryport/jobs/repository.py
@@ -407,12 +407,10 @@
 def _transcript_puts(
     job_id: str, transcripts: dict[str, Transcript] | None
 ) -> tuple[Put, ...]:
-    """Return the puts that store transcripts; none if they exceed the value limit."""
+    """Return the puts that store transcripts, the longest ones if not all fit."""
     if not transcripts:
         return ()
-    content = encode_transcripts(transcripts)
-    if len(content) > CHUNK_BYTES:
-        return ()
+    content = encode_transcripts(transcripts, CHUNK_BYTES)
     return (Put(PARTIAL_PREFIX + job_id, content),)
 
 
--- a/mulberryport/jobs/tests/test_carrying.py
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -8,6 +8,7 @@
 from ...routing import LoadReport
 from ...runtime.clock import boottime
 from ..generation import ItemFailedError
+from ..repository import CHUNK_BYTES
 from .builders import Engine, JobDaemon, MemoryStore, make_job, until
 from .test_service import deadline_in, read_all, wait_for_results
 
@@ -127,6 +128,17 @@
     daemon.die()
 
 
+class LongEventEngine(Engine):
+    """Engines whose events have 8,000 bytes."""
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate a text."""
+        while len(transcript.events) < self.length:
+            eventlet.sleep(self.pause)
+            transcript.add("x" * 8000, self.version)
+            on_event()
+
+
 class UrgencyEngine(Engine):
     """Engines that note how urgent each item is."""
 
@@ -157,3 +169,21 @@
     else:
         assert urgencies["job1-0"] < min(urgencies[f"job1-{n}"] for n in (1, 2, 3))
     daemon.die()
+
+
+def test_the_longest_texts_go_on_after_the_loss_of_an_owner_if_not_all_fit():
+    # Guards against a step of many long texts of which nothing is stored: all begin
+    # again when its owner is lost.
+    store = MemoryStore()
+    first = JobDaemon(store, "vm1", LongEventEngine(length=200, pause=0.02))
+    job = make_job(items=8, scored=False)
+    assert first.jobs.submit(job, deadline_in()) == Done(True)
+    owned = first.jobs.registry.owned["job1"]
+    eventlet.sleep(2.4)
+    lengths = {item: len(t.events) for item, t in owned._transcripts.items()}
+    first.die()
+    second = JobDaemon(store, "vm2", Engine(length=1, pause=60.0))
+    assert until(lambda: len(second.engine.calls) == 8)
+    stored = [events for _, events, _ in second.engine.calls if events]
+    assert stored and sum(lengths.values()) * 8000 > 2 * CHUNK_BYTES
+    second.die()
