Commit the results that complete a step without delay

Cause: results wait up to 0.25 s to be committed with others. The last one that the trainer waits for has no reason to, and each step begins only when the one before is done, so that this delay adds up.

Ruled out: a shorter delay for all results: the store bounds its calls.

Change: where targets tell how slow they are, results are committed at once when they complete the wanted groups and the carried ones; one more commit per step at most.

Proved by breaking: without the exception, without the condition on uneven targets, and with one group more; each makes the test fail.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -17,6 +17,7 @@
 from ..runtime.clock import boottime
 from ..runtime.notifier import Notifier
 from ..runtime.waits import supervise
+from ..tables import Route
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .carrying import keep_texts, reuse_texts
@@ -93,6 +94,7 @@
     _step: StepProgress = field(init=False)
     _threads: list[Any] = field(factory=list)
     _result_ready: Notifier = field(factory=Notifier)
+    _has_listed_wanted: bool = False
     _closed: bool = False
     _commit_in_progress: bool = False
     _checkpointed_at: float = float("-inf")
@@ -225,9 +227,12 @@
             self._result_ready.notify_all()
 
     def _due_s(self) -> float:
-        route = self.context.snapshot().tables.routes.get(self.job.route)
+        route = self._route()
         return route.batch.due if route is not None and route.batch else math.inf
 
+    def _route(self) -> Route | None:
+        return self.context.snapshot().tables.routes.get(self.job.route)
+
     def _commit_results(self) -> None:
         """Commit finished results in batches until the job is complete or closed."""
         while not self._closed and not self.is_complete:
@@ -236,11 +241,24 @@
                 self._checkpoint()
                 continue
             if len(self._committed) + len(self._pending) < len(self.job.items):
-                eventlet.sleep(BATCH_DELAY_S)
+                self._await_batch()
             batch = self._next_batch()
             while not self._closed and not self._commit_batch(batch):
                 eventlet.sleep(COMMIT_RETRY_DELAY_S)
 
+    def _await_batch(self) -> None:
+        """Wait for more results, unless the trainer waits for those that are here."""
+        deadline = boottime() + BATCH_DELAY_S
+        while not self._is_awaited() and (remaining_s := deadline - boottime()) > 0:
+            self._result_ready.wait(remaining_s)
+
+    def _is_awaited(self) -> bool:
+        """Whether the results not committed yet complete what the trainer waits for."""
+        if self._has_listed_wanted or not self._step.is_satisfied:
+            return False
+        route = self._route()
+        return route is not None and any(map(self.context.schedules_steps, route.pools))
+
     def _transcripts_due(self) -> dict[str, Transcript]:
         """Return the transcripts long enough to checkpoint, if a checkpoint is due."""
         if boottime() - self._checkpointed_at < CHECKPOINT_PERIOD_S:
@@ -323,6 +341,7 @@
                 transcript.restart()
                 self._transcripts[result.id] = transcript
         del self._pending[: len(batch)]
+        self._has_listed_wanted = not self._pending and self._step.is_satisfied
         log(
             RESULTS_LISTED,
             job=self.job.id,
--- a/mulberryport/jobs/progress.py
+++ b/mulberryport/jobs/progress.py
@@ -55,6 +55,19 @@
         }
         self._schedule = StepSchedule(self.job.wanted_groups, self._states)
 
+    @property
+    def is_satisfied(self) -> bool:
+        """Whether the groups that the trainer waits for are complete."""
+        carried = {i.group for i in self.job.items if i.id in self.carried}
+        return self._complete_groups >= self._wanted_groups and not any(
+            self._unfinished[group] for group in carried
+        )
+
+    @property
+    def _wanted_groups(self) -> int:
+        groups = len({item.group for item in self.job.items})
+        return min(self.job.wanted_groups or groups, groups)
+
     def record_finished(self, item: JobItem, elapsed_s: float, due_s: float) -> None:
         """Record that an item has a result.
 
@@ -75,8 +88,7 @@
             return
         self._complete_groups += 1
         COMPLETE_GROUPS.inc({"workspace": self.job.workspace})
-        wanted = self.job.wanted_groups or len(self._unfinished)
-        if self._complete_groups == wanted and elapsed_s > due_s:
+        if self._complete_groups == self._wanted_groups and elapsed_s > due_s:
             LATE_STEPS.inc({"workspace": self.job.workspace})
 
     def rank(self, item: JobItem, elapsed_s: float, due_s: float) -> ItemRank:
--- a/mulberryport/jobs/tests/test_carrying.py
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -7,6 +7,7 @@
 from ...outcomes import Done
 from ...routing import LoadReport
 from ...runtime.clock import boottime
+from .. import owned as owned_jobs
 from ..generation import ItemFailedError
 from ..repository import CHUNK_BYTES
 from .builders import Engine, JobDaemon, MemoryStore, make_job, until
@@ -171,6 +172,22 @@
     daemon.die()
 
 
+@pytest.mark.parametrize(("slowdown", "listed"), [(1.0, 2), (None, 0)])
+def test_what_the_trainer_waits_for_is_listed_at_once(monkeypatch, slowdown, listed):
+    # Guards against a trainer that waits for results that are there, because others
+    # might be committed with them.
+    engine = Engine(pauses={f"job1-{n}": 60.0 for n in (1, 3)})
+    daemon = start_daemon(engine, slowdown)
+    submit_again(daemon, make_job("job0", items=1, scored=False), "job0")
+    assert wait_for_results(daemon, 1, "job0")
+    monkeypatch.setattr(owned_jobs, "BATCH_DELAY_S", 30.0)
+    submit_again(daemon, make_job(wanted_groups=1, scored=False), "job1")
+    assert until(lambda: len(engine.calls) == 5)
+    eventlet.sleep(0.5)
+    assert len(read_all(daemon, "job1")) == listed
+    daemon.die()
+
+
 def test_the_longest_texts_go_on_after_the_loss_of_an_owner_if_not_all_fit():
     # Guards against a step of many long texts of which nothing is stored: all begin
     # again when its owner is lost.
