--- a/mulberryport/jobs/tests/test_carrying.py
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -7,7 +7,9 @@
 from ...outcomes import Done
 from ...routing import LoadReport
 from ...runtime.clock import boottime
+from .. import owned as owned_jobs
 from ..generation import ItemFailedError
+from ..repository import CHUNK_BYTES
 from .builders import Engine, JobDaemon, MemoryStore, make_job, until
 from .test_service import deadline_in, read_all, wait_for_results
 
@@ -127,6 +129,17 @@
     daemon.die()
 
 
+class LongEventEngine(Engine):
+    """Engines whose events have 8,000 bytes."""
+
+    def generate(self, view, job, item, transcript, on_event):
+        """Generate a text."""
+        while len(transcript.events) < self.length:
+            eventlet.sleep(self.pause)
+            transcript.add("x" * 8000, self.version)
+            on_event()
+
+
 class UrgencyEngine(Engine):
     """Engines that note how urgent each item is."""
 
@@ -157,3 +170,37 @@
     else:
         assert urgencies["job1-0"] < min(urgencies[f"job1-{n}"] for n in (1, 2, 3))
     daemon.die()
+
+
+@pytest.mark.parametrize(("slowdown", "listed"), [(1.0, 2), (None, 0)])
+def test_what_the_trainer_waits_for_is_listed_at_once(monkeypatch, slowdown, listed):
+    # Guards against a trainer that waits for results that are there, because others
+    # might be committed with them.
+    engine = Engine(pauses={f"job1-{n}": 60.0 for n in (1, 3)})
+    daemon = start_daemon(engine, slowdown)
+    submit_again(daemon, make_job("job0", items=1, scored=False), "job0")
+    assert wait_for_results(daemon, 1, "job0")
+    monkeypatch.setattr(owned_jobs, "BATCH_DELAY_S", 30.0)
+    submit_again(daemon, make_job(wanted_groups=1, scored=False), "job1")
+    assert until(lambda: len(engine.calls) == 5)
+    eventlet.sleep(0.5)
+    assert len(read_all(daemon, "job1")) == listed
+    daemon.die()
+
+
+def test_the_longest_texts_go_on_after_the_loss_of_an_owner_if_not_all_fit():
+    # Guards against a step of many long texts of which nothing is stored: all begin
+    # again when its owner is lost.
+    store = MemoryStore()
+    first = JobDaemon(store, "vm1", LongEventEngine(length=200, pause=0.02))
+    job = make_job(items=8, scored=False)
+    assert first.jobs.submit(job, deadline_in()) == Done(True)
+    owned = first.jobs.registry.owned["job1"]
+    eventlet.sleep(2.4)
+    lengths = {item: len(t.events) for item, t in owned._transcripts.items()}
+    first.die()
+    second = JobDaemon(store, "vm2", Engine(length=1, pause=60.0))
+    assert until(lambda: len(second.engine.calls) == 8)
+    stored = [events for _, events, _ in second.engine.calls if events]
+    assert stored and sum(lengths.values()) * 8000 > 2 * CHUNK_BYTES
+    second.die()
