Keep the cost of scheduled steps off jobs that are not scheduled

Cause: at the end of each job its results were decoded and its items hashed before it was asked whether the job is scheduled as a step; and the speed of the fastest text was computed for each attempt, also between two rankings.

Change: the question comes first; the speed is computed with the ranks.

Proved by breaking: with each job taken for scheduled, the test of results that are listed at once fails.

--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -180,6 +180,8 @@
 
     def carry_texts(self) -> None:
         """Keep the texts of a closed job for later ones that bring its items again."""
+        if not self._is_scheduled():
+            return
         results = [decode_result(result) for result in self._committed]
         keep_texts(
             self.job, [*results, *self._pending], self._transcripts, self.context
@@ -230,6 +232,12 @@
         route = self._route()
         return route.batch.due if route is not None and route.batch else math.inf
 
+    def _is_scheduled(self) -> bool:
+        """Whether the job is scheduled as a step."""
+        route = self._route()
+        pools = route.pools if route is not None else ()
+        return any(map(self.context.schedules_steps, pools))
+
     def _route(self) -> Route | None:
         return self.context.snapshot().tables.routes.get(self.job.route)
 
@@ -256,8 +264,7 @@
         """Whether the results not committed yet complete what the trainer waits for."""
         if self._has_listed_wanted or not self._step.is_satisfied:
             return False
-        route = self._route()
-        return route is not None and any(map(self.context.schedules_steps, route.pools))
+        return self._is_scheduled()
 
     def _transcripts_due(self) -> dict[str, Transcript]:
         """Return the transcripts long enough to checkpoint, if a checkpoint is due."""
--- a/mulberryport/jobs/progress.py
+++ b/mulberryport/jobs/progress.py
@@ -53,7 +53,9 @@
             item: len(transcript.events)
             for item, transcript in self.transcripts.items()
         }
-        self._schedule = StepSchedule(self.job.wanted_groups, self._states)
+        self._schedule = StepSchedule(
+            self.job.wanted_groups, self._states, self._event_s
+        )
 
     @property
     def is_satisfied(self) -> bool:
@@ -93,7 +95,7 @@
 
     def rank(self, item: JobItem, elapsed_s: float, due_s: float) -> ItemRank:
         """Return the present rank of an item; see ``record_finished``."""
-        return self._schedule.rank(item.id, elapsed_s, due_s, self._event_s(elapsed_s))
+        return self._schedule.rank(item.id, elapsed_s, due_s)
 
     def _states(self) -> Iterator[ItemState]:
         tokens_per_event = USUAL_TOKENS_PER_EVENT
--- a/mulberryport/steps/priorities.py
+++ b/mulberryport/steps/priorities.py
@@ -176,22 +176,28 @@
         Complete groups that the trainer waits for; 0 for all.
     states : callable
         Returns the states of all items.
+    event_s : callable
+        Returns the seconds that an event takes, 0 if that is not known, by the seconds
+        since the step was submitted.
     """
 
     wanted_groups: int
     states: Callable[[], Iterable[ItemState]]
+    event_s: Callable[[float], float] = lambda elapsed_s: 0.0
     _ranks: dict[str, ItemRank] = field(factory=dict)
     _ranked_at: float = float("-inf")
     _urgencies: dict[str, int] = field(factory=dict)
 
-    def rank(
-        self, item: str, elapsed_s: float, due_s: float, event_s: float
-    ) -> ItemRank:
+    def rank(self, item: str, elapsed_s: float, due_s: float) -> ItemRank:
         """Return the present rank of an item; see ``rank_items``."""
         if abs(elapsed_s - self._ranked_at) >= RANKING_INTERVAL_S:
             self._ranked_at = elapsed_s
             self._ranks = rank_items(
-                self.states(), self.wanted_groups, elapsed_s, due_s, event_s
+                self.states(),
+                self.wanted_groups,
+                elapsed_s,
+                due_s,
+                self.event_s(elapsed_s),
             )
         known = self._ranks.get(item, ItemRank(NEEDED, USUAL_URGENCY))
         urgency = min(known.urgency, self._urgencies.get(item, LEAST_URGENT))
--- a/mulberryport/steps/tests/test_priorities.py
+++ b/mulberryport/steps/tests/test_priorities.py
@@ -111,8 +111,8 @@
     # Guards against a text that was moved or interrupted and then waits behind others.
     items = make_step(random.Random(5))
     schedule = StepSchedule(WANTED, lambda: items)
-    before = {item.id: schedule.rank(item.id, 5.0, 8.0, 0.05) for item in items}
+    before = {item.id: schedule.rank(item.id, 5.0, 8.0) for item in items}
     items = [ItemState(i.id, i.group, i.remaining_events / 9 + 1) for i in items]
     for item in items:
-        after = schedule.rank(item.id, 6.0, 80.0, 0.05)
+        after = schedule.rank(item.id, 6.0, 80.0)
         assert after.urgency <= before[item.id].urgency
