Send no queued request to a target that has just refused one

Change: any refusal by a target that tells how long work takes avoids it for the short time that follows from run times, not only one for want of room. Event 704 still names full ones.

With it taken out the new test fails.

--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -47,6 +47,7 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    # The target did not run the request, and would not run another one now.
     REFUSED = "refused"
 
 
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -350,18 +350,20 @@
     def _classify_refusal(self, grant: Grant) -> Result:
         """Return and log the result of a request that its target did not run.
 
-        A target that has not reported since that it is full refused for another reason,
-        or was not asked.
+        A target that has not reported since was not asked, or does not tell how long
+        work takes. One that is not full refuses for another reason, such as a model
+        that it loads; it would refuse the next request as well.
         """
         work, target = grant.work, grant.candidate.id
         state = self.directory.get_state(target)
         report = state.report if state is not None else None
-        if report is None or report.slowdown is None or not report.is_full:
+        if report is None or report.slowdown is None:
             return Result.CANCELLED
         if state.reported_at < grant.granted_at:
             return Result.CANCELLED
-        log(TARGET_FULL, target=target, pool=work.pool, purpose=work.purpose)
-        FULL_TARGET_REFUSALS.inc({"pool": work.pool, "purpose": work.purpose})
+        if report.is_full:
+            log(TARGET_FULL, target=target, pool=work.pool, purpose=work.purpose)
+            FULL_TARGET_REFUSALS.inc({"pool": work.pool, "purpose": work.purpose})
         return Result.REFUSED
 
     def _await_grant(
--- a/mulberryport/targets/tests/test_dispatcher.py
+++ b/mulberryport/targets/tests/test_dispatcher.py
@@ -213,3 +213,27 @@
     assert third._schedulers["p"].ejector.ejected == ("t0",)
     with third.assign(WorkRequest("p", "light")) as assignment:
         assert assignment.id == "t1"
+
+
+def test_a_refusal_sends_no_queued_request_to_the_same_target():
+    # Guards against a queue that is emptied into a target that refuses each request,
+    # for example because it loads a model.
+    dispatcher = make_dispatcher(targets=2)
+    report = LoadReport(0, 0, 1, slowdown=1.0)
+    for target in ("t0", "t1"):
+        dispatcher.directory.record_load(target, report, boottime())
+    order, release = [], eventlet.event.Event()
+    hold = eventlet.spawn(hold_slot, dispatcher, order, release, "light")
+    eventlet.sleep(0)
+    busy = order[0][1]
+    with dispatcher.assign(WorkRequest("p", "light")) as refusing:
+        waiting = eventlet.spawn(hold_slot, dispatcher, order, release, "heavy")
+        eventlet.sleep(0)
+        dispatcher.directory.record_load(refusing.id, report, boottime())
+        refusing.refused()
+    eventlet.sleep(0)
+    assert refusing.id != busy and len(order) == 1
+    release.send()
+    for thread in (hold, waiting):
+        thread.wait()
+    assert order[1] == ("heavy", busy)
