Weigh speeds where measurements show that targets are uneven

Cause: only targets that tell how long work takes counted as uneven.

Ruled out: weighing speeds in all pools, since the pools that are even are to be served as before.

Change: a pool of engines also counts as uneven for its texts' moves if a quarter of the measured targets is slower than the fastest quarter by 1.22 for a second; for a minute after the last measurement that shows it. The choice by time and the schedule of steps still need targets that tell.

--- a/mulberryport/jobs/moving.py
+++ b/mulberryport/jobs/moving.py
@@ -1,8 +1,8 @@
 """Which engines the texts of jobs avoid, and when they leave the one they run on.
 
-In pools whose targets tell how long work takes there, both follow from the estimate of
-each target's speed and from what a text still lacks. In other pools, an engine counts
-as slow by its event latency alone.
+In pools whose targets tell how long work takes there, or were found to be uneven by
+measurement, both follow from the estimate of each target's speed and from what a text
+still lacks. In other pools, an engine counts as slow by its event latency alone.
 """
 
 import math
@@ -78,7 +78,7 @@
         now : float
             Boot time.
         """
-        if not self.dispatcher.is_uneven(pool):
+        if not self._weighs_speeds(pool, now):
             return self._latencies.slow_engines(now)
         speeds = self.dispatcher.speeds
         usual_s = speeds.usual_interval_s(pool, now)
@@ -105,9 +105,8 @@
         now : float
             Boot time.
         """
-        if not self.dispatcher.is_uneven(assignment.pool):
-            self._latencies.record(assignment.id, interval_s, now)
-        elif not is_pause:
+        self._latencies.record(assignment.id, interval_s, now)
+        if not is_pause:
             speeds = self.dispatcher.speeds
             expected = speeds.estimate(assignment.id, now)
             if expected is not None:
@@ -138,7 +137,7 @@
         now : float
             Boot time.
         """
-        if not self.dispatcher.is_uneven(assignment.pool):
+        if not self._weighs_speeds(assignment.pool, now):
             is_leaving = self._latencies.is_slow(
                 assignment.id, now
             ) and self._others_go_on(assignment)
@@ -161,6 +160,11 @@
             ITEM_MOVES.inc({"pool": assignment.pool, "reason": "leaving"})
         return is_leaving
 
+    def _weighs_speeds(self, pool: str, now: float) -> bool:
+        """Whether the speeds of a pool's targets differ, so that they are weighed."""
+        dispatcher = self.dispatcher
+        return dispatcher.is_uneven(pool) or dispatcher.speeds.are_uneven(pool, now)
+
     def _others_go_on(self, assignment: Assignment) -> bool:
         """Whether another target can go on with a text."""
         return self.dispatcher.directory.serves_software(
--- a/mulberryport/routing/speeds.py
+++ b/mulberryport/routing/speeds.py
@@ -50,6 +50,15 @@
 MIN_ZONE_TARGETS = 3
 # Measurements of targets that were not used for this time are removed.
 RETENTION_S = 60.0
+# Targets of a pool are uneven by measurement if this share of them is slower than the
+# fastest quarter by this factor, and has been for this time. A full batch slows a
+# target by less, and a passing trouble fewer targets.
+UNEVEN_SHARE = 0.25
+UNEVEN_RATIO = 1.22
+UNEVEN_AFTER_S = 1.0
+MIN_UNEVEN_TARGETS = 4
+# Measurements older than this say nothing about whether targets are uneven.
+UNEVEN_MAX_AGE_S = 5.0
 MIN_INTERVAL_S, MAX_INTERVAL_S = 1e-4, 60.0
 MAX_DEVIATION = 5.0
 # Usual speeds and the order of a pool's targets are computed again after this time.
@@ -210,6 +219,9 @@
     _members: dict[str, _Member] = field(factory=dict)
     _ids_by_pool: dict[str, frozenset[str]] = field(factory=dict)
     _summaries: dict[str, _PoolSummary] = field(factory=dict)
+    # Boot time since which, and until which, the targets of a pool are uneven.
+    _uneven_since: dict[str, float] = field(factory=dict)
+    _uneven_until: dict[str, float] = field(factory=dict)
     _cleaned_at: float = -math.inf
 
     def update_pool(self, pool: str, views: Iterable[TargetView], now: float) -> None:
@@ -335,6 +347,15 @@
         summary = self._summary(member.pool if member else "", now)
         return self._estimate(target, member, summary, now)
 
+    def are_uneven(self, pool: str, now: float) -> bool:
+        """Whether measurements show that some targets of a pool are slower for good.
+
+        It holds for a minute after the last measurements that show it, since texts then
+        leave the slow targets, which shows nothing any more.
+        """
+        self._summary(pool, now)
+        return now < self._uneven_until.get(pool, -math.inf)
+
     def ranking(self, pool: str, now: float) -> Sequence[tuple[float, str]]:
         """Return expected intervals in seconds and ids, the fastest target first.
 
@@ -416,8 +437,24 @@
             if estimate is not None:
                 summary.ranking.append((estimate.event_interval_s, target))
         summary.ranking.sort()
+        self._update_unevenness(pool, ids, now)
         return summary
 
+    def _update_unevenness(self, pool: str, ids: Iterable[str], now: float) -> None:
+        """Update whether measurements of a pool's targets differ for good."""
+        values = sorted(
+            average.value
+            for target in ids
+            if (average := self._measured.get(target)) is not None
+            and now - average.updated_at < UNEVEN_MAX_AGE_S
+        )
+        fast = values[(len(values) - 1) // 4] if values else 0.0
+        slow = sum(value > fast + math.log(UNEVEN_RATIO) for value in values)
+        if len(values) < MIN_UNEVEN_TARGETS or slow < UNEVEN_SHARE * len(values):
+            self._uneven_since.pop(pool, None)
+        elif now - self._uneven_since.setdefault(pool, now) >= UNEVEN_AFTER_S:
+            self._uneven_until[pool] = now + RETENTION_S
+
     def _last_value(self, target: str, is_own: bool, now: float) -> float | None:
         """Return the logarithm of the interval that was measured last."""
         if is_own:
--- a/mulberryport/routing/tests/test_speeds.py
+++ b/mulberryport/routing/tests/test_speeds.py
@@ -184,3 +184,31 @@
     for interval_s in (0.0, -1.0, float("nan"), float("inf")):
         speeds.record_interval("a", interval_s, now=1.0)
     assert speeds.estimate("a", now=1.0) is None
+
+
+def _uneven_after(intervals: dict[str, float], seconds: float) -> bool:
+    """Return whether targets count as uneven after a time with these intervals."""
+    speeds = TargetSpeeds()
+    speeds.update_pool("p", [view(target) for target in intervals], 0.0)
+    now = 0.0
+    while now < seconds:
+        now += 0.05
+        for target, interval_s in intervals.items():
+            speeds.record_interval(target, interval_s, now)
+        speeds.are_uneven("p", now)
+    return speeds.are_uneven("p", now)
+
+
+def test_targets_of_which_a_third_is_slower_for_good_are_uneven():
+    # Guards against long texts at slow targets because these do not tell that they are.
+    intervals = {f"t{n}": 0.05 * (1.3 if n % 3 == 2 else 1.0) for n in range(9)}
+    assert not _uneven_after(intervals, 0.5)
+    assert _uneven_after(intervals, 3.0)
+
+
+def test_one_slow_wave_or_full_batches_do_not_make_targets_uneven():
+    # Guards against pools that are served in another way because of a passing trouble.
+    wave = {f"t{n}": 0.05 * (4.0 if n < 2 else 1.0) for n in range(10)}
+    batches = {f"t{n}": 0.05 * (1.0 + 0.02 * n) for n in range(10)}
+    assert not _uneven_after(wave, 3.0)
+    assert not _uneven_after(batches, 3.0)
--- a/mulberryport/targets/dispatcher.py
+++ b/mulberryport/targets/dispatcher.py
@@ -30,7 +30,7 @@
     WorkRequest,
 )
 from ..runtime.clock import boottime
-from ..tables import Snapshot
+from ..tables import MODEL_ENGINE, Snapshot
 from ..telemetry import define as define_event
 from ..telemetry import log
 from ..telemetry.metrics import (
@@ -469,7 +469,8 @@
         self._refreshed_at[pool] = now
         views = self.directory.views(pool)
         scheduler.update(views, now)
-        if scheduler.targets.is_uneven:
+        is_engine_pool = settings is not None and settings.kind == MODEL_ENGINE
+        if is_engine_pool or scheduler.targets.is_uneven:
             self.speeds.update_pool(pool, views, now)
 
 
