Hold no session for a watch that waits for a provider

Cause: the distance of a watch stays 0 until its first provider answers, which takes up to 10 s in a large fleet, so that each daemon went on renewing its session after it had left the store.

Ruled out: no session during a direct watch, since its renewals show a silent store.

Change: a watch holds the session only while the store itself was asked last.

With the rule taken out the new test fails.

--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -72,7 +72,7 @@
     A store that falls silent leaves a watch open without an answer. The renewals of the
     session show it within a second or two.
     """
-    session.hold_while(lambda: any(watch.distance == 0 for watch in watches))
+    session.hold_while(lambda: any(watch.waits_for_store for watch in watches))
 
 
 @define(eq=False)
@@ -235,6 +235,11 @@
         """Number of daemons between this one and the store."""
         return self._distance
 
+    @property
+    def waits_for_store(self) -> bool:
+        """Whether the store itself was asked last, and not a provider since."""
+        return self._distance == 0 and self._waiting is None
+
     def list(self, prefix: str) -> Outcome[Listing]:
         """Return all items under a prefix; its revision never goes backwards."""
         # The first listing of a daemon that has just started must not be older than
--- a/mulberryport/coordination/tests/test_feeds.py
+++ b/mulberryport/coordination/tests/test_feeds.py
@@ -326,3 +326,20 @@
     source._created_at -= 2 * feeds.SETTLING_WAIT_S
     source.watch("a/", 0, 25.0)
     assert waits[-1] == 25.0
+
+
+def test_watch_that_waits_for_a_provider_holds_no_session():
+    # Guards against daemons that renew their sessions, at a call of the store each, for
+    # as long as the first call to a provider waits.
+    held, store = [], MemoryStore()
+
+    class WaitingPeers:
+        def call(self, vm, method, request, timeout):
+            held.append(source.waits_for_store)
+            return NotDone("no answer")
+
+    source = SharedWatch(store, WaitingPeers(), lambda: ["p"])
+    source.list("a/")
+    assert source.waits_for_store
+    source.watch("a/", 0, 0.0)
+    assert held == [False] and source.waits_for_store
