Mend what a review of the joined parts found

Cause, each shown by a reviewer who wrote none of it: a job that ended while the texts of an earlier one were looked up started its items all the same; an item waited for ever if the fast half of a pool was evacuated or had other weights; a pool that stopped telling its slowness stayed full; a daemon without requests never got a slot of targets that stay full with long runs; an event of a target that had just left raised; a passed deadline at a target counted as its failure, and scoring calls had no bound in time.

Change: the look-up lets nothing else run, and a closed job starts nothing; exclusions that leave no target are dropped; the three conditions; DeadlinePassedError cancels, and the limits of an item also hold between its scoring calls.

Figures: without the check of a closed job, of a full target and of the longest drain, one new test each fails. The test of an empty ranking passes also without its check.

--- a/mulberryport/jobs/__init__.py
+++ b/mulberryport/jobs/__init__.py
@@ -8,6 +8,7 @@
 """
 
 from .generation import (
+    DeadlinePassedError,
     EngineClient,
     EngineSwitchError,
     ItemFailedError,
@@ -37,6 +38,7 @@
     "NotStartedError",
     "RecordTooLargeError",
     "ResultPage",
+    "DeadlinePassedError",
     "EngineClient",
     "ScoringCall",
     "Transcript",
--- a/mulberryport/jobs/carrying.py
+++ b/mulberryport/jobs/carrying.py
@@ -98,8 +98,8 @@
     """
     reused = ReusedTexts()
     unfit = 0
+    # Nothing else runs meanwhile, so that the job cannot end before its items start.
     for item in items:
-        yield_if_due()
         text = context.carried.find(job.workspace, job.route, item.id, boottime())
         if text is None or text.identity != _identity(job, item):
             unfit += text is not None
--- a/mulberryport/jobs/generation.py
+++ b/mulberryport/jobs/generation.py
@@ -8,6 +8,7 @@
 from .model import Job, JobItem, ScoringCall
 
 __all__ = [
+    "DeadlinePassedError",
     "StaleWeightsError",
     "StreamInterruptedError",
     "ItemFailedError",
@@ -27,6 +28,10 @@
     """The response stream ended before the text was complete."""
 
 
+class DeadlinePassedError(StreamInterruptedError):
+    """The time for a request ran out at the target, which is no failure of either."""
+
+
 class ItemFailedError(Exception):
     """The engine or the scoring service reported a failure of the request."""
 
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -24,6 +24,7 @@
 from ..telemetry import log
 from .codec import encode_result, max_encoded_bytes
 from .generation import (
+    DeadlinePassedError,
     EngineClient,
     EngineSwitchError,
     ItemFailedError,
@@ -317,6 +318,7 @@
             prompt_parts=self.item.prompt_parts,
             expected_events=expected_events,
         )
+        work = self.context.moves.relaxed(work)
         with self._assign(work) as assignment:
             self.transcript.software = assignment.software
             try:
@@ -333,7 +335,7 @@
             except NotStartedError:
                 assignment.refused()
                 raise
-            except (StaleWeightsError, EngineSwitchError):
+            except (DeadlinePassedError, StaleWeightsError, EngineSwitchError):
                 assignment.cancelled()
                 raise
             except (ItemFailedError, ItemRejectedError):
@@ -467,6 +469,9 @@
         excluded_targets: frozenset[str] = frozenset()
         while True:
             self._wait_until_up_to_date()
+            self._check_limits(
+                self._find_route(self.item.path, self.job.host, batch=True)
+            )
             route = self._find_route(call.path, call.host)
             if failures >= route.attempts:
                 raise ItemGivenUpError(f"attempts: {failures} scoring calls failed")
@@ -506,6 +511,9 @@
         except NotStartedError:
             assignment.refused()
             raise
+        except DeadlinePassedError:
+            assignment.cancelled()
+            raise
         except ItemFailedError:
             assignment.succeeded()
             raise
--- a/mulberryport/jobs/moving.py
+++ b/mulberryport/jobs/moving.py
@@ -89,6 +89,22 @@
         longest_s = longest_interval_s(1.0 if is_full else expected_events, usual_s)
         return run.left_targets(now) | speeds.slower_than(pool, longest_s, now)
 
+    def relaxed(self, work: WorkRequest) -> WorkRequest:
+        """Return a request without exclusions, if they leave it no target.
+
+        The usual speed of a pool counts targets that a request may not use.
+        """
+        if not work.exclude:
+            return work
+        views = self.dispatcher.directory.views(work.pool)
+        has_target = any(
+            view.selectable
+            and view.id not in work.exclude
+            and work.accepts_versions_of(view)
+            for view in views
+        )
+        return work if has_target else evolve(work, exclude=frozenset())
+
     def record_interval(
         self, assignment: Assignment, interval_s: float, is_pause: bool, now: float
     ) -> None:
@@ -182,7 +198,9 @@
         pool, speeds = assignment.pool, self.dispatcher.speeds
         here = speeds.estimate(assignment.id, now)
         ranking = speeds.ranking(pool, now)
-        if here is None or not may_move_again(run.moves, now - run.moved_at):
+        if here is None or not ranking:
+            return False
+        if not may_move_again(run.moves, now - run.moved_at):
             return False
         # The fastest of many targets is taken for faster than it is.
         fastest_s = ranking[len(ranking) // 4][0]
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -136,6 +136,8 @@
         committed_ids = {result.id for result in committed}
         remaining = [item for item in self.job.items if item.id not in committed_ids]
         remaining = self._reuse_texts(remaining)
+        if self._closed:
+            return
         # The longest items determine when a step completes, so they start first.
         for item in sorted(remaining, key=lambda item: -item.length_hint):
             self._threads.append(eventlet.spawn(self._run_item, item))
--- a/mulberryport/jobs/tests/test_carrying.py
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -204,3 +204,21 @@
     stored = [events for _, events, _ in second.engine.calls if events]
     assert stored and sum(lengths.values()) * 8000 > 2 * CHUNK_BYTES
     second.die()
+
+
+def test_nothing_is_sent_of_a_job_that_ends_while_it_starts(monkeypatch):
+    # Guards against items of an ended job at engines: the end found no threads yet that
+    # it could stop.
+    engine = Engine()
+    daemon, job = start_daemon(engine), make_job()
+    reuse = owned_jobs.reuse_texts
+
+    def end_meanwhile(job, items, context):
+        daemon.jobs.registry.remove_owned(job.id, "ended")
+        return reuse(job, items, context)
+
+    monkeypatch.setattr(owned_jobs, "reuse_texts", end_meanwhile)
+    assert daemon.jobs.submit(job, deadline_in()) == Done(True)
+    eventlet.sleep(0.1)
+    assert engine.calls == []
+    daemon.die()
--- a/mulberryport/jobs/tests/test_moving.py
+++ b/mulberryport/jobs/tests/test_moving.py
@@ -155,3 +155,26 @@
                 on_event()
     assert 2 <= len(task.transcript.events) < 20
     assert assignment.id in task._run.left_targets(boottime())
+
+
+def test_item_uses_slow_targets_if_no_others_could_serve_it(moves):
+    # Guards against an item that waits for ever because the fast targets are evacuated
+    # or serve other weights.
+    for view in moves.dispatcher.directory.views("p"):
+        if view.id != SLOW:
+            moves.dispatcher.directory.mark_leaving(view.id, view.born)
+    now = boottime()
+    avoided = moves.avoided_targets("p", TextRun(), 50.0, now)
+    assert SLOW in avoided
+    assert moves.relaxed(evolve(WORK, exclude=avoided)).exclude == frozenset()
+    others = evolve(WORK, exclude=frozenset({"t1"}))
+    assert moves.relaxed(others) is others
+
+
+def test_target_without_a_pool_moves_no_text():
+    # Guards against an event that fails because its target has just left the list.
+    moves = TextMoves(uneven_dispatcher())
+    with moves.dispatcher.assign(WORK) as assignment:
+        moves.dispatcher.speeds.update_pool("p", [], boottime())
+        moves.record_interval(assignment, FAST_S, False, boottime())
+        assert not _should_leave(moves, assignment, TextRun(), 50.0)
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -12,6 +12,7 @@
 from urllib3.util import SKIP_HEADER
 
 from ..jobs import (
+    DeadlinePassedError,
     ItemFailedError,
     ItemRejectedError,
     Job,
@@ -326,7 +327,7 @@
             raise ItemRejectedError("rejected permanently with status 422")
         if response.status == DEADLINE_STATUS:
             # The time ran out, which says nothing about the item.
-            raise StreamInterruptedError("the deadline passed at the target")
+            raise DeadlinePassedError("the deadline passed at the target")
         if response.status >= 500:
             raise ItemFailedError(f"status {response.status}")
         if response.status != 200 or headers.get(names.REQUEST_ID) is None:
--- a/mulberryport/platform/tests/test_engines.py
+++ b/mulberryport/platform/tests/test_engines.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from ...jobs import (
+    DeadlinePassedError,
     EngineSwitchError,
     ItemFailedError,
     ItemRejectedError,
@@ -228,7 +229,7 @@
         engines.score(failed.view, call, 1.0)
     # Guards against an item that is given up because the time of a call ran out.
     late = ScriptedEngine(b"body", END, status=504)
-    with pytest.raises(StreamInterruptedError):
+    with pytest.raises(DeadlinePassedError):
         engines.score(late.view, call, 1.0)
     cut = ScriptedEngine(b"body", None)
     with pytest.raises(StreamInterruptedError):
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -304,7 +304,8 @@
         if self._is_uneven:
             self._update_durations(now)
             self._update_prefixes()
-        self._full = list(current.values()) if self._is_uneven else []
+        # A pool that is no longer uneven keeps no target full.
+        self._full = [c for c in current.values() if self._is_uneven or c.is_full]
         self.update_room(now)
 
     @property
--- a/mulberryport/routing/room.py
+++ b/mulberryport/routing/room.py
@@ -20,6 +20,11 @@
 MIN_DELAY_FRACTION = 0.5
 
 
+# A target that reported too many requests is tried again after this time at the latest,
+# so that a daemon without a request there gets a slot of a target that stays full.
+MAX_DRAIN_S = 0.5
+
+
 @define(eq=False)
 class RunTimes:
     """Mean time for which a request of this daemon holds a slot of a pool's targets.
@@ -143,5 +148,5 @@
         """
         if surplus <= 0.0:
             return now < self.full_until and reported_at <= self.refused_at
-        drain_s = surplus * self.run_s(pool_run_s) / max(1, capacity)
+        drain_s = min(MAX_DRAIN_S, surplus * self.run_s(pool_run_s) / max(1, capacity))
         return now < max(self.full_until, reported_at + drain_s)
--- a/mulberryport/routing/tests/test_room.py
+++ b/mulberryport/routing/tests/test_room.py
@@ -222,3 +222,20 @@
     for name, weight in weights.items():
         share = weight / total * sum(served.values())
         assert abs(served[name] - share) <= 0.1 * sum(served.values()) + 2
+
+
+def test_targets_are_not_full_for_ever_if_they_no_longer_tell_how_slow_they_are():
+    # Guards against a pool that takes nothing after its software was rolled back.
+    pool = scheduler([uneven("a", running=8, waiting=8)])
+    assert isinstance(pool.submit(work(), print, 0.0), QueuedRequest)
+    pool.update([view("a", report=LoadReport(0, 0, 8), report_age=0.0)], 1.0)
+    assert pool.targets.get("a").free_slots > 0
+
+
+def test_target_that_stays_full_is_tried_again_soon_despite_long_runs():
+    # Guards against a new daemon that never gets a slot while others fill the targets
+    # with requests of many seconds.
+    room = TargetRoom()
+    full = {"reported_at": 0.0}
+    assert room.is_full(3.0, 8, 60.0, now=0.1, **full)
+    assert not room.is_full(3.0, 8, 60.0, now=0.9, **full)
--- a/mulberryport/steps/carried.py
+++ b/mulberryport/steps/carried.py
@@ -120,7 +120,8 @@
 
     def drop_old(self, now: float) -> None:
         """Drop the texts that are too old, and the oldest ones that are too many."""
-        for key, (_, kept_at) in list(self._texts.items()):
+        while self._texts:
+            key, (_, kept_at) = next(iter(self._texts.items()))
             is_old = now - kept_at > self.max_age_s
             if not is_old and self._size_bytes <= self.max_bytes:
                 return
