Check a configuration before it is sent

Cause: operators learnt of an entry without effect, or of limits that contradict each other, only from what the fleet then did. Routes to services that do not exist were left out without a log line.

What the decoder leaves out or replaces is reported in one way, to the log or to the command.

--- a/mulberryport/cli/program.py
+++ b/mulberryport/cli/program.py
@@ -15,6 +15,7 @@
 )
 from .status import ExplainCommand, StatusCommand, TimelineCommand
 from .tables import ApplyCommand, DiffCommand, ShowCommand
+from .tables_check import TablesCommand
 
 __all__ = ["Program", "run"]
 
@@ -32,6 +33,7 @@
         | ApplyCommand
         | ShowCommand
         | DiffCommand
+        | TablesCommand
         | KeyCommand
         | StatusCommand
         | BlockedCommand
--- /dev/null
+++ b/mulberryport/cli/tables_check.py
@@ -0,0 +1,160 @@
+"""Command ``tables check``: what a configuration would do, before it is sent."""
+
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from attrs import asdict, define
+
+from ..outcomes import Done
+from ..platform.configuration import CONFIGURATION_KEY, decode_configuration
+from ..platform.counts import check_address
+from ..platform.store import PlatformStore
+from ..settings import InvalidFileError
+from ..tables import (
+    ERROR,
+    Finding,
+    Snapshot,
+    compare_tables,
+    inspect_tables,
+    parse_tables,
+    read_snapshot,
+)
+from .connection import StoreOptions, open_store
+from .output import (
+    EXIT_FAILED,
+    EXIT_USAGE,
+    exit_with_error,
+    print_json,
+    value_or_exit,
+)
+
+__all__ = ["TablesCommand"]
+
+
+@cappa.command(
+    name="check",
+    help="Check a configuration before it is sent: errors, entries that never match, "
+    "limits that contradict each other, and what differs from the version in force.",
+)
+@define
+class TablesCheckCommand(StoreOptions):
+    """Check a configuration before it is sent."""
+
+    file: Annotated[
+        str,
+        cappa.Arg(help="Tables as INI text, or the platform's configuration as JSON."),
+    ] = ""
+    in_force: Annotated[
+        str | None,
+        cappa.Arg(long=True, default=None, help="File with the version in force."),
+    ] = None
+    platform_store: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            default=None,
+            help="Address (IP:PORT) of the platform's store, which has the version "
+            "in force.",
+        ),
+    ] = None
+
+    def __call__(self) -> None:
+        """Run the command; exit with status 1 if anything was found."""
+        snapshot, findings = _check_file(self.file)
+        current = self._read_current()
+        if snapshot is None or current is None:
+            differences = []
+        else:
+            differences = compare_tables(current.tables, snapshot.tables)
+            findings += _check_revision(snapshot, current)
+        if self.json:
+            print_json(
+                {
+                    "findings": [asdict(finding) for finding in findings],
+                    "revision_in_force": current.revision if current else None,
+                    "differences": [asdict(entry) for entry in differences],
+                }
+            )
+        else:
+            for line in findings or ["nothing found"]:
+                print(line)
+            if current is not None:
+                print(f"# compared with revision {current.revision}")
+                for line in differences or ["no differences"]:
+                    print(line)
+        if findings:
+            raise cappa.Exit(code=EXIT_FAILED)
+
+    def _read_current(self) -> Snapshot | None:
+        """Return the version in force; None if no source of it was named."""
+        if self.in_force:
+            snapshot, findings = _check_file(self.in_force)
+            if snapshot is None:
+                exit_with_error(f"{self.in_force}: {findings[0]}")
+            return snapshot
+        if self.platform_store:
+            return _read_platform_snapshot(self.platform_store)
+        if self.store or self.settings:
+            return value_or_exit(read_snapshot(open_store(self)))
+        return None
+
+
+def _check_file(path: str) -> tuple[Snapshot | None, list[Finding]]:
+    """Return the snapshot in a file, None if it has none, and what was found."""
+    try:
+        content = Path(path).read_bytes()
+    except OSError as error:
+        exit_with_error(f"{path}: cannot be read: {error}", EXIT_USAGE)
+    findings: list[Finding] = []
+    if content.lstrip().startswith(b"{"):
+        try:
+            snapshot = decode_configuration(
+                content,
+                lambda *place: findings.append(Finding(ERROR, *place)),
+            )
+        except ValueError as error:
+            return None, [Finding(ERROR, "configuration", "", str(error))]
+        return snapshot, findings + inspect_tables(snapshot.tables)
+    try:
+        tables = parse_tables(content.decode(), path)
+    except InvalidFileError as error:
+        faults = error.diagnostics
+        return None, [Finding(ERROR, f.section, f.key, f.message) for f in faults]
+    except UnicodeDecodeError as error:
+        return None, [Finding(ERROR, "file", "", f"not UTF-8: {error}")]
+    return Snapshot(tables=tables), inspect_tables(tables, has_keys=False)
+
+
+def _check_revision(new: Snapshot, current: Snapshot) -> list[Finding]:
+    """Return an error if daemons would not adopt the new version."""
+    # Tables as INI text get their revision when they are applied.
+    if not new.revision or new.revision > current.revision:
+        return []
+    message = f"version {new.revision} is not above version {current.revision} in force"
+    return [Finding(ERROR, "configuration", "version", message)]
+
+
+def _read_platform_snapshot(address: str) -> Snapshot:
+    try:
+        store = PlatformStore(check_address(address))
+    except ValueError as error:
+        exit_with_error(f"--platform-store: {error}", EXIT_USAGE)
+    outcome = store.read(CONFIGURATION_KEY)
+    if not isinstance(outcome, Done) or outcome.value is None:
+        reason = (
+            "it has no configuration" if isinstance(outcome, Done) else outcome.reason
+        )
+        exit_with_error(f"the store cannot be read: {reason}")
+    try:
+        return decode_configuration(outcome.value.value, lambda *place: None)
+    except ValueError as error:
+        exit_with_error(f"the configuration in force is malformed: {error}")
+
+
+@cappa.command(name="tables", help="Commands for the tables as a whole.")
+@define
+class TablesCommand:
+    """Commands for the tables as a whole."""
+
+    command: cappa.Subcommands[TablesCheckCommand]
--- a/mulberryport/platform/configuration.py
+++ b/mulberryport/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decoding of the operator's configuration on the platform into tables."""
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -40,12 +41,28 @@
 DEFAULT_CONCURRENCY = 16
 # Queue capacity of one pool in one daemon; holds the items of several batch jobs.
 MAX_QUEUED_REQUESTS = 4096
+MAX_REPORTED_CHARS = 200
 
 
-def decode_configuration(content: bytes) -> Snapshot:
+# Called with the place, the key and the reason for which an entry is not used.
+Report = Callable[[str, str, str], object]
+
+
+def _log_skipped(place: str, key: str, reason: str) -> None:
+    log(ENTRY_SKIPPED, entry=place, key=key, error=reason)
+
+
+def decode_configuration(content: bytes, report: Report = _log_skipped) -> Snapshot:
     """Decode the operator's configuration into a snapshot of the tables.
 
-    A malformed route or service is logged and skipped; the others take effect.
+    A malformed route or service is reported and skipped; the others take effect.
+
+    Parameters
+    ----------
+    content : bytes
+        JSON text.
+    report : callable
+        Called for each entry that is not used, and for each that replaces another.
 
     Raises
     ------
@@ -55,19 +72,21 @@
     try:
         values = orjson.loads(content)
         revision = int(values["version"])
-        pools = _decode_entries(values["services"], _decode_pool)
-        routes = _decode_entries(values["routes"], _decode_route)
+        pools = _decode_entries(values["services"], "pool", _decode_pool, report)
+        routes = _decode_entries(values["routes"], "route", _decode_route, report)
         tenants = values.get("tenants")
-        workspaces, keys = _decode_workspaces(tenants or [])
+        workspaces, keys = _decode_workspaces(tenants or [], report)
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"malformed configuration: {error!r}") from error
     if tenants is None:
         routes = {name: _without_keys(route) for name, route in routes.items()}
-    valid_routes = {
-        name: route
-        for name, route in routes.items()
-        if route.pool in pools and all(share.pool in pools for share in route.split)
-    }
+    valid_routes = {}
+    for name, route in routes.items():
+        named = {route.pool, *(share.pool for share in route.split)}
+        if missing := sorted(named - pools.keys()):
+            report(f"route {name}", "pool", f"there is no service {missing}")
+        else:
+            valid_routes[name] = route
     tables = Tables(
         workspaces=workspaces,
         routes=valid_routes,
@@ -78,14 +97,18 @@
     return Snapshot(revision, f"configuration {revision}", tables)
 
 
-def _decode_entries(entries: Any, decode: Any) -> dict[str, Any]:
+def _decode_entries(
+    entries: Any, kind: str, decode: Any, report: Report
+) -> dict[str, Any]:
     records = {}
     for entry in entries:
         try:
             record = decode(entry)
         except (AttributeError, KeyError, TypeError, ValueError) as error:
-            log(ENTRY_SKIPPED, entry=repr(entry)[:200], error=repr(error))
+            report(f"{kind} {repr(entry)[:MAX_REPORTED_CHARS]}", "", repr(error))
             continue
+        if record.name in records:
+            report(f"{kind} {record.name}", "name", "replaces an earlier entry")
         records[record.name] = record
     return records
 
@@ -164,7 +187,7 @@
 
 
 def _decode_workspaces(
-    tenants: list[dict[str, Any]],
+    tenants: list[dict[str, Any]], report: Report
 ) -> tuple[dict[str, Workspace], dict[str, KeyRecord]]:
     workspaces: dict[str, Workspace] = {}
     keys: dict[str, KeyRecord] = {}
@@ -173,5 +196,8 @@
         workspaces[name] = Workspace(name=name)
         for key in tenant.get("api-keys") or ():
             digest = key_digest(str(key))
+            if digest in keys and keys[digest].workspace != name:
+                other = keys[digest].workspace
+                report(f"workspace {name}", "api-keys", f"takes a key from {other}")
             keys[digest] = KeyRecord(digest, name)
     return workspaces, keys
--- a/mulberryport/tables/__init__.py
+++ b/mulberryport/tables/__init__.py
@@ -13,8 +13,10 @@
     new_change_id,
     withdraw_key,
 )
+from .comparison import Difference, compare_tables
 from .diff import diff_tables, withdrawn_keys
 from .holder import SnapshotHolder
+from .inspection import ERROR, Finding, inspect_tables
 from .keys import find_key, key_digest, new_key
 from .model import (
     MODEL_ENGINE,
@@ -32,11 +34,14 @@
 from .text import parse_tables, render_tables, with_keys_of
 
 __all__ = [
+    "ERROR",
     "MODEL_ENGINE",
     "PLAIN_SERVICE",
     "Accepted",
     "BatchTerms",
     "CallerLimits",
+    "Difference",
+    "Finding",
     "KeyRecord",
     "MalformedRevision",
     "Pool",
@@ -49,8 +54,10 @@
     "TargetSpec",
     "Workspace",
     "change_tables",
+    "compare_tables",
     "diff_tables",
     "find_key",
+    "inspect_tables",
     "issue_key",
     "key_digest",
     "new_change_id",
