Report entries of a configuration without their values

Cause: the report of a malformed entry quoted the first 200 characters of the entry, with the API keys of a tenant that was put under services or routes, and conversion errors quote the value. A route without a service and malformed limits raised exceptions (IndexError, AttributeError, TypeError) that neither daemons nor the command expect.

Change: reports name the entry and its number, not its values. These exceptions are handled: the route is skipped, malformed limits make the configuration malformed. Event 1410 says that an entry may also replace another. The command's test compares the whole place, so it is stricter than before.

--- a/mulberryport/cli/tests/test_tables_check.py
+++ b/mulberryport/cli/tests/test_tables_check.py
@@ -35,14 +35,11 @@
     values["routes"].append({"name": "broken", "host": HOST})
     values["tenants"][1]["api-keys"] = values["tenants"][0]["api-keys"]
     code, result = check(tmp_path, orjson.dumps(values))
-    places = {
-        (f["kind"], f["section"].partition(" {")[0], f["key"])
-        for f in result["findings"]
-    }
+    places = {(f["kind"], f["section"], f["key"]) for f in result["findings"]}
     assert code == 1
     assert {
         ("error", "route desk", "pool"),
-        ("error", "route", ""),
+        ("error", "route broken (entry 5)", ""),
         ("error", "workspace boats", "api-keys"),
         ("contradiction", "route once", "latency-target"),
         ("never matches", "workspace roads", ""),
--- a/mulberryport/platform/configuration.py
+++ b/mulberryport/platform/configuration.py
@@ -29,7 +29,7 @@
     1410,
     "configuration_entry_skipped",
     "error",
-    "A malformed entry of the configuration was skipped.",
+    "An entry of the configuration was skipped, or replaces an earlier one.",
 )
 
 CONFIGURATION_KEY = "op/config"
@@ -42,6 +42,7 @@
 # Queue capacity of one pool in one daemon; holds the items of several batch jobs.
 MAX_QUEUED_REQUESTS = 4096
 MAX_REPORTED_CHARS = 200
+MALFORMED = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
 
 
 # Called with the place, the key and the reason for which an entry is not used.
@@ -76,8 +77,9 @@
         routes = _decode_entries(values["routes"], "route", _decode_route, report)
         tenants = values.get("tenants")
         workspaces, keys = _decode_workspaces(tenants or [], report)
-    except (AttributeError, KeyError, TypeError) as error:
-        raise ValueError(f"malformed configuration: {error!r}") from error
+        limits = _decode_limits(values.get("limits") or {})
+    except MALFORMED as error:
+        raise ValueError(f"malformed configuration: {_describe(error)}") from error
     if tenants is None:
         routes = {name: _without_keys(route) for name, route in routes.items()}
     valid_routes = {}
@@ -92,7 +94,7 @@
         routes=valid_routes,
         pools=pools,
         keys=keys,
-        limits=_decode_limits(values.get("limits") or {}),
+        limits=limits,
     )
     return Snapshot(revision, f"configuration {revision}", tables)
 
@@ -101,11 +103,11 @@
     entries: Any, kind: str, decode: Any, report: Report
 ) -> dict[str, Any]:
     records = {}
-    for entry in entries:
+    for number, entry in enumerate(entries, start=1):
         try:
             record = decode(entry)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            report(f"{kind} {repr(entry)[:MAX_REPORTED_CHARS]}", "", repr(error))
+        except MALFORMED as error:
+            report(f"{kind} {_name_entry(entry, number)}", "", _describe(error))
             continue
         if record.name in records:
             report(f"{kind} {record.name}", "name", "replaces an earlier entry")
@@ -113,6 +115,26 @@
     return records
 
 
+def _describe(error: Exception) -> str:
+    """Return the reason for which values cannot be decoded, without the values."""
+    if isinstance(error, orjson.JSONDecodeError):
+        return f"not JSON: {error}"
+    # The message of a failed conversion quotes the value.
+    if isinstance(error, ValueError):
+        return "a value is not a number"
+    return repr(error)[:MAX_REPORTED_CHARS]
+
+
+def _name_entry(entry: Any, number: int) -> str:
+    """Return the name and the number of an entry.
+
+    Its other values are left out: a misplaced tenant has API keys among them.
+    """
+    name = entry.get("name") if isinstance(entry, dict) else None
+    name = name[:MAX_REPORTED_CHARS] if isinstance(name, str) else "without a name"
+    return f"{name} (entry {number})"
+
+
 def _decode_route(entry: dict[str, Any]) -> Route:
     shares = tuple(
         PoolShare(str(share["service"]), float(share["weight"]))
--- a/mulberryport/platform/tests/test_decoding.py
+++ b/mulberryport/platform/tests/test_decoding.py
@@ -338,3 +338,30 @@
     entry = {"service": "p", "address": "127.0.0.1:1", "zone": "z", "state": "ready"}
     content = orjson.dumps({**entry, "cold-left-ms": 2500})
     assert decode_registration(Item("servers/t", content, 1)).cold_s == 2.5
+
+
+def test_entries_that_are_not_used_are_reported_without_their_values():
+    # Guards against API keys of a misplaced tenant in logs and reports.
+    values = make_configuration()
+    values["services"].append({"api-keys": ["secret" * 4]})
+    values["routes"].append({"name": "tenant", "api-keys": ["secret" * 4]})
+    values["routes"].append({**values["routes"][0], "priority": "secret"})
+    reports = []
+    decode_configuration(orjson.dumps(values), lambda *place: reports.append(place))
+    assert len(reports) == 3
+    assert "route tenant (entry 5)" in [place for place, _, _ in reports]
+    assert "secret" not in repr(reports)
+    with pytest.raises(ValueError, match="a value is not a number"):
+        decode_configuration(orjson.dumps(make_configuration("secret")))
+
+
+def test_a_route_without_a_service_is_skipped_and_malformed_limits_are_an_error():
+    # Guards against an exception that daemons do not expect of the decoder.
+    values = make_configuration()
+    del values["routes"][0]["service"]
+    reports = []
+    decode_configuration(orjson.dumps(values), lambda *place: reports.append(place))
+    assert [place for place, _, _ in reports] == ["route desk (entry 1)"]
+    for limits in (5, [1], {"max-body-bytes": [1]}):
+        with pytest.raises(ValueError, match="malformed configuration"):
+            decode_configuration(orjson.dumps(make_configuration(limits=limits)))
