Do not quote malformed files in the check of a configuration

Cause: a JSON list, or JSON after a byte order mark, was read as INI text, and the errors of the INI parser quote lines, with API keys in them. The spending of a pool was called too small for its minimum although cheap targets would have kept within it.

Change: both forms are recognised as JSON; errors of the whole file name only the lines. The least cost of a pool counts only the targets that must be on-demand.

--- a/mulberryport/cli/tables_check.py
+++ b/mulberryport/cli/tables_check.py
@@ -1,5 +1,7 @@
 """Command ``tables check``: what a configuration would do, before it is sent."""
 
+import codecs
+import re
 from pathlib import Path
 from typing import Annotated
 
@@ -10,7 +12,7 @@
 from ..platform.configuration import CONFIGURATION_KEY, decode_configuration
 from ..platform.counts import check_address
 from ..platform.store import PlatformStore
-from ..settings import InvalidFileError
+from ..settings import Diagnostic, InvalidFileError
 from ..tables import (
     ERROR,
     Finding,
@@ -31,6 +33,9 @@
 
 __all__ = ["TablesCommand"]
 
+# A JSON object or list, and not the name of a section in brackets.
+JSON_START = re.compile(rb"\s*(\{|\[\s*[\[\]{\"])")
+
 
 @cappa.command(
     name="check",
@@ -107,7 +112,8 @@
     except OSError as error:
         exit_with_error(f"{path}: cannot be read: {error}", EXIT_USAGE)
     findings: list[Finding] = []
-    if content.lstrip().startswith(b"{"):
+    content = content.removeprefix(codecs.BOM_UTF8)
+    if JSON_START.match(content):
         try:
             snapshot = decode_configuration(
                 content,
@@ -120,12 +126,26 @@
         tables = parse_tables(content.decode(), path)
     except InvalidFileError as error:
         faults = error.diagnostics
-        return None, [Finding(ERROR, f.section, f.key, f.message) for f in faults]
+        return None, [_describe_fault(fault) for fault in faults]
     except UnicodeDecodeError as error:
-        return None, [Finding(ERROR, "file", "", f"not UTF-8: {error}")]
+        message = f"not UTF-8: {error.reason} at byte {error.start}"
+        return None, [Finding(ERROR, "file", "", message)]
     return Snapshot(tables=tables), inspect_tables(tables, has_keys=False)
 
 
+def _describe_fault(fault: Diagnostic) -> Finding:
+    if fault.section:
+        return Finding(ERROR, fault.section, fault.key, fault.message)
+    # The message quotes lines, in which there may be API keys.
+    lines = ", ".join(re.findall(r"\bline:? +(\d+)", fault.message))
+    message = (
+        f"cannot be read as INI text: line {lines}"
+        if lines
+        else "cannot be read as INI text"
+    )
+    return Finding(ERROR, "file", "", message)
+
+
 def _check_revision(new: Snapshot, current: Snapshot) -> list[Finding]:
     """Return an error if daemons would not adopt the new version."""
     # Tables as INI text get their revision when they are applied.
--- a/mulberryport/cli/tests/test_tables_check.py
+++ b/mulberryport/cli/tests/test_tables_check.py
@@ -54,6 +54,19 @@
         assert {f["kind"] for f in result["findings"]} == {"error"}
 
 
+def test_malformed_files_are_not_quoted(tmp_path):
+    # Guards against API keys in the output, of a file that has another form.
+    for content in (
+        b'\xef\xbb\xbf{"version": 1, "api-keys": ["secret"]}',
+        b'[{"name": "a", "api-keys": ["secret"]}]',
+        b"[pool p]\nsecret\n",
+        b"tenants: [{name: a, api-keys: [secret]}]\n",
+    ):
+        code, result = check(tmp_path, content)
+        assert (code, len(result["findings"])) == (1, 1)
+        assert "secret" not in repr(result)
+
+
 def test_differences_from_the_version_in_force_are_listed(tmp_path):
     # Guards against a version that daemons do not adopt, or a change by mistake.
     in_force = tmp_path / "old"
--- a/mulberryport/tables/inspection.py
+++ b/mulberryport/tables/inspection.py
@@ -120,9 +120,9 @@
     if pool.cold_time > 0 and pool.cold_rate <= 0:
         message = f"targets are cold for {pool.cold_time:g} s, but take nothing then"
         yield Finding(CONTRADICTION, section, "cold-rate", message)
-    if pool.spending and pool.spending < pool.minimum * len(pool.zones) * min(
-        pool.cheap_price, 1.0
-    ):
+    # Cheap targets have no fixed price, so only the on-demand ones are counted.
+    least = pool.minimum * len(pool.zones) * (1.0 - pool.cheap_share)
+    if 0 < pool.spending < least - 1e-9:
         message = f"the minimum in {len(pool.zones)} zones costs more"
         yield Finding(CONTRADICTION, section, "spending", message)
     if pool.cheap_share and not pool.zones:
--- a/mulberryport/tables/tests/test_inspection.py
+++ b/mulberryport/tables/tests/test_inspection.py
@@ -31,6 +31,8 @@
 def test_nothing_is_found_in_sound_tables():
     # Guards against a check that operators learn to ignore.
     assert inspect_tables(SOUND) == []
+    # Cheap targets keep the minimum within the spending.
+    assert inspect_tables(with_pool(spending=0.5, cheap_share=1.0)) == []
 
 
 @pytest.mark.parametrize(
