Skip a text in place of a workspace's list of keys

Cause: each character of the text became a key of the workspace.

Change: the text is reported and gives no keys; the workspace remains.

--- a/mulberryport/platform/configuration.py
+++ b/mulberryport/platform/configuration.py
@@ -216,7 +216,12 @@
     for tenant in tenants:
         name = str(tenant["name"])
         workspaces[name] = Workspace(name=name)
-        for key in tenant.get("api-keys") or ():
+        tenant_keys = tenant.get("api-keys") or ()
+        if isinstance(tenant_keys, str):
+            # Each character would become a key.
+            report(f"workspace {name}", "api-keys", "is not a list")
+            continue
+        for key in tenant_keys:
             digest = key_digest(str(key))
             if digest in keys and keys[digest].workspace != name:
                 other = keys[digest].workspace
--- a/mulberryport/platform/tests/test_decoding.py
+++ b/mulberryport/platform/tests/test_decoding.py
@@ -365,3 +365,12 @@
     for limits in (5, [1], {"max-body-bytes": [1]}):
         with pytest.raises(ValueError, match="malformed configuration"):
             decode_configuration(orjson.dumps(make_configuration(limits=limits)))
+
+
+def test_a_text_in_place_of_a_list_of_keys_gives_no_keys():
+    # Guards against keys of one character, which anyone can guess.
+    values = make_configuration(tenants=[{"name": "roads", "api-keys": "secret"}])
+    reports = []
+    snapshot = decode_configuration(orjson.dumps(values), lambda *p: reports.append(p))
+    assert snapshot.tables.keys == {}
+    assert reports == [("workspace roads", "api-keys", "is not a list")]
