Print integers beyond 64 bits in the check of a configuration

Cause: the JSON output ended with a traceback if a configuration had such an integer.

Change: they are printed as hexadecimal text.

--- a/mulberryport/cli/tables_check.py
+++ b/mulberryport/cli/tables_check.py
@@ -33,6 +33,7 @@
 
 __all__ = ["TablesCommand"]
 
+MAX_JSON_INTEGER = 2**63 - 1
 # A JSON object or list, and not the name of a section in brackets.
 JSON_START = re.compile(rb"\s*(\{|\[\s*[\[\]{\"])")
 
@@ -77,8 +78,11 @@
             print_json(
                 {
                     "findings": [asdict(finding) for finding in findings],
-                    "revision_in_force": current.revision if current else None,
-                    "differences": [asdict(entry) for entry in differences],
+                    "revision_in_force": _fit(current.revision) if current else None,
+                    "differences": [
+                        {name: _fit(value) for name, value in asdict(entry).items()}
+                        for entry in differences
+                    ],
                 }
             )
         else:
@@ -105,6 +109,13 @@
         return None
 
 
+def _fit(value: object) -> object:
+    """Return a value that fits into JSON; longer integers become text."""
+    if isinstance(value, int) and abs(value) > MAX_JSON_INTEGER:
+        return hex(value)
+    return value
+
+
 def _check_file(path: str) -> tuple[Snapshot | None, list[Finding]]:
     """Return the snapshot in a file, None if it has none, and what was found."""
     try:
--- a/mulberryport/cli/tests/test_tables_check.py
+++ b/mulberryport/cli/tests/test_tables_check.py
@@ -82,3 +82,17 @@
     code, result = check(tmp_path, orjson.dumps(make_configuration(7)), *arguments)
     assert code == 1
     assert [f["key"] for f in result["findings"]] == ["version"]
+
+
+def test_integers_beyond_64_bits_are_printed(tmp_path):
+    # Guards against a traceback instead of the differences.
+    in_force = tmp_path / "old"
+    in_force.write_bytes(orjson.dumps(make_configuration(7)))
+    values = make_configuration(1e300)
+    values["services"][0]["scale"] = {"min": 1e300, "max": 1e300}
+    _, result = check(tmp_path, orjson.dumps(values), "--in-force", in_force)
+    after = {entry["key"]: entry["after"] for entry in result["differences"]}
+    assert after["minimum"] == hex(int(1e300))
+    in_force.write_bytes(orjson.dumps(values))
+    _, result = check(tmp_path, orjson.dumps(values), "--in-force", in_force)
+    assert result["revision_in_force"] == hex(int(1e300))
