--- a/mulberryport/platform/configuration.py
+++ b/mulberryport/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decoding of the operator's configuration on the platform into tables."""
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -28,7 +29,7 @@
     1410,
     "configuration_entry_skipped",
     "error",
-    "A malformed entry of the configuration was skipped.",
+    "An entry of the configuration was skipped, or replaces an earlier one.",
 )
 
 CONFIGURATION_KEY = "op/config"
@@ -40,12 +41,29 @@
 DEFAULT_CONCURRENCY = 16
 # Queue capacity of one pool in one daemon; holds the items of several batch jobs.
 MAX_QUEUED_REQUESTS = 4096
+MAX_REPORTED_CHARS = 200
+MALFORMED = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
 
 
-def decode_configuration(content: bytes) -> Snapshot:
+# Called with the place, the key and the reason for which an entry is not used.
+Report = Callable[[str, str, str], object]
+
+
+def _log_skipped(place: str, key: str, reason: str) -> None:
+    log(ENTRY_SKIPPED, entry=place, key=key, error=reason)
+
+
+def decode_configuration(content: bytes, report: Report = _log_skipped) -> Snapshot:
     """Decode the operator's configuration into a snapshot of the tables.
 
-    A malformed route or service is logged and skipped; the others take effect.
+    A malformed route or service is reported and skipped; the others take effect.
+
+    Parameters
+    ----------
+    content : bytes
+        JSON text.
+    report : callable
+        Called for each entry that is not used, and for each that replaces another.
 
     Raises
     ------
@@ -55,41 +73,68 @@
     try:
         values = orjson.loads(content)
         revision = int(values["version"])
-        pools = _decode_entries(values["services"], _decode_pool)
-        routes = _decode_entries(values["routes"], _decode_route)
+        pools = _decode_entries(values["services"], "pool", _decode_pool, report)
+        routes = _decode_entries(values["routes"], "route", _decode_route, report)
         tenants = values.get("tenants")
-        workspaces, keys = _decode_workspaces(tenants or [])
-    except (AttributeError, KeyError, TypeError) as error:
-        raise ValueError(f"malformed configuration: {error!r}") from error
+        workspaces, keys = _decode_workspaces(tenants or [], report)
+        limits = _decode_limits(values.get("limits") or {})
+    except MALFORMED as error:
+        raise ValueError(f"malformed configuration: {_describe(error)}") from error
     if tenants is None:
         routes = {name: _without_keys(route) for name, route in routes.items()}
-    valid_routes = {
-        name: route
-        for name, route in routes.items()
-        if route.pool in pools and all(share.pool in pools for share in route.split)
-    }
+    valid_routes = {}
+    for name, route in routes.items():
+        named = {route.pool, *(share.pool for share in route.split)}
+        if missing := sorted(named - pools.keys()):
+            report(f"route {name}", "pool", f"there is no service {missing}")
+        else:
+            valid_routes[name] = route
     tables = Tables(
         workspaces=workspaces,
         routes=valid_routes,
         pools=pools,
         keys=keys,
-        limits=_decode_limits(values.get("limits") or {}),
+        limits=limits,
     )
     return Snapshot(revision, f"configuration {revision}", tables)
 
 
-def _decode_entries(entries: Any, decode: Any) -> dict[str, Any]:
+def _decode_entries(
+    entries: Any, kind: str, decode: Any, report: Report
+) -> dict[str, Any]:
     records = {}
-    for entry in entries:
+    for number, entry in enumerate(entries, start=1):
         try:
             record = decode(entry)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            log(ENTRY_SKIPPED, entry=repr(entry)[:200], error=repr(error))
+        except MALFORMED as error:
+            report(f"{kind} {_name_entry(entry, number)}", "", _describe(error))
             continue
+        if record.name in records:
+            report(f"{kind} {record.name}", "name", "replaces an earlier entry")
         records[record.name] = record
     return records
 
 
+def _describe(error: Exception) -> str:
+    """Return the reason for which values cannot be decoded, without the values."""
+    if isinstance(error, orjson.JSONDecodeError):
+        return f"not JSON: {error}"
+    # The message of a failed conversion quotes the value.
+    if isinstance(error, ValueError):
+        return "a value is not a number"
+    return repr(error)[:MAX_REPORTED_CHARS]
+
+
+def _name_entry(entry: Any, number: int) -> str:
+    """Return the name and the number of an entry.
+
+    Its other values are left out: a misplaced tenant has API keys among them.
+    """
+    name = entry.get("name") if isinstance(entry, dict) else None
+    name = name[:MAX_REPORTED_CHARS] if isinstance(name, str) else "without a name"
+    return f"{name} (entry {number})"
+
+
 def _decode_route(entry: dict[str, Any]) -> Route:
     shares = tuple(
         PoolShare(str(share["service"]), float(share["weight"]))
@@ -164,14 +209,22 @@
 
 
 def _decode_workspaces(
-    tenants: list[dict[str, Any]],
+    tenants: list[dict[str, Any]], report: Report
 ) -> tuple[dict[str, Workspace], dict[str, KeyRecord]]:
     workspaces: dict[str, Workspace] = {}
     keys: dict[str, KeyRecord] = {}
     for tenant in tenants:
         name = str(tenant["name"])
         workspaces[name] = Workspace(name=name)
-        for key in tenant.get("api-keys") or ():
+        tenant_keys = tenant.get("api-keys") or ()
+        if isinstance(tenant_keys, str):
+            # Each character would become a key.
+            report(f"workspace {name}", "api-keys", "is not a list")
+            continue
+        for key in tenant_keys:
             digest = key_digest(str(key))
+            if digest in keys and keys[digest].workspace != name:
+                other = keys[digest].workspace
+                report(f"workspace {name}", "api-keys", f"takes a key from {other}")
             keys[digest] = KeyRecord(digest, name)
     return workspaces, keys
