--- a/mulberryport/coordination/feeds.py
+++ b/mulberryport/coordination/feeds.py
@@ -53,10 +53,6 @@
 WARM_UP_STEP_S = 0.05
 # How long a provider is not called after a failure.
 PROVIDER_BACKOFF_S = 3.0
-# A daemon that has just started hears few others, so that it may take itself for one
-# that must watch the store. It looks again after this time, since each direct watch
-# also keeps a session open.
-SETTLING_WAIT_S = 3.0
 
 
 class ProviderSilentError(BaseException):
@@ -72,7 +68,7 @@
     A store that falls silent leaves a watch open without an answer. The renewals of the
     session show it within a second or two.
     """
-    session.hold_while(lambda: any(watch.waits_for_store for watch in watches))
+    session.hold_while(lambda: any(watch.distance == 0 for watch in watches))
 
 
 @define(eq=False)
@@ -235,11 +231,6 @@
         """Number of daemons between this one and the store."""
         return self._distance
 
-    @property
-    def waits_for_store(self) -> bool:
-        """Whether the store itself was asked last, and not a provider since."""
-        return self._distance == 0 and self._waiting is None
-
     def list(self, prefix: str) -> Outcome[Listing]:
         """Return all items under a prefix; its revision never goes backwards."""
         # The first listing of a daemon that has just started must not be older than
@@ -281,11 +272,9 @@
             changes = tuple(_decode_change(change) for change in reply.changes)
             return Done(Changes(changes, reply.revision))
         # After a failure of the provider the wait is short, to return to one soon.
-        if vm:
-            wait = min(wait, PROVIDER_BACKOFF_S)
-        elif boottime() - self._created_at < SETTLING_WAIT_S:
-            wait = min(wait, SETTLING_WAIT_S)
-        outcome = self.store.watch(prefix, after, wait)
+        outcome = self.store.watch(
+            prefix, after, min(wait, PROVIDER_BACKOFF_S) if vm else wait
+        )
         if isinstance(outcome, Done) and isinstance(outcome.value, Changes):
             self._newest_revision = max(self._newest_revision, outcome.value.revision)
         return outcome
