--- a/mulberryport/jobs/tests/test_carrying.py
+++ b/mulberryport/jobs/tests/test_carrying.py
@@ -70,6 +70,9 @@
         assert score == f"score of s{item[-1]}"
     assert engine.scored.count("s0") == 1
     engine.calls.clear()
+    # The texts are kept once the finished job is closed, soon after its last result.
+    assert until(lambda: "job2" not in daemon.jobs.registry.owned)
+    eventlet.sleep(0.05)
     submit_again(daemon, job, "job3")
     assert wait_for_results(daemon, 4, "job3")
     assert sorted(read_all(daemon, "job3")) == sorted(read_all(daemon, "job2"))
