--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import contextlib
 import http.client
 import itertools
 import json
@@ -123,10 +124,33 @@
 
 
 class QuietServer(ThreadingHTTPServer):
-    """Server that stays silent about broken connections."""
+    """Server that stays silent about broken connections and can end them all."""
 
     daemon_threads = True
     request_queue_size = 128
+    allow_reuse_address = True
+
+    def __init__(self, address, handler):
+        self.connections = set()
+        super().__init__(address, handler)
+
+    def process_request(self, request, client_address):
+        """Remember a connection until it is closed."""
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        """Forget a connection that ends."""
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def end(self):
+        """End at once, as a process that is killed."""
+        self.socket.close()
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.shutdown, daemon=True).start()
 
     def handle_error(self, request, client_address):
         """Ignore a connection that broke."""
@@ -332,9 +356,9 @@
         self._lock = threading.Lock()
         super().__init__(ip)
 
-    def serve(self, handler):
-        """Serve one request."""
-        body = handler.read_body()
+    def serve(self, handler, body=None):
+        """Serve one request; ``body`` is given if it was read already."""
+        body = handler.read_body() if body is None else body
         headers = handler.headers
         if handler.path == "/health":
             handler.answer(200, b"", [("X-Instance-Id", self.id)])
@@ -405,6 +429,56 @@
         handler.wfile.write(b"0\r\n\r\n")
 
 
+class CrashingServer(Server):
+    """A server that some requests crash; it is back after ``down_s``, as a new start.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Where its registrations are written.
+    is_deadly : callable
+        Returns whether a request, given its path and body, crashes the server.
+    """
+
+    def __init__(self, fleet, name, service, is_deadly, down_s=3.0, **values):
+        self.fleet, self.name, self.is_deadly = fleet, name, is_deadly
+        self.down_s, self.crashes, self.starts = down_s, [], 1
+        super().__init__(fleet.record, f"{name}-1", service, **values)
+
+    def serve(self, handler):
+        """Crash, or serve as a sound server does."""
+        is_post = handler.command == "POST"
+        if not is_post or not handler.headers.get("X-Request-Id"):
+            super().serve(handler)
+            return
+        body = handler.read_body()
+        if handler.headers.get("X-Expect-Instance") != self.id:
+            handler.answer(421, b"", [("X-Instance-Id", self.id)])
+            return
+        if not self.is_deadly(handler.path, body):
+            super().serve(handler, body)
+            return
+        with self._lock:
+            self.crashes.append(time.monotonic())
+            item = handler.headers["X-Request-Id"]
+            self.record(f"{self.id} begins {item} and crashes")
+            self._server.end()
+        threading.Thread(target=self._start_again, daemon=True).start()
+
+    def _start_again(self):
+        """Come back under a new id; the old entry expires after three heartbeats."""
+        old = self.id
+        time.sleep(self.down_s)
+        self.starts += 1
+        self.id = f"{self.name}-{self.starts}"
+        ip = self.address.rpartition(":")[0]
+        Standin.__init__(self, ip)
+        self.fleet.register(self)
+        self.record(f"{self.id} is back")
+        time.sleep(max(0.0, 3.6 - self.down_s))
+        self.fleet.store.remove(f"servers/{old}")
+
+
 class Fleet:
     """Stand-ins and the project's programs; ends all of them on leaving the context."""
 
