--- a/review/8/case.py
+++ b/review/8/case.py
@@ -50,7 +50,8 @@
             if len(late) > MAX_RETRIES:
                 breaks.append(
                     f"BUDGET: the item crashed {len(crashes)} servers in "
-                    f"{span_s:.1f} s, {len(late)} of them later than {CONTACT_S:.0f} s after the third"
+                    f"{span_s:.1f} s, {len(late)} of them later than {CONTACT_S:.0f} s "
+                    "after the third"
                 )
         finish(fleet, breaks)
 
