--- a/review/9/case.py
+++ b/review/9/case.py
@@ -43,8 +43,8 @@
                     finished = json.loads(body)["results"]
                 if status in (404, 410) and age_s > 1.0 and not breaks:
                     breaks.append(
-                        f"LOST: {vm} answers {status} for the open job {age_s:.1f} s after "
-                        f"its 202, with {len(finished)} of {len(items)} items done"
+                        f"LOST: {vm} answers {status} for the open job {age_s:.1f} s "
+                        f"after its 202, {len(finished)} of {len(items)} items done"
                     )
             time.sleep(1.0)
         finish(fleet, breaks)
