--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -526,9 +526,12 @@
             ]
         self.store.put(f"servers/{server.id}", entry | values)
 
-    def configure(self, version=7, **changes):
-        """Write the operator's configuration."""
-        self.store.put("op/config", make_configuration(version, **changes))
+    def configure(self, version=7, routes=(), services=(), **changes):
+        """Write the operator's configuration, with further routes and services."""
+        configuration = make_configuration(version, **changes)
+        configuration["routes"] += routes
+        configuration["services"] += services
+        self.store.put("op/config", configuration)
 
     def start_entry(self, vm, number=0, zone="rosario"):
         """Start an entry process with the command of the deploy file."""
