--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,50 +1,74 @@
-"""An item of a batch job hides a request of another tenant behind its body."""
+"""An answer without a length that is reset on the way is passed on as complete."""
 
+import socket
+import struct
 import sys
+import time
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "standins-2"))
 
-from fleet import (  # noqa: E402
-    HOST,
-    MODEL,
-    OTHER_TENANT,
-    Fleet,
-    finish,
-    has_trouble,
-    make_item,
-)
+from fleet import Fleet, Server, finish, has_trouble  # noqa: E402
 
-HIDDEN = (
-    f"POST /drafts/hidden HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: hidden\r\n"
-    f"X-Tenant: {OTHER_TENANT}\r\nX-Model: {MODEL}\r\nContent-Length: 0\r\n\r\n"
-).encode()
+VM = "front-rosario-1"
+REQUESTS = 40
+# The largest dose of the site is 0.03 of the answers of 0.6 of the servers.
+SPOILED = {20}
+BODY = b"clearance note " * 60
+RESET = struct.pack("ii", 1, 0)
+
+
+class UnframedServer(Server):
+    """Server whose answers end with their connection; some are reset on the way."""
+
+    spoiled = frozenset()
+
+    def answer_plain(self, handler):
+        """Send an answer without a length."""
+        request_id = handler.headers["X-Request-Id"]
+        handler.send_response_only(200)
+        for name, value in self._answer_headers(handler):
+            handler.send_header(name, value)
+        handler.send_header("Connection", "close")
+        handler.end_headers()
+        handler.close_connection = True
+        if request_id not in self.spoiled:
+            handler.wfile.write(BODY)
+            return
+        handler.wfile.write(BODY[:300])
+        handler.wfile.flush()
+        # The bytes so far arrive before the reset.
+        time.sleep(0.1)
+        self.record(f"{self.id} resets its answer to {request_id} after 300 bytes")
+        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self._server.connections.discard(handler.connection)
+        handler.wfile.close()
+        handler.rfile.close()
+        handler.connection.close()
 
 
 def main():
-    """Submit a job whose second item states a length of its own."""
+    """Read answers at a plain route, one of which is reset on the way."""
     with Fleet(CASE) as fleet:
-        for server in fleet.engines + fleet.desks:
+        desks = [UnframedServer(fleet.record, f"d{n}", "desk") for n in (1, 2, 3)]
+        for server in fleet.engines + desks:
             fleet.register(server)
         fleet.configure()
-        fleet.start_entry("front-rosario-1")
-        fleet.wait_ready("front-rosario-1")
-        headers = {"Content-Length": "0"} if has_trouble() else {}
-        items = [make_item("item1"), make_item("item2", headers, HIDDEN)]
-        items.append(make_item("item3"))
-        fleet.submit("front-rosario-1", "job1", items)
-        fleet.wait_results("front-rosario-1", "job1", 3, 6.0)
-        sent = {item["id"] for item in items}
-        runs = [run for server in fleet.engines for run in server.runs]
+        fleet.start_entry(VM)
+        fleet.wait_ready(VM)
+        if has_trouble():
+            for desk in desks:
+                desk.spoiled = frozenset(f"plain{n}" for n in SPOILED)
         breaks = []
-        for run in runs:
-            ids = [v for n, v in run["headers"] if n.lower() == "x-request-id"]
-            if not sent.issuperset(ids):
-                tenants = [v for n, v in run["headers"] if n.lower() == "x-tenant"]
+        for number in range(REQUESTS):
+            headers = {"X-Request-Id": f"plain{number}", "X-Deadline-Ms": "2000"}
+            status, got, body = fleet.call(VM, "POST", "/desk/a", b"body", headers)
+            if 200 <= status < 300 and body != BODY:
                 breaks.append(
-                    f"UNASKED: {run['server']} ran {run['path']} with the id {ids}, "
-                    f"which no client sent, for the tenant {tenants}"
+                    f"MIXED: the client got {status} for plain{number} as complete, "
+                    f"with the stamp {got.get('X-Server-Stamp')} and {len(body)} of "
+                    f"{len(BODY)} bytes"
                 )
         finish(fleet, breaks)
 
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -71,6 +71,8 @@
         self._file = open(path, "w")  # noqa: SIM115
         self._lock = threading.Lock()
         self._started_at = time.monotonic()
+        # Whether to leave out single runs, where there are thousands.
+        self.hides_runs = False
 
     def __call__(self, text):
         """Write one line with the seconds since the start."""
@@ -393,16 +395,21 @@
         }
         with self._lock:
             self.runs.append(run)
-        shown = {n: v for n, v in headers.items() if n.lower().startswith("x-")}
-        self.record(
-            f"{self.id} runs {handler.command} {handler.path} {shown} "
-            f"{len(body)} B, starts {body[:24]!r}"
-        )
+        if not self.record.hides_runs:
+            shown = {n: v for n, v in headers.items() if n.lower().startswith("x-")}
+            self.record(
+                f"{self.id} runs {handler.command} {handler.path} {shown} "
+                f"{len(body)} B, starts {body[:24]!r}"
+            )
         if self.service == "engines":
             self._stream(handler)
         else:
-            answer_headers = self._answer_headers(handler)
-            handler.answer(200, f"done by {self.id}".encode(), answer_headers)
+            self.answer_plain(handler)
+
+    def answer_plain(self, handler):
+        """Answer a request of a plain service."""
+        answer_headers = self._answer_headers(handler)
+        handler.answer(200, f"done by {self.id}".encode(), answer_headers)
 
     def _answer_headers(self, handler):
         return [
@@ -732,6 +739,16 @@
         return f"{ip}:{listener.getsockname()[1]}"
 
 
+def _end_with_error(kind, error, traceback):
+    """End with status 2, since an error of a script says nothing about a rule."""
+    sys.__excepthook__(kind, error, traceback)
+    sys.stderr.flush()
+    os._exit(2)
+
+
+sys.excepthook = _end_with_error
+
+
 def has_trouble():
     """Whether the disruption is to be brought about."""
     return os.environ.get("TROUBLE", "1") != "0"
