--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,57 +1,113 @@
-"""An item that crashes each server that begins to run it is sent again without end."""
+"""Three open steps of 4,096 items each make all entry processes hang."""
 
 import sys
+import threading
 import time
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "standins-2"))
 
-from fleet import CrashingServer, Fleet, finish, has_trouble, make_item  # noqa: E402
+from fleet import Fleet, Server, finish, has_trouble, make_item  # noqa: E402
 
-CONTACT_S = 3.0
-MAX_RETRIES = 3
-WATCHED_S = 35.0
-DEADLY = b"deadly prompt"
+STEPS, ITEMS, GROUP_SIZE = 3, 4096, 8
+SERVERS, SLOTS = 5, 12
+# Steps of this size are due in minutes; a script has two.
+STEP_DEADLINE_S = 75.0
+UNSENT_S = 5.0
+VMS = ("front-rosario-1", "front-rosario-2", "front-rosario-3")
+
+
+class Engine(Server):
+    """Engine that keeps what it runs at the moment, and what was ever sent to it."""
+
+    def __init__(self, *arguments, **options):
+        self.running, self.seen = 0, set()
+        super().__init__(*arguments, **options)
+
+    def _stream(self, handler):
+        with self._lock:
+            self.seen.add(handler.headers["X-Request-Id"])
+            self.running += 1
+        try:
+            super()._stream(handler)
+        finally:
+            with self._lock:
+                self.running -= 1
+
+
+def submit(fleet, vm, job):
+    """Submit a step; repeat it at another daemon until it is accepted."""
+    items = [
+        make_item(f"{job}-{n}", body=bytes(600), group=f"{job}-g{n // GROUP_SIZE}")
+        for n in range(ITEMS)
+    ]
+    for attempt in range(4):
+        place = VMS[(VMS.index(vm) + attempt) % len(VMS)]
+        if fleet.submit(place, job, items, **{"target-groups": 460}) == 202:
+            return {item["id"] for item in items}
+    return set()
 
 
 def main():
-    """Submit a job with one deadly item, and count what it crashes."""
+    """Run two steps, at once or one after the other."""
     with Fleet(CASE) as fleet:
+        fleet.record.hides_runs = True
         engines = [
-            CrashingServer(
-                fleet,
-                f"e{n}",
-                "engines",
-                lambda path, body: body == DEADLY,
-                event_s=0.05,
-            )
-            for n in range(1, 6)
+            Engine(fleet.record, f"e{n}", "engines", events=8, event_s=0.05)
+            for n in range(SERVERS)
         ]
         for server in engines + fleet.desks:
             fleet.register(server)
-        fleet.configure()
-        for number in range(3):
-            fleet.start_entry(f"front-rosario-{number + 1}", number)
-        for vm in list(fleet.processes):
+        fleet.configure(queue_ttl_s=110)
+        for number, vm in enumerate(VMS):
+            fleet.start_entry(vm, number)
+        for vm in VMS:
             fleet.wait_ready(vm)
-        time.sleep(CONTACT_S)
-        bodies = [b"prompt", DEADLY if has_trouble() else b"prompt", b"prompt"]
-        items = [make_item(f"item{n}", body=body) for n, body in enumerate(bodies)]
-        fleet.submit("front-rosario-1", "job1", items)
-        time.sleep(WATCHED_S)
-        fleet.results("front-rosario-2", "job1")
-        crashes = sorted(at for engine in engines for at in engine.crashes)
-        breaks = []
-        if len(crashes) > MAX_RETRIES:
-            late = [at for at in crashes if at > crashes[2] + CONTACT_S]
-            span_s = crashes[-1] - crashes[0]
-            fleet.record(f"{len(crashes)} crashes in {span_s:.1f} s")
-            if len(late) > MAX_RETRIES:
+        time.sleep(3.0)
+        steps, accepted_at = {}, {}
+        breaks, idle_since, worst_call_s = [], None, 0.0
+
+        def start(job, vm):
+            steps[job] = submit(fleet, vm, job)
+            accepted_at[job] = time.monotonic()
+
+        start("step1", VMS[0])
+        if has_trouble():
+            # The trainer requests the next steps ahead.
+            for number in range(2, STEPS + 1):
+                arguments = (f"step{number}", VMS[number - 1])
+                threading.Thread(target=start, args=arguments).start()
+        deadline = time.monotonic() + STEP_DEADLINE_S + 3.0
+        while time.monotonic() < deadline:
+            time.sleep(1.0)
+            running = sum(engine.running for engine in engines)
+            seen = set().union(*(engine.seen for engine in engines))
+            called_at = time.monotonic()
+            headers = {"X-Request-Id": f"plain{called_at}", "X-Deadline-Ms": "2000"}
+            fleet.call(VMS[0], "POST", "/desk/a", b"plain", headers, timeout_s=5.0)
+            worst_call_s = max(worst_call_s, time.monotonic() - called_at)
+            fleet.record(f"{len(seen)} items were at a server, {running} run now")
+            is_all_sent = seen.issuperset(set().union(*list(steps.values())))
+            if running * 2 >= SERVERS * SLOTS or is_all_sent:
+                idle_since = None
+            elif idle_since is None:
+                idle_since = time.monotonic()
+            if is_all_sent and len(steps) == STEPS:
+                break
+            if is_all_sent and not has_trouble():
+                start(f"step{len(steps) + 1}", VMS[len(steps)])
+        now = time.monotonic()
+        for job, items in steps.items():
+            unsent = items - seen
+            is_late = now - accepted_at[job] >= STEP_DEADLINE_S - 3.0
+            is_idle = idle_since is not None and now - idle_since >= UNSENT_S
+            if unsent and len(unsent) < len(items) and is_late and is_idle:
                 breaks.append(
-                    f"BUDGET: the item crashed {len(crashes)} servers in "
-                    f"{span_s:.1f} s, {len(late)} of them later than {CONTACT_S:.0f} s "
-                    "after the third"
+                    f"LOST: {job} ran out of time with {len(unsent)} of {len(items)} "
+                    "items never at a server; the servers were under half full for "
+                    f"the last {now - idle_since:.0f} s; a plain call took up to "
+                    f"{worst_call_s:.1f} s"
                 )
         finish(fleet, breaks)
 
