--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -28,6 +29,7 @@
 TENANT, OTHER_TENANT = "roads", "boats"
 MODEL = "m0"
 MAX_WAIT_S = 30.0
+FREE_PORTS = (12_000, 32_000)
 ENTRY = """\
 [vm]
 id = {vm}
@@ -734,9 +736,11 @@
 
 
 def free_address(ip="127.0.0.1"):
-    """Return an address with a free port."""
-    with socket.create_server((ip, 0)) as listener:
-        return f"{ip}:{listener.getsockname()[1]}"
+    """Return an address with a free port, below those that connections use."""
+    while True:
+        port = random.randint(*FREE_PORTS)
+        with contextlib.suppress(OSError), socket.create_server((ip, port)):
+            return f"{ip}:{port}"
 
 
 def _end_with_error(kind, error, traceback):
