--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -163,8 +163,8 @@
 class Standin:
     """Base of the stand-ins: an HTTP server on a free port."""
 
-    def __init__(self, ip="127.0.0.1"):
-        self._server = QuietServer((ip, 0), Handler)
+    def __init__(self, ip="127.0.0.1", port=0):
+        self._server = QuietServer((ip, port), Handler)
         self._server.standin = self
         self.address = f"{ip}:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
@@ -353,12 +353,14 @@
         Seconds before each event.
     """
 
-    def __init__(self, record, name, service, events=3, event_s=0.01, ip="127.0.0.1"):
+    def __init__(
+        self, record, name, service, events=3, event_s=0.01, ip="127.0.0.1", port=0
+    ):
         self.record, self.id, self.service = record, name, service
         self.events, self.event_s, self.version = events, event_s, 1
         self.runs, self.orders = [], []
         self._lock = threading.Lock()
-        super().__init__(ip)
+        super().__init__(ip, port)
 
     def serve(self, handler, body=None):
         """Serve one request; ``body`` is given if it was read already."""
@@ -413,6 +415,11 @@
         answer_headers = self._answer_headers(handler)
         handler.answer(200, f"done by {self.id}".encode(), answer_headers)
 
+    def crash(self):
+        """End at once; nothing listens at the address any more."""
+        self.record(f"{self.id} crashes")
+        self._server.end()
+
     def _answer_headers(self, handler):
         return [
             ("X-Request-Id", handler.headers["X-Request-Id"]),
