--- a/review/8/case.py
+++ b/review/8/case.py
@@ -77,7 +77,7 @@
             # The trainer requests the next steps ahead.
             for number in range(2, STEPS + 1):
                 arguments = (f"step{number}", VMS[number - 1])
-                threading.Thread(target=start, args=arguments).start()
+                threading.Thread(target=start, args=arguments, daemon=True).start()
         deadline = time.monotonic() + STEP_DEADLINE_S + 3.0
         while time.monotonic() < deadline:
             time.sleep(1.0)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -506,6 +506,8 @@
         self.engines = [Server(self.record, f"e{n}", "engines") for n in (1, 2)]
         self.desks = [Server(self.record, f"d{n}", "desk") for n in (1, 2)]
         self.processes, self.places, self._logs = {}, {}, []
+        # Ends what was started if the script itself is ended.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self._peers = [free_address() for _ in range(3)]
 
     def __enter__(self):
