Raise a reset of a connection instead of taking it for its end

Cause: eventlet's GreenSocket returns an empty value for ECONNRESET, so that no reader above the socket could tell a reset from an end. Ruled out: buffer_body and _make_response, which do what the socket says. The kernel reports a reset once; a write of the request that meets it first hides it from the read, so that such a request now takes no unframed response.

The one function below all reads of green sockets raises now. Servers that relied on the empty value handle the exception.

--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, suppress
+from contextlib import AbstractContextManager
 from http.client import HTTPException
 
 import urllib3
@@ -122,11 +122,15 @@
         # Reads and writes are ended by the request's deadline, not a socket timeout.
         connection.timeout = None
         connection.sock.settimeout(None)
-        _send(connection, request, protocol.attempt_headers(request, view))
+        is_sent = _send(connection, request, protocol.attempt_headers(request, view))
         with wait_context():
             reply = connection.getresponse()
         _check_verdict(view, request, sent_at, reply, connection, protocol)
-        return _make_response(view, request, reply, connection, wait_context, protocol)
+        # A write that met a reset has taken the error that a later read would raise.
+        allows_unframed = protocol.allows_unframed and is_sent
+        return _make_response(
+            view, request, reply, connection, wait_context, protocol, allows_unframed
+        )
     except (HTTPError, HTTPException, OSError, ValueError) as error:
         connection.close()
         raise _failure(error, f"the connection to target {view.id} failed") from error
@@ -183,7 +187,11 @@
     connection: HTTPConnection,
     request: OutgoingRequest,
     attempt_headers: list[tuple[str, str]],
-) -> None:
+) -> bool:
+    """Send a request; return whether all of it was sent.
+
+    A target may respond before it has read the body, and then close the connection.
+    """
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
@@ -197,8 +205,7 @@
         if not request.body.length and request.method in ("GET", "HEAD", "OPTIONS"):
             del headers["Content-Length"]
     body = None if request.body.length == 0 else request.body.parts()
-    # A target may respond before it has read the body, and then close the connection.
-    with suppress(BrokenPipeError, ConnectionResetError):
+    try:
         connection.request(
             request.method,
             request.target,
@@ -208,6 +215,9 @@
             preload_content=False,
             decode_content=False,
         )
+    except (BrokenPipeError, ConnectionResetError):
+        return False
+    return True
 
 
 def _check_verdict(
@@ -243,15 +253,14 @@
     connection: HTTPConnection,
     wait_context: WaitContext,
     protocol: TargetProtocol,
+    allows_unframed: bool,
 ) -> ForwardedResponse:
     has_no_body = request.method == "HEAD" or reply.status in BODYLESS_STATUSES
     lengths = set(header_values(reply.headers.items(), "content-length"))
     is_chunked = reply.chunked
     has_valid_length = len(lengths) == 1 and next(iter(lengths)).strip().isdigit()
     is_framed = has_no_body or is_chunked or has_valid_length
-    if reply.status < 200 or not (
-        is_framed or (protocol.allows_unframed and not lengths)
-    ):
+    if reply.status < 200 or not (is_framed or (allows_unframed and not lengths)):
         # The end of such a response is indistinguishable from a broken connection.
         connection.close()
         raise OutcomeUnknownError(502, "the target's answer has no stated length")
--- a/mulberryport/runtime/hub.py
+++ b/mulberryport/runtime/hub.py
@@ -18,7 +18,7 @@
 import eventlet.hubs
 
 from ..telemetry import define, log
-from .fairness import share_processor
+from .green_sockets import patch_reads
 
 __all__ = ["run_in_green_thread", "install_eventlet", "run_coroutine"]
 
@@ -40,7 +40,7 @@
     """
     eventlet.hubs.use_hub("mulberryport.runtime.event_hub:Hub")
     eventlet.monkey_patch()
-    share_processor()
+    patch_reads()
     hub = eventlet.hubs.get_hub()
     hub.close_one = partial(_resume_closed_waiter, type(hub).close_one, hub)
 
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -54,6 +54,18 @@
 _server_logger.setLevel(logging.CRITICAL + 1)
 
 
+class JsonProtocol(eventlet.wsgi.HttpProtocol):
+    """HTTP protocol handler that closes a connection that breaks within a head."""
+
+    def parse_request(self) -> bool:
+        """Read the head of a request; return whether there is one."""
+        try:
+            return super().parse_request()
+        except ConnectionError:
+            self.close_connection = True
+            return False
+
+
 class BadRequestError(ValueError):
     """A malformed request; the message states the reason."""
 
@@ -101,6 +113,7 @@
         "socket_timeout": 600,
         # By default, small chunks of a stream are buffered up to 4 KiB.
         "minimum_chunk_size": 1,
+        "protocol": JsonProtocol,
         **options,
     }
     return eventlet.spawn(eventlet.wsgi.server, listener, application, **server_options)
@@ -129,9 +142,12 @@
     Raises
     ------
     BadRequestError
-        The body is not valid JSON or is longer than ``MAX_JSON_BYTES``.
+        The body is not valid JSON, is longer than ``MAX_JSON_BYTES``, or broke off.
     """
-    content = environ["wsgi.input"].read(MAX_JSON_BYTES + 1)
+    try:
+        content = environ["wsgi.input"].read(MAX_JSON_BYTES + 1)
+    except ConnectionError as error:
+        raise BadRequestError(f"the body broke off: {error}") from None
     if len(content) > MAX_JSON_BYTES:
         raise BadRequestError(f"the body has more than {MAX_JSON_BYTES} bytes")
     if not content:
