Decide in one place which headers of callers reach targets

Cause: EngineCalls.generate sent them unfiltered, and what the caller port drops applied to plain requests only. platform/caller_headers.py now decides for both. Items are filtered before they are stored and again when they are sent, because earlier builds stored them as written. What cannot be a header field or a path is refused with 400 and the item's id.

Ruled out: the connection pool, which only kept the connection on which the engine found the hidden request.

--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -24,6 +24,12 @@
 from ..runtime.wsgi import StartResponse, query_values, respond
 from ..tables import SnapshotHolder, find_key
 from . import names
+from .caller_headers import (
+    check_field_value,
+    check_header,
+    check_path,
+    forwardable_item_headers,
+)
 from .counts import parse_count
 
 __all__ = ["BatchInterface", "parse_job", "parse_prompt_parts", "parse_token_counts"]
@@ -38,6 +44,7 @@
 MAX_PROMPT_PARTS = 64
 MAX_PART_ID_CHARS = 64
 MAX_PREFIX_CHARS = 8192
+MAX_SHOWN_CHARS = 40
 HEX_DIGITS = frozenset("0123456789abcdef")
 
 
@@ -66,7 +73,7 @@
     """
     try:
         values = orjson.loads(content)
-        items = tuple(_decode_item(entry) for entry in values["items"])
+        items = tuple(_decode_item(entry, call.is_secret) for entry in values["items"])
         if not items or len({item.id for item in items}) != len(items):
             raise ValueError("items must be there and have different ids")
         return Job(
@@ -84,32 +91,47 @@
         raise ValueError(f"not a batch job: {error!r}") from error
 
 
-def _decode_item(entry: dict[str, Any]) -> JobItem:
+def _decode_item(entry: dict[str, Any], is_secret: Callable[[str], bool]) -> JobItem:
+    item_id = check_field_value(_decode_text(entry["id"]), "id of an item")
+    try:
+        return _decode_named_item(item_id, entry, is_secret)
+    except ValueError as error:
+        raise ValueError(f"item {item_id[:MAX_SHOWN_CHARS]!r}: {error}") from error
+
+
+def _decode_named_item(
+    item_id: str, entry: dict[str, Any], is_secret: Callable[[str], bool]
+) -> JobItem:
     headers = {str(name): str(value) for name, value in entry["headers"].items()}
+    for name, value in headers.items():
+        check_header(name, value)
     lowercase_headers = {name.lower(): value for name, value in headers.items()}
-    scorer = entry.get("scorer")
     hint = lowercase_headers.get("x-length-hint", "")
     prefix = lowercase_headers.get(names.PROMPT_PREFIX.lower(), "")
     counts = lowercase_headers.get(names.TOKEN_COUNTS.lower(), "")
     prompt_tokens, max_output_tokens = parse_token_counts(counts)
     return JobItem(
-        id=_decode_text(entry["id"]),
-        path=_decode_text(entry["path"]),
-        headers=tuple(headers.items()),
+        id=item_id,
+        path=check_path(_decode_text(entry["path"])),
+        headers=tuple(forwardable_item_headers(headers.items(), is_secret)),
         body=base64.b64decode(entry["body"], validate=True),
         group=str(entry.get("group") or ""),
         model=lowercase_headers.get(names.MODEL.lower(), ""),
         length_hint=parse_count(hint) or 0,
         prompt_parts=parse_prompt_parts(prefix) or _single_part(prompt_tokens),
         max_output_tokens=max_output_tokens,
-        scoring=None
-        if scorer is None
-        else ScoringCall(
-            _decode_text(scorer["id"]),
-            _decode_text(scorer["host"]),
-            _decode_text(scorer["path"]),
-            base64.b64decode(scorer["body"], validate=True),
-        ),
+        scoring=_decode_scoring_call(entry.get("scorer")),
+    )
+
+
+def _decode_scoring_call(entry: dict[str, Any] | None) -> ScoringCall | None:
+    if entry is None:
+        return None
+    return ScoringCall(
+        check_field_value(_decode_text(entry["id"]), "id of a scorer"),
+        check_field_value(_decode_text(entry["host"]), "host of a scorer"),
+        check_path(_decode_text(entry["path"])),
+        base64.b64decode(entry["body"], validate=True),
     )
 
 
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -30,6 +30,7 @@
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool, drain_refusal
 from . import names
+from .caller_headers import forwardable_item_headers
 from .counts import parse_count
 from .target_reports import (
     MISDIRECTED_STATUS,
@@ -197,7 +198,7 @@
             The text is not complete.
         """
         headers = [
-            *item.headers,
+            *forwardable_item_headers(item.headers),
             *_urgency_header(item),
             ("Host", job.host),
             (names.REQUEST_ID, item.id),
--- a/mulberryport/platform/ingress.py
+++ b/mulberryport/platform/ingress.py
@@ -8,7 +8,7 @@
 from ..gateway.bodies import RequestBody
 from ..gateway.calls import CallerRequest
 from ..gateway.dialect import Dialect
-from ..gateway.headers import end_to_end, header_values, request_headers
+from ..gateway.headers import header_values, request_headers
 from ..gateway.target_protocol import OutgoingRequest, TargetProtocol, Verdict
 from ..routing import TargetView
 from ..runtime.clock import boottime
@@ -17,26 +17,12 @@
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool
 from . import names
+from .caller_headers import forwardable_headers
 from .counts import parse_count
 from .target_reports import MISDIRECTED_STATUS, belongs_to_request, record_reports
 
 __all__ = ["make_target_protocol", "platform_dialect"]
 
-# Headers of callers that targets do not receive, because this system sets them itself
-# or they concern only the hop from the caller.
-NOT_FORWARDED_HEADERS = frozenset(
-    name.lower()
-    for name in (
-        names.KEY,
-        names.TENANT,
-        names.DEADLINE,
-        names.EXPECT_INSTANCE,
-        names.EXPECT_VERSION,
-        names.URGENCY,
-        "Content-Length",
-        "Expect",
-    )
-)
 # Time before the caller's deadline at which the response must be sent.
 DEADLINE_MARGIN_S = 0.03
 # Share of the latency target after which a request is hedged with a second target, so
@@ -134,11 +120,7 @@
     target = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
     if environ.get("QUERY_STRING"):
         target = f"{target}?{environ['QUERY_STRING']}"
-    headers = [
-        (name, value)
-        for name, value in end_to_end(request_headers(environ))
-        if name.lower() not in NOT_FORWARDED_HEADERS and not call.is_secret(value)
-    ]
+    headers = forwardable_headers(request_headers(environ), call.is_secret)
     if call.access.workspace:
         headers.append((names.TENANT, call.access.workspace))
     allowed_s = _allowed_time_s(environ, call.access.route)
--- a/mulberryport/platform/names.py
+++ b/mulberryport/platform/names.py
@@ -11,6 +11,10 @@
     "EXPECT_INSTANCE",
     "EXPECT_VERSION",
     "KEY",
+    "KV_BACKUP",
+    "KV_FETCH",
+    "KV_FROM",
+    "KV_HOLD",
     "LAST_EVENT_ID",
     "LEAVING",
     "LOAD",
@@ -61,6 +65,14 @@
 PROMPT_PREFIX = "X-Prompt-Prefix"
 # Numbers of tokens of the prompt and of the longest answer, separated by a comma.
 TOKEN_COUNTS = "X-Token-Counts"
+# Address of a target that receives a copy of the request's memory as it grows.
+KV_BACKUP = "X-Kv-Backup"
+# Address of a target whose memory of the prompt is fetched.
+KV_FETCH = "Kv-Fetch"
+# Address and handle of the memory that the request goes on from.
+KV_FROM = "Kv-From"
+# Reservation of a slot and of memory that the request uses.
+KV_HOLD = "X-Kv-Hold"
 # Longest time in milliseconds for which a read may wait for results.
 WAIT = "X-Wait-Ms"
 
--- a/mulberryport/platform/tests/test_batches.py
+++ b/mulberryport/platform/tests/test_batches.py
@@ -13,6 +13,7 @@
 from ...jobs.tests.builders import JobDaemon, make_tables
 from ...tables import Snapshot, SnapshotHolder
 from ..batches import BatchInterface, parse_job
+from .builders import KEY
 
 
 @define
@@ -39,6 +40,7 @@
     active: Active
     start_response: object
     method: str = "POST"
+    is_secret: object = KEY.__eq__
 
 
 def make_call(body, responses):
@@ -90,9 +92,9 @@
     daemon.die()
 
 
-def parse_item(headers):
+def parse_item(headers, **values):
     """Return the item of a submission with some headers."""
-    item = {"id": "i1", "path": "/drafts/1", "headers": headers, "body": ""}
+    item = {"id": "i1", "path": "/drafts/1", "headers": headers, "body": "", **values}
     content = orjson.dumps({"items": [item]})
     return parse_job(content, "job1", make_call(b"", []), 1000.0, 1).items[0]
 
@@ -114,3 +116,53 @@
     # helps to choose a target.
     item = parse_item({"X-Prompt-Prefix": prefix, "X-Token-Counts": "5,-1"})
     assert (item.prompt_parts, item.max_output_tokens) == ((), 0)
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["X-Api-Key", "X-Other", "X-Tenant", "x-TENANT", "X_Tenant", "Content-Length"]
+    + ["transfer-encoding", "Host", "X-Request-Id", "X-Expect-Instance", "Connection"]
+    + ["X-Expect-Version", "X-Deadline-Ms", "Last-Event-Id", "Kv-From", "Kv-Fetch"],
+)
+def test_headers_that_are_not_the_submitters_are_not_stored(name):
+    # Guards against a key on disks and at engines, and against requests that are framed
+    # or labelled by the submitter of an item.
+    assert parse_item({name: KEY, "X-Model": "m"}).headers == (("X-Model", "m"),)
+
+
+def test_a_header_that_the_header_connection_names_is_not_stored():
+    headers = {"Connection": "X-Once", "X-Once": "1", "X-Model": "m"}
+    assert parse_item(headers).headers == (("X-Model", "m"),)
+
+
+SCORER = {"id": "s1", "host": "h.example", "path": "/score/1", "body": ""}
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        {"headers": {"X-A\r\nX-Tenant": "boats"}},
+        {"headers": {"X-A": "1\r\nX-Tenant: boats"}},
+        {"headers": {"X-A": "1\r\n folded"}},
+        {"headers": {"X-A": "1\n"}},
+        {"headers": {"X-A": "\u20ac"}},
+        {"headers": {"X A": "1"}},
+        {"headers": {"": "1"}},
+        {"path": "/drafts/1 HTTP/1.1\r\nX-Tenant: boats\r\n"},
+        {"path": "/drafts/\u00e9"},
+        {"path": "http://other.example/drafts/1"},
+        {"scorer": {**SCORER, "id": "s1\r\n x"}},
+        {"scorer": {**SCORER, "host": "h.example\r\n x"}},
+        {"scorer": {**SCORER, "path": "score 1"}},
+    ],
+)
+def test_an_item_that_cannot_be_sent_is_refused_by_its_name(values):
+    # Guards against a job that is accepted though an item can never be sent.
+    headers = values.pop("headers", {})
+    with pytest.raises(ValueError, match="item 'i1'"):
+        parse_item(headers, **values)
+
+
+def test_an_item_whose_id_cannot_be_sent_is_refused():
+    with pytest.raises(ValueError, match="id of an item"):
+        parse_item({}, id="i1\r\n x")
--- a/mulberryport/platform/tests/test_engines.py
+++ b/mulberryport/platform/tests/test_engines.py
@@ -111,6 +111,42 @@
     assert [v for name, v in headers if name.lower() == "x-urgency"] == values
 
 
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("Content-Length", "0"),
+        ("content-length", "0"),
+        ("Transfer-Encoding", "chunked"),
+        ("X-Tenant", "boats"),
+        ("x_tenant", "boats"),
+        ("X-Api-Key", "k"),
+        ("Host", "other.example"),
+        ("X-Request-Id", "hidden"),
+        ("X-Expect-Instance", "e2"),
+        ("X-Expect-Version", "1"),
+        ("X-Deadline-Ms", "1"),
+        ("Last-Event-Id", "7"),
+        ("Kv-From", "10.0.0.1:80/1"),
+        ("X-Folded", "1\r\n X-Tenant: boats"),
+    ],
+)
+def test_a_header_of_a_stored_item_neither_frames_nor_labels_its_request(name, value):
+    # Guards against a second request in the body of an item, and against a workspace
+    # that the submitter of the item chose; earlier builds stored such items.
+    engine = ScriptedEngine(EVENT % (1, b"a"), END)
+    hidden = b"POST /drafts/hidden HTTP/1.1\r\n\r\n\x00\xff"
+    engine.generate(item={"headers": ((name, value),), "body": hidden})
+    head, _, _ = engine.request_heads[0].partition(b"\r\n\r\n")
+    _, *lines = head.decode("latin-1").split("\r\n")
+    assert sorted(line.lower() for line in lines) == [
+        f"content-length: {len(hidden)}",
+        "host: h.example",
+        "x-expect-instance: e1",
+        "x-request-id: job1-0",
+        "x-tenant: roads",
+    ]
+
+
 def test_generation_resumes_after_the_last_event():
     engine = ScriptedEngine(EVENT % (3, b"c"), END)
     transcript = engine.generate(Transcript(["a", "b"], [5, 5]))
