End the state of a target with the process and address it is about

Cause: a 421 was kept as a flag of the id, without the address or start that it was about, and was dropped only when the id was not listed for a moment. Ruled out: the registrations, which list the target as ready at its new address.

The mark now names address and start. Load reports, health, suspended models, versions, the adaptive limit, failure penalties and ejections are about one process too and start anew with the next one; late results of the former process do not count for it.

--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -372,7 +372,7 @@
         call.active.sent_attempts -= 1
         assignment.refused()
         if isinstance(error, MisdirectedError):
-            client.dispatcher.directory.mark_address_reused(assignment.id)
+            client.dispatcher.directory.mark_address_reused(assignment.view)
         raise
     finally:
         if count_start is not None:
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -317,7 +317,7 @@
         if not belongs_to_request(headers, request_id):
             raise StreamInterruptedError("the response belongs to another request")
         if response.status == MISDIRECTED_STATUS:
-            self.directory.mark_address_reused(view.id)
+            self.directory.mark_address_reused(view)
             raise NotStartedError("the address now belongs to another target")
         if headers.get(names.NOT_RUN):
             load = (headers.get(names.LOAD) or "")[:MAX_LOGGED_CHARS]
--- a/mulberryport/routing/candidates.py
+++ b/mulberryport/routing/candidates.py
@@ -275,7 +275,9 @@
         current: dict[str, Candidate] = {}
         for view in views:
             candidate = known.get(view.id)
-            if candidate is None:
+            # What is known of a target ends with its process and its address. Requests
+            # that still run at the former one keep their own candidate.
+            if candidate is None or candidate.view.incarnation != view.incarnation:
                 candidate = Candidate(view, ConcurrencyLimit(view.limit))
                 if view.report is not None:
                     candidate.limit.record_load_report(view.report, now)
--- a/mulberryport/routing/ejection.py
+++ b/mulberryport/routing/ejection.py
@@ -101,6 +101,19 @@
         for record in ejected[: max(0, len(ejected) - self._max_ejected)]:
             _readmit(record)
 
+    def forget(self, target: str, now: float) -> None:
+        """Start anew for a target whose id another process has taken.
+
+        Parameters
+        ----------
+        target : str
+            Id of the target.
+        now : float
+            Boot time; earlier failures that other daemons report do not count.
+        """
+        if target in self._records:
+            self._records[target] = FailureRecord(succeeded_at=now)
+
     def record(self, target: str) -> FailureRecord:
         """Return the failure record of a target."""
         return self._records.get(target) or FailureRecord()
--- a/mulberryport/routing/model.py
+++ b/mulberryport/routing/model.py
@@ -124,6 +124,11 @@
     is_cold: bool = False
     evacuated: bool = False
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Address and time of the start, which tell apart targets with the same id."""
+        return self.address, self.born
+
     @property
     def requests_per_s(self) -> float | None:
         """Requests per second that the target takes; None if it names no limit."""
--- a/mulberryport/routing/scheduler.py
+++ b/mulberryport/routing/scheduler.py
@@ -138,8 +138,12 @@
 
     def update(self, views: Iterable[TargetView], now: float) -> None:
         """Apply the newest target views and dispatch queued requests."""
+        former = {candidate.id: candidate for candidate in self.targets.all}
         self.targets.update_views(views, now)
         self.ejector.set_targets([c.id for c in self.targets.all])
+        for candidate in self.targets.all:
+            if former.get(candidate.id, candidate) is not candidate:
+                self.ejector.forget(candidate.id, now)
         for target in self.ejector.apply_remote_ejections(now):
             self.on_ejection(target, True)
         self._limited = [c for c in self.targets.all if c.is_rate_limited]
@@ -340,6 +344,11 @@
             Seconds until the first byte, None if not measured.
         """
         candidate = grant.candidate
+        if self.targets.get(candidate.id) not in (candidate, None):
+            # The result says nothing about the target that has the id by now.
+            result = Result.CANCELLED
+        elif grant.probe and result in (Result.CANCELLED, Result.REFUSED):
+            self.ejector.probe_cancelled(candidate.id)
         if result is Result.SUCCEEDED:
             candidate.limit.record_success(latency, candidate.own_requests, now)
             if self.ejector.record_success(candidate.id, now, grant.probe):
@@ -350,8 +359,6 @@
             if self.ejector.record_failure(candidate.id, now, grant.probe):
                 self.on_ejection(candidate.id, True)
                 self._update_eligibility()
-        elif grant.probe:
-            self.ejector.probe_cancelled(candidate.id)
         candidate.own_requests -= 1
         if grant._reading is not None:
             self.targets.prefixes.finish(grant._reading, result is Result.SUCCEEDED)
--- a/mulberryport/targets/directory.py
+++ b/mulberryport/targets/directory.py
@@ -30,6 +30,12 @@
     802, "target_healthy", "info", "A target responds to load polls again."
 )
 
+TARGET_RESTARTED = define_event(
+    809,
+    "target_restarted",
+    "info",
+    "A target has another start or address; what was known of it is forgotten.",
+)
 ZONE_EVACUATED = define_event(
     806,
     "zone_evacuated",
@@ -56,7 +62,10 @@
 
 @define(eq=False)
 class TargetState:
-    """Mutable state of one target."""
+    """Mutable state of one target.
+
+    All but the counts of this daemon's requests is about one process at one address.
+    """
 
     report: LoadReport | None = None
     reported_at: float = float("-inf")
@@ -67,7 +76,10 @@
     last_response_at: float = float("-inf")
     in_flight: int = 0
     non_restartable_in_flight: int = 0
-    address_reused: bool = False
+    # Address and start of the target that the state is about; None if not known.
+    incarnation: tuple[str, int] | None = None
+    # Those of a target whose address another target has taken.
+    replaced_incarnation: tuple[str, int] | None = None
     versions: dict[str, int] = field(factory=dict)
     # Boot time until which each model accepts no requests, for example while it loads.
     model_suspended_until: dict[str, float] = field(factory=dict)
@@ -96,6 +108,7 @@
     _evacuated_zones: frozenset[str] = frozenset()
     _with_malformed_reports: set[str] = field(factory=set)
     _born: dict[str, int] = field(factory=dict)
+    _incarnations: dict[str, tuple[str, int]] = field(factory=dict)
     _software: dict[str, str] = field(factory=dict)
     # Boot time until which a pool had targets of a software version, for versions that
     # were listed before the current list.
@@ -113,6 +126,7 @@
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Apply the pools of a new configuration revision."""
         self._pools, self._is_configured = dict(snapshot.tables.pools), True
+        self._update_incarnations()
         self._remove_stale_states()
 
     def apply_vm_list(self, vms: Iterable[ListedVm]) -> None:
@@ -135,6 +149,7 @@
             for target, born in self._leaving_by_own_account.items()
             if self._born.get(target, born) <= born
         }
+        self._update_incarnations()
         self._remove_stale_states()
 
     def apply_evacuations(self, zones: Iterable[str]) -> None:
@@ -315,12 +330,19 @@
             boottime() + seconds
         )
 
-    def mark_address_reused(self, target: str) -> None:
-        """Stop sending requests to a target whose address another target now uses."""
-        state = self._get_or_create_state(target)
-        if not state.address_reused:
-            log(TARGET_GONE, target=target)
-        state.address_reused = True
+    def mark_address_reused(self, view: TargetView) -> None:
+        """Stop sending requests to a target whose address another target now uses.
+
+        Parameters
+        ----------
+        view : TargetView
+            The target that the request was meant for. One that starts with the same
+            id, or that is listed at another address by now, is not affected.
+        """
+        state = self._get_or_create_state(view.id)
+        if state.replaced_incarnation != view.incarnation:
+            log(TARGET_GONE, target=view.id, address=view.address)
+        state.replaced_incarnation = view.incarnation
 
     def request_started(self, target: str, restartable: bool = False) -> None:
         """Count a request that was assigned to a target.
@@ -439,7 +461,7 @@
             report_age=boottime() - state.reported_at,
             leaving=leaving
             or state.leaving
-            or state.address_reused
+            or state.replaced_incarnation == (address, born)
             or target in self._leaving_by_own_account,
             healthy=state.healthy,
             in_flight=state.in_flight,
@@ -469,7 +491,26 @@
         state.healthy, state.unresponsive_since = False, at
 
     def _get_or_create_state(self, target: str) -> TargetState:
-        return self._states.setdefault(target, TargetState())
+        if target not in self._states:
+            incarnation = self._incarnations.get(target)
+            self._states[target] = TargetState(incarnation=incarnation)
+        return self._states[target]
+
+    def _update_incarnations(self) -> None:
+        """Start anew with the state of targets whose id another process has taken."""
+        self._incarnations = {vm.id: (vm.address, vm.born) for vm in self._listed_vms}
+        for pool in self._pools.values():
+            self._incarnations.update((t.id, (t.address, 0)) for t in pool.targets)
+        for target, state in self._states.items():
+            incarnation = self._incarnations.get(target, state.incarnation)
+            if state.incarnation not in (None, incarnation):
+                log(TARGET_RESTARTED, target=target, address=incarnation[0])
+                self._states[target] = state = TargetState(
+                    in_flight=state.in_flight,
+                    non_restartable_in_flight=state.non_restartable_in_flight,
+                    replaced_incarnation=state.replaced_incarnation,
+                )
+            state.incarnation = incarnation
 
     def _remove_stale_states(self) -> None:
         """Remove the state of unlisted targets that have no request in flight."""
