Keep open jobs however old they are

Cause: run_once expired each job by its age, whatever its state. An open job is kept now; its items are finished or given up, which finishes it. A closed job is kept until the retention has passed since its submission and since it was closed.

The same cause on disks: a journaled job that the store lacked was dropped by its age, by a time of day that may jump, or after failed writes. A disk uploads it whatever its age. So that a job that was deleted does not come back, its head stays for 600 s, marked as expired.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -269,7 +269,7 @@
         """Wait before looking for a newer configuration.
 
         The age limit of an item is a term of its route, so an item whose route is not
-        known waits for as long as its job is retained.
+        known waits until a configuration tells its terms, or that there is no route.
         """
         if not self._has_waited:
             self._has_waited = True
--- a/mulberryport/jobs/registry.py
+++ b/mulberryport/jobs/registry.py
@@ -9,11 +9,13 @@
 from ..coordination import Change, Item, Mirror, Session
 from ..membership import Member, Members, rendezvous_order
 from ..outcomes import Done, NotDone, Outcome
+from ..runtime.clock import boottime
 from ..telemetry import define as define_event
 from ..telemetry import log
 from .owned import OwnedJob
 from .repository import (
     ENDED,
+    EXPIRED,
     FINISHED,
     HEAD_PREFIX,
     OWNER_PREFIX,
@@ -68,6 +70,8 @@
     # How many green threads are changing the ownership of a job, by job id.
     _transitions: Counter[str] = field(factory=Counter)
     _previous_owners: dict[str, str] = field(factory=dict)
+    # Boot time at which the present state of a job was first seen here.
+    _states_since: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to changes of job heads and owner keys."""
@@ -108,8 +112,14 @@
         Returns
         -------
         Done of JobHead, Done of None, NotDone or Unknown
-            ``Done(None)`` if the job definitely does not exist.
+            ``Done(None)`` if the job definitely does not exist, or has expired.
         """
+        found = self._find_any_head(job_id)
+        if isinstance(found, Done) and found.value and found.value.state == EXPIRED:
+            return Done(None)
+        return found
+
+    def _find_any_head(self, job_id: str) -> Outcome[JobHead | None]:
         head = self.heads.get(job_id)
         if head is not None:
             return Done(head)
@@ -133,9 +143,13 @@
         known = self.heads.get(job_id)
         if known is not None and known.revision > head.revision:
             return known
-        self.heads[job_id] = head
+        self._set_head(job_id, head)
         return head
 
+    def state_age_s(self, job_id: str) -> float:
+        """Return for how many seconds this daemon knows the present state of a job."""
+        return boottime() - self._states_since[job_id]
+
     def owner_key(self, job_id: str) -> Item | None:
         """Return the owner key of a job, as mirrored."""
         return self.mirror.get(OWNER_PREFIX + job_id)
@@ -165,7 +179,7 @@
         """Record the end of a job, before the mirror delivers it, and stop the job."""
         head = self.heads.get(job_id)
         if head is not None and head.revision < revision:
-            self.heads[job_id] = evolve(head, state=ENDED, revision=revision)
+            self._set_head(job_id, evolve(head, state=ENDED, revision=revision))
         self.remove_owned(job_id, ENDED)
 
     def ranked_members(self, key: str) -> list[Member]:
@@ -202,6 +216,7 @@
         job_id = change.key.removeprefix(HEAD_PREFIX)
         if change.item is None:
             self.heads.pop(job_id, None)
+            self._states_since.pop(job_id, None)
             self._previous_owners.pop(job_id, None)
             self.remove_owned(job_id, "deleted")
             return
@@ -210,6 +225,12 @@
         except ValueError as error:
             log(JOB_UNREADABLE, job=job_id, error=str(error))
             return
-        self.heads[job_id] = head
+        self._set_head(job_id, head)
         if not head.open:
             self.remove_owned(job_id, head.state)
+
+    def _set_head(self, job_id: str, head: JobHead) -> None:
+        known = self.heads.get(job_id)
+        if known is None or known.state != head.state:
+            self._states_since[job_id] = boottime()
+        self.heads[job_id] = head
--- a/mulberryport/jobs/repository.py
+++ b/mulberryport/jobs/repository.py
@@ -35,6 +35,8 @@
 from .model import Job, JobResult
 
 __all__ = [
+    "ENDED",
+    "EXPIRED",
     "FINISHED",
     "HEAD_PREFIX",
     "LIVE_PREFIX",
@@ -61,6 +63,8 @@
 MAX_ID_BYTES = 160
 
 OPEN, ENDED, FINISHED = "open", "ended", "finished"
+# Nothing but the head is left, so that a copy on a disk is not taken for a new job.
+EXPIRED = "expired"
 
 
 class RecordTooLargeError(ValueError):
@@ -109,8 +113,8 @@
         Number of items.
     submitted_at : float
         Seconds since 1970 by the fleet's clock.
-    state : {'open', 'ended', 'finished'}
-        Whether results may still be added.
+    state : {'open', 'ended', 'finished', 'expired'}
+        Whether results may still be added, and whether any can still be read.
     model : str
         Model of the items.
     oldest_version : int
@@ -386,16 +390,32 @@
             )
         )
 
+    def expire(self, job_id: str, head: JobHead) -> Outcome[Committed | Conflict]:
+        """Mark a closed job as expired, and delete all but its head."""
+        head_key = HEAD_PREFIX + job_id
+        outcome = self.store.commit(
+            Transaction(
+                expected={head_key: head.revision},
+                puts=(Put(head_key, _encode_head(evolve(head, state=EXPIRED))),),
+            )
+        )
+        if not isinstance(outcome, Done) or isinstance(outcome.value, Conflict):
+            return outcome
+        return self._remove(job_id, [PARTIAL_PREFIX + job_id])
+
     def delete(self, job_id: str) -> Outcome[Committed | Conflict]:
         """Delete all keys of a job."""
-        keys = [HEAD_PREFIX + job_id, PARTIAL_PREFIX + job_id]
+        return self._remove(job_id, [HEAD_PREFIX + job_id, PARTIAL_PREFIX + job_id])
+
+    def _remove(self, job_id: str, keys: list[str]) -> Outcome[Committed | Conflict]:
+        """Delete the specification and results of a job, and then some keys."""
         for prefix in (SPEC_PREFIX, RESULTS_PREFIX):
             outcome = self.store.list(f"{prefix}{job_id}/")
             if not isinstance(outcome, Done):
                 return outcome
             keys.extend(item.key for item in outcome.value.items)
         outcome: Any = Done(Committed(0))
-        # Deletes the head last, so that a head never refers to a partly deleted job.
+        # The head comes last, so that nothing remains without a head that tells of it.
         for start in range(0, len(keys), MAX_CHUNKS):
             batch = tuple(reversed(keys))[start : start + MAX_CHUNKS]
             outcome = self.store.commit(Transaction(removes=batch))
--- a/mulberryport/jobs/service.py
+++ b/mulberryport/jobs/service.py
@@ -25,7 +25,7 @@
 from .owned import OwnedJob
 from .reading import JobReader, ResultPage
 from .registry import RECOVERY_GRACE_S, JobRegistry, owner_vm
-from .repository import ENDED, JobHead, JobRepository
+from .repository import ENDED, EXPIRED, JobHead, JobRepository
 from .submission import JobSubmitter
 from .takeover import OwnershipManager
 
@@ -45,11 +45,18 @@
     "The owner of a job did not answer the call that tells it that the job has ended.",
 )
 
+JOB_EXPIRED = define_event(
+    942, "job_expired", "info", "A closed batch job was deleted after its retention."
+)
+
 STOP_JOB_TIMEOUT_S = 0.5
 STOP_JOB_ATTEMPTS = 5
 STOP_JOB_RETRY_DELAY_S = 0.1
-# Default time for which jobs are retained after their submission.
+# Default time for which jobs are retained after their submission and their end.
 RETENTION_S = 120.0
+# How long the head of an expired job is retained. A disk that was cut off for longer
+# brings back a job whose items are older than any of them may get.
+EXPIRED_HEAD_RETENTION_S = 600.0
 
 
 @define(eq=False)
@@ -71,7 +78,9 @@
     now : callable
         Returns seconds since 1970 by the fleet's clock.
     retention : float
-        Seconds for which a job is retained after its submission.
+        Seconds for which a job is retained after its submission, and after it was
+        finished or ended. An open job is always retained: each item is given up in the
+        end, which finishes the job.
     persist : callable or None
         Writes a job to the journal while the store is unreachable.
     has_store_relays : callable
@@ -209,8 +218,8 @@
         if self._stopping:
             return
         for job_id, head in list(self.registry.heads.items()):
-            if self.now() - head.submitted_at > self.retention:
-                self._expire(job_id)
+            if self._has_outlived_retention(job_id, head):
+                self._expire(job_id, head)
         self._ownership_manager.run_once()
 
     def hand_over(self) -> None:
@@ -306,17 +315,29 @@
             and owner.value.revision == owned.ownership
         )
 
-    def _expire(self, job_id: str) -> None:
-        """Drop an expired job; the first candidate deletes it from the store."""
-        self.registry.remove_owned(job_id, "expired")
+    def _has_outlived_retention(self, job_id: str, head: JobHead) -> bool:
+        """Return whether what is left of a job in the store is to be removed."""
+        if head.open or self.now() - head.submitted_at <= self.retention:
+            return False
+        is_expired = head.state == EXPIRED
+        retention_s = EXPIRED_HEAD_RETENTION_S if is_expired else self.retention
+        return self.registry.state_age_s(job_id) > retention_s
+
+    def _expire(self, job_id: str, head: JobHead) -> None:
+        """Remove what is left of a closed job, if this is its first candidate."""
         if self._ownership_manager.is_first_candidate(
             job_id
         ) and not self.registry.is_in_transition(job_id):
             self.registry.begin_transition(job_id)
-            eventlet.spawn_n(self._delete, job_id)
+            eventlet.spawn_n(self._remove_from_store, job_id, head)
 
-    def _delete(self, job_id: str) -> None:
+    def _remove_from_store(self, job_id: str, head: JobHead) -> None:
         try:
-            self._repository.delete(job_id)
+            if head.state == EXPIRED:
+                self._repository.delete(job_id)
+                return
+            outcome = self._repository.expire(job_id, head)
+            if isinstance(outcome, Done) and not isinstance(outcome.value, Conflict):
+                log(JOB_EXPIRED, job=job_id, state=head.state)
         finally:
             self.registry.end_transition(job_id)
--- a/mulberryport/journal/service.py
+++ b/mulberryport/journal/service.py
@@ -1,6 +1,5 @@
 """Journal service of one disk: accepts jobs and uploads them to the store."""
 
-from collections.abc import Callable
 from enum import Enum, auto
 from pathlib import Path
 
@@ -34,7 +33,7 @@
     964,
     "journal_job_dropped",
     "error",
-    "A journaled job was dropped: malformed or expired.",
+    "A journaled job was dropped that the store can never hold.",
 )
 JOB_NOT_BROUGHT = define_event(
     966,
@@ -67,15 +66,12 @@
         Storage of jobs on the disk.
     repository : JobRepository
         The jobs in the store.
-    now : callable
-        Returns seconds since 1970.
     retention : float
-        Seconds for which the store retains a job after its submission.
+        Seconds for which a job that the store can never hold stays on the disk.
     """
 
     file_store: JobFileStore
     repository: JobRepository
-    now: Callable[[], float]
     retention: float
     _first_seen_at: dict[str, float] = field(factory=dict)
     # Why the last attempt to upload a job failed, by file name.
@@ -136,12 +132,16 @@
             return UploadResult.NO_ANSWER
         if head.value is not None:
             return UploadResult.DONE
-        if self.now() - job.submitted_at > self.retention:
-            log(JOB_DROPPED, job=job.id, error="older than the retention period")
-            return UploadResult.DONE
+        try:
+            check_record(job.id, len(content))
+        except RecordTooLargeError as error:
+            return self._keep_or_drop(name, job.id, str(error))
+        # The store keeps the heads of jobs that were there, so that this one never was,
+        # however old it is.
         outcome = self.repository.create(job, "", 0)
         if not isinstance(outcome, Done):
-            return self._keep_or_drop(name, job.id, outcome.reason)
+            self._record_failure(name, job.id, outcome.reason)
+            return UploadResult.FAILED
         if not isinstance(outcome.value, Conflict):
             log(JOB_BROUGHT, job=job.id)
         return UploadResult.DONE
@@ -153,7 +153,7 @@
             self._failures[name] = reason
 
     def _keep_or_drop(self, name: str, job_id: str, reason: str) -> UploadResult:
-        """Keep a job that cannot be uploaded, until the end of its retention."""
+        """Keep a job that can never be uploaded until the end of its retention."""
         self._record_failure(name, job_id, reason)
         if boottime() - self._first_seen_at[name] <= self.retention:
             return UploadResult.FAILED
--- a/mulberryport/platform/storage.py
+++ b/mulberryport/platform/storage.py
@@ -15,7 +15,6 @@
 from ..outcomes import Done
 from ..peering import PeerServer
 from ..runtime import TimerService
-from ..runtime.clock import wall_time
 from ..runtime.signals import exit_process, on_stop_signal
 from ..settings.ini import address, identifier, nonempty_text, number, option
 from ..settings.model import ADDRESS_FORMAT, NAME_FORMAT
@@ -106,7 +105,6 @@
         self.journal = JournalService(
             JobFileStore(Path(self.settings.vm.data_folder) / "jobs"),
             JobRepository(self.store),
-            wall_time,
             platform.retention,
         )
         self.retirements = Mirror(self.store, RETIREMENT_PREFIX + self.settings.vm.id)
