Take no bytes for a response that are not well-formed HTTP

Other operators reported that status 000 reached a client as an answer. Here 000 was refused, but status 600, 2_00, chunk sizes such as 0x5, other transfer codings, a body cut to a Content-Length beside chunked coding, and what follows a malformed header line were taken for a response. Control calls whose response was cut off within its length were taken as done.

Cause: http.client guesses at what is malformed, and four places judged its result each in its own way. BoundedResponse decides now for all clients: status line, header and trailer lines, one framing, chunk sizes and ends, and bodies that end before their length. Anything else is no response.

Responses that repeat Content-Length are refused as well.

--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -19,10 +19,15 @@
 
 from ..runtime.clock import boottime
 from ..runtime.fairness import yield_if_due
-from ..runtime.http import BoundedConnection
+from ..runtime.http import (
+    HTTP_1_1,
+    BoundedConnection,
+    body_length,
+    has_stated_end,
+)
 from ..targets import TargetView
 from ..targets.connections import ConnectionPool, drain_refusal, has_peer_ended
-from .headers import end_to_end, header_values
+from .headers import end_to_end
 from .refusals import OUTCOME_HEADER, OutcomeUnknownError
 from .target_protocol import NATIVE_PROTOCOL, OutgoingRequest, TargetProtocol, Verdict
 
@@ -38,9 +43,6 @@
 
 CONNECT_TIMEOUT_S = 2.0
 READ_CHUNK_BYTES = 64 * 1024
-BODYLESS_STATUSES = (204, 304)
-# HTTP/1.1 in the notation of http.client's ``version``.
-HTTP_1_1 = 11
 
 WaitContext = Callable[[], AbstractContextManager[None]]
 
@@ -255,12 +257,8 @@
     protocol: TargetProtocol,
     allows_unframed: bool,
 ) -> ForwardedResponse:
-    has_no_body = request.method == "HEAD" or reply.status in BODYLESS_STATUSES
-    lengths = set(header_values(reply.headers.items(), "content-length"))
-    is_chunked = reply.chunked
-    has_valid_length = len(lengths) == 1 and next(iter(lengths)).strip().isdigit()
-    is_framed = has_no_body or is_chunked or has_valid_length
-    if reply.status < 200 or not (is_framed or (allows_unframed and not lengths)):
+    is_framed = has_stated_end(reply, request.method)
+    if not (is_framed or allows_unframed):
         # The end of such a response is indistinguishable from a broken connection.
         connection.close()
         raise OutcomeUnknownError(502, "the target's answer has no stated length")
@@ -268,14 +266,12 @@
         (name, value)
         for name, value in end_to_end(list(reply.headers.items()))
         if name.lower() != OUTCOME_HEADER.lower()
-        and not (is_chunked and name.lower() == "content-length")
     ]
-    length = 0 if has_no_body else int(lengths.pop()) if has_valid_length else None
     return ForwardedResponse(
         reply.status,
         reply.reason or "",
         headers,
-        length,
+        body_length(reply, request.method),
         _read_body(
             view,
             reply,
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -26,7 +26,7 @@
 from ..routing import TargetView
 from ..runtime.clock import boottime
 from ..runtime.fairness import yield_if_due
-from ..runtime.http import read_parts
+from ..runtime.http import has_stated_end, read_parts
 from ..targets import TargetDirectory
 from ..targets.connections import ConnectionPool, drain_refusal
 from . import names
@@ -353,9 +353,7 @@
             raise StreamInterruptedError(NO_VERSION_REASON)
         # A text that was interrupted after its last event is continued by an empty
         # stream, whose head has no version.
-        is_framed = (
-            response.chunked or response.headers.get("Content-Length") is not None
-        )
+        is_framed = has_stated_end(response)
         parser = EventParser(version)
         # Progress is a complete event; single bytes and empty lines are none.
         progress = StreamProgress()
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -1,6 +1,7 @@
 """JSON calls over HTTP to external systems, with typed outcomes."""
 
 import http.client
+import re
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -20,8 +21,10 @@
     "BoundedConnectionPool",
     "BoundedResponse",
     "JsonReply",
+    "body_length",
     "call_json",
     "connection_pool",
+    "has_stated_end",
     "make_connection_pool",
     "read_and_release",
     "read_parts",
@@ -29,6 +32,8 @@
     "time_limit",
 ]
 
+# HTTP/1.1 in the notation of http.client's ``version``.
+HTTP_1_1 = 11
 # Errors that occur only before the first byte of a request is sent.
 NOT_SENT_ERRORS = (NewConnectionError, ConnectTimeoutError)
 
@@ -42,10 +47,26 @@
 MAX_INTERIM_RESPONSES = 4
 MAX_TRAILER_LINES = 32
 MAX_TRAILER_LINE_BYTES = 8 * 1024
+MAX_CHUNK_SIZE_LINE_BYTES = 8 * 1024
+MAX_SHOWN_BYTES = 40
+
+
+# RFC 9112, sections 2.2, 4, 5 and 7.1. ``http.client`` reads numbers as Python does and
+# drops header lines from the first malformed one on, so that other senders' framing
+# would be read differently here.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?\r?\n")
+HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r?\n")
+CHUNK_SIZE_LINE = re.compile(
+    rb"([0-9A-Fa-f]{1,16})[\t ]*(;[\t\x20-\x7e\x80-\xff]*)?\r?\n"
+)
+CONTENT_LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+END_OF_HEAD = (b"\r\n", b"\n")
+FINAL_STATUSES = range(200, 600)
+BODYLESS_STATUSES = (204, 304)
 
 
 class HeadReader:
-    """Reads the lines of a response's head; fails where the connection ends within it.
+    """Reads the lines of a response's head; fails on a malformed or missing one.
 
     ``http.client`` takes the end of the connection for the end of the head.
     """
@@ -61,7 +82,13 @@
         is_cut = not line.endswith(b"\n") and (limit < 0 or len(line) < limit)
         if is_cut and (line or self._in_head):
             raise http.client.IncompleteRead(line)
-        self._in_head = line not in (b"\r\n", b"\n")
+        if line and not self._in_head and not STATUS_LINE.fullmatch(line):
+            raise http.client.BadStatusLine(repr(line[:MAX_SHOWN_BYTES]))
+        is_end = line in END_OF_HEAD
+        if self._in_head and not is_end and not HEADER_LINE.fullmatch(line):
+            shown = line[:MAX_SHOWN_BYTES]
+            raise http.client.HTTPException(f"malformed header line {shown!r}")
+        self._in_head = not is_end
         self._size += len(line)
         if self._size > MAX_HEAD_BYTES:
             raise http.client.LineTooLong("head")
@@ -73,10 +100,11 @@
 
 
 class BoundedResponse(http.client.HTTPResponse):
-    """Response whose head and trailers have to end, and within bounds.
+    """Response that is well-formed and whole, and whose head and trailers are bounded.
 
-    ``http.client`` reads interim responses and trailers without a limit, and takes the
-    end of the connection for their end.
+    ``http.client`` reads interim responses and trailers without a limit, takes the end
+    of the connection for the end of any part, and guesses at what is malformed. Here
+    such bytes are no response.
     """
 
     _interim_responses = 0
@@ -87,7 +115,8 @@
         Raises
         ------
         http.client.HTTPException
-            The head is malformed, too long, or cut off by the end of the connection.
+            The head is malformed, too long, or cut off by the end of the connection,
+            or does not tell for certain where the body ends.
         """
         reader = HeadReader(self.fp)
         self.fp = reader
@@ -96,12 +125,50 @@
         finally:
             if self.fp is reader:
                 self.fp = reader.stream
+        if self.status not in FINAL_STATUSES:
+            raise http.client.BadStatusLine(str(self.status))
+        self._check_framing()
 
-    def _read_status(self) -> tuple[str, int, str]:
-        self._interim_responses += 1
-        if self._interim_responses > 1 + MAX_INTERIM_RESPONSES:
-            raise http.client.HTTPException("too many interim responses")
-        return super()._read_status()
+    def read1(self, n: int = -1) -> bytes:
+        """Read a part of the body; empty at its end.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            The connection ended before the body.
+        """
+        part = super().read1(n)
+        if not part and n and self.length:
+            raise http.client.IncompleteRead(part, self.length)
+        return part
+
+    def _check_framing(self) -> None:
+        """Raise unless a body has one stated end, or ends with the connection."""
+        codings = self.headers.get_all("Transfer-Encoding") or []
+        lengths = self.headers.get_all("Content-Length") or []
+        if codings:
+            is_chunked = [coding.strip().lower() for coding in codings] == ["chunked"]
+            if not is_chunked or lengths or self.version < HTTP_1_1:
+                raise http.client.HTTPException("ambiguous transfer coding")
+        elif lengths:
+            is_valid = CONTENT_LENGTH.fullmatch(lengths[0].strip(" \t"))
+            if not is_valid or len(lengths) > 1:
+                raise http.client.HTTPException("malformed Content-Length")
+
+    def _get_chunk_left(self) -> int | None:
+        # The base class skips two bytes after a chunk without a look at them.
+        if self.chunk_left == 0:
+            if self.fp.readline(2) not in END_OF_HEAD:
+                raise http.client.IncompleteRead(b"")
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_CHUNK_SIZE_LINE_BYTES)
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if match is None:
+            raise http.client.IncompleteRead(line[:MAX_SHOWN_BYTES])
+        return int(match[1], 16)
 
     def _read_and_discard_trailer(self) -> None:
         for _ in range(MAX_TRAILER_LINES):
@@ -110,8 +177,10 @@
                 raise http.client.LineTooLong("trailer line")
             if not line.endswith(b"\n"):
                 raise http.client.IncompleteRead(line)
-            if line in (b"\r\n", b"\n"):
+            if line in END_OF_HEAD:
                 return
+            if not HEADER_LINE.fullmatch(line):
+                raise http.client.HTTPException("malformed trailer line")
         raise http.client.HTTPException("too many trailer lines")
 
 
@@ -143,6 +212,27 @@
     return manager
 
 
+def body_length(response: urllib3.BaseHTTPResponse, method: str = "GET") -> int | None:
+    """Return the stated length of a body in bytes; None if there is none.
+
+    Parameters
+    ----------
+    response : response
+        Response of a connection whose responses are bounded, so that a length is valid.
+    method : str
+        Method of the request.
+    """
+    if method == "HEAD" or response.status in BODYLESS_STATUSES:
+        return 0
+    length = response.headers.get_all("Content-Length")
+    return int(length[0]) if length else None
+
+
+def has_stated_end(response: urllib3.BaseHTTPResponse, method: str = "GET") -> bool:
+    """Return whether a body has an end other than that of the connection."""
+    return bool(response.chunked) or body_length(response, method) is not None
+
+
 def time_limit(seconds: float, call: str) -> eventlet.Timeout:
     """Return a context that raises ``OSError`` if a call takes too long as a whole.
 
