Bound the coding of chunked requests, and what tiny parts take

Other operators reported that bytes without end from a server were kept until the machine had no memory. A caller could do the same to a daemon: a chunk size, chunk extension or trailer without end was read into one line.

Cause: eventlet reads these lines without a limit, and batch jobs were read in one call that keeps each chunk by itself. BodyFile bounds the lines for all servers; batch jobs are read and checked like other bodies; replies and buffered responses are kept in one piece.

--- a/mulberryport/gateway/bodies.py
+++ b/mulberryport/gateway/bodies.py
@@ -9,7 +9,7 @@
 from .headers import header_values, request_headers
 from .refusals import OutcomeUnknownError, RefusalError
 
-__all__ = ["MAX_BUFFERED_BYTES", "RequestBody", "read_body"]
+__all__ = ["MAX_BUFFERED_BYTES", "RequestBody", "read_body", "read_whole_body"]
 
 # Buffered in memory for retries and to compare requests with one idempotency key.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -93,6 +93,35 @@
     return RequestBody(length, buffered, len(buffered) == length, stream)
 
 
+def read_whole_body(environ: dict[str, Any], max_bytes: int) -> bytes:
+    """Read a request's body into memory.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment.
+    max_bytes : int
+        Largest size of the body.
+
+    Raises
+    ------
+    RefusalError
+        The body is too long, its framing is ambiguous or malformed, or it ended early.
+    """
+    body = read_body(environ)
+    if (body.length or 0) > max_bytes:
+        raise RefusalError(413, f"a body has {max_bytes} bytes at most")
+    content = bytearray()
+    try:
+        for part in body.parts():
+            content += part
+            if len(content) > max_bytes:
+                raise RefusalError(413, f"a body has {max_bytes} bytes at most")
+    except OutcomeUnknownError as error:
+        raise RefusalError(400, str(error)) from error
+    return bytes(content)
+
+
 def _declared_length(environ: dict[str, Any]) -> int | None:
     """Return the declared length of the body; None if it is chunked."""
     headers = environ.get("headers_raw") or request_headers(environ)
--- a/mulberryport/gateway/forwarding.py
+++ b/mulberryport/gateway/forwarding.py
@@ -149,20 +149,20 @@
     OutcomeUnknownError
         The body broke off within these bytes.
     """
-    parts: list[bytes] = []
-    size = 0
+    # Tiny parts take many times their size if they are kept one by one.
+    content = bytearray()
     for part in response.body:
-        parts.append(part)
-        size += len(part)
-        if size >= limit:
-            response.body = _chain(parts, response.body)
+        content += part
+        if len(content) >= limit:
+            response.body = _chain(bytes(content), response.body)
             return response
-    response.body, response.is_fully_buffered = iter(parts), True
+    response.body = iter([bytes(content)] if content else [])
+    response.is_fully_buffered = True
     return response
 
 
-def _chain(parts: list[bytes], rest: Iterator[bytes]) -> Iterator[bytes]:
-    yield from parts
+def _chain(start: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
+    yield start
     yield from rest
 
 
--- a/mulberryport/gateway/server.py
+++ b/mulberryport/gateway/server.py
@@ -12,7 +12,7 @@
 
 from ..runtime.clock import boottime
 from ..runtime.waits import supervise
-from ..runtime.wsgi import Application
+from ..runtime.wsgi import Application, bound_body_lines
 from ..tables import CallerLimits
 from ..telemetry import define as define_event
 from ..telemetry import log
@@ -72,7 +72,7 @@
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment of the current request."""
-        environ = super().get_environ()
+        environ = bound_body_lines(super().get_environ())
         environ[PROTOCOL_KEY] = self
         # By default the server buffers small parts of a stream before it sends them.
         environ["eventlet.minimum_write_chunk_size"] = 1
--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -10,6 +10,7 @@
 
 from ..gateway import OutcomeUnknownError, RefusalError
 from ..gateway.active import ActiveRequest
+from ..gateway.bodies import read_whole_body
 from ..gateway.calls import CallerRequest
 from ..jobs import (
     Job,
@@ -200,9 +201,7 @@
         job_id = environ.get("HTTP_X_REQUEST_ID", "")
         if call.method != "POST" or not job_id or "/" in job_id:
             raise RefusalError(400, "a batch job is a POST with an id")
-        content = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-        if len(content) > MAX_BODY_BYTES:
-            raise RefusalError(413, f"a batch job has {MAX_BODY_BYTES} bytes at most")
+        content = read_whole_body(environ, MAX_BODY_BYTES)
         try:
             revision = self.snapshot_holder.snapshot.revision
             job = parse_job(content, job_id, call, self.now(), revision)
--- a/mulberryport/platform/tests/test_batches.py
+++ b/mulberryport/platform/tests/test_batches.py
@@ -49,6 +49,7 @@
         "HTTP_X_REQUEST_ID": "job1",
         "HTTP_HOST": "h.example",
         "HTTP_X_DEADLINE_MS": "2000",
+        "CONTENT_LENGTH": str(len(body)),
         "wsgi.input": io.BytesIO(body),
     }
     access = Access("roads", make_tables().routes["drafts"])
--- a/mulberryport/platform/tests/test_endless_bytes.py
+++ b/mulberryport/platform/tests/test_endless_bytes.py
@@ -7,6 +7,7 @@
 
 import subprocess
 import sys
+import tracemalloc
 from contextlib import contextmanager, nullcontext
 
 import eventlet
@@ -22,7 +23,7 @@
 from ...routing import TargetView
 from ...runtime.clock import boottime
 from ...runtime.guarded import call_json_guarded
-from ...runtime.http import call_json
+from ...runtime.http import MAX_REPLY_BYTES, call_json
 from ...runtime.tests.builders import longest_gap
 from ...runtime.wsgi import listen
 from ...targets import TargetDirectory
@@ -277,6 +278,29 @@
         assert gap() < MAX_GAP_S
 
 
+@pytest.mark.parametrize("name", [*ENDLESS, "body"])
+def test_what_control_calls_keep_is_bounded(name):
+    # Guards against a faulty target or store that takes the memory of a daemon.
+    bodies = ENDLESS | {"body": (CHUNKED, chunk(BLOCK))}
+    with flooding(*bodies[name]) as address:
+        url = f"http://{address}/"
+        tracemalloc.start()
+        try:
+            with eventlet.Timeout(15.0):
+                outcomes = [
+                    call_json("GET", url, timeout=PATIENCE_S),
+                    call_json_guarded(
+                        "POST", url, {}, guard=lambda: None, timeout=PATIENCE_S
+                    ),
+                    PlatformStore(address).read("a"),
+                ]
+            kept = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+    assert all(isinstance(outcome, Unknown) for outcome in outcomes)
+    assert kept < 2 * MAX_REPLY_BYTES
+
+
 def test_pooled_connections_bound_what_precedes_a_response():
     # Plain requests of callers use the same pool.
     with sending(*ENDLESS["interim responses"], 0.0) as (address, _):
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -296,13 +296,13 @@
     OSError
         The body does not end within the bounds.
     """
-    deadline, parts, size = boottime() + timeout, [], 0
+    # Tiny parts take many times their size if they are kept one by one.
+    deadline, content = boottime() + timeout, bytearray()
     for part in read_parts(reply):
-        parts.append(part)
-        size += len(part)
-        if size > MAX_REPLY_BYTES or boottime() > deadline:
+        content += part
+        if len(content) > MAX_REPLY_BYTES or boottime() > deadline:
             raise OSError("the body of the reply does not end")
-    return b"".join(parts)
+    return bytes(content)
 
 
 def read_and_release(reply: urllib3.BaseHTTPResponse, timeout: float) -> bytes:
--- a/mulberryport/runtime/wsgi.py
+++ b/mulberryport/runtime/wsgi.py
@@ -9,9 +9,11 @@
 import eventlet
 import eventlet.wsgi
 import orjson
+from attrs import define
 
 __all__ = [
     "BadRequestError",
+    "bound_body_lines",
     "listen",
     "query_values",
     "read_json",
@@ -24,6 +26,10 @@
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
 
 MAX_JSON_BYTES = 32 * 1024 * 1024
+# A chunk size with its extensions, or a trailer.
+MAX_CHUNK_LINE_BYTES = 8 * 1024
+# Two lines lie between two chunks.
+MAX_TRAILER_LINES = 32
 REASON_PHRASES = {
     200: "OK",
     201: "Created",
@@ -54,9 +60,57 @@
 _server_logger.setLevel(logging.CRITICAL + 1)
 
 
+@define(eq=False)
+class BodyFile:
+    """File of a connection whose lines within a chunked body are bounded.
+
+    The server reads chunk sizes and trailers without a limit.
+
+    Parameters
+    ----------
+    file : object
+        File object of the connection.
+    """
+
+    file: Any
+    _lines_in_a_row: int = 0
+
+    def read(self, size: int) -> bytes:
+        """Return up to ``size`` bytes of a chunk."""
+        self._lines_in_a_row = 0
+        return self.file.read(size)
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line.
+
+        Raises
+        ------
+        eventlet.wsgi.ChunkReadError
+            The line does not end, or the trailers do not.
+        """
+        if size >= 0:
+            return self.file.readline(size)
+        self._lines_in_a_row += 1
+        line = self.file.readline(MAX_CHUNK_LINE_BYTES + 1)
+        if len(line) > MAX_CHUNK_LINE_BYTES or self._lines_in_a_row > MAX_TRAILER_LINES:
+            raise eventlet.wsgi.ChunkReadError("the body's coding does not end")
+        return line
+
+
+def bound_body_lines(environ: dict[str, Any]) -> dict[str, Any]:
+    """Bound the lines of the body in a WSGI environment, and return the environment."""
+    body = environ["eventlet.input"]
+    body.rfile = BodyFile(body.rfile)
+    return environ
+
+
 class JsonProtocol(eventlet.wsgi.HttpProtocol):
     """HTTP protocol handler that closes a connection that breaks within a head."""
 
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment of the current request."""
+        return bound_body_lines(super().get_environ())
+
     def parse_request(self) -> bool:
         """Read the head of a request; return whether there is one."""
         try:
@@ -146,8 +200,8 @@
     """
     try:
         content = environ["wsgi.input"].read(MAX_JSON_BYTES + 1)
-    except ConnectionError as error:
-        raise BadRequestError(f"the body broke off: {error}") from None
+    except (OSError, eventlet.wsgi.ChunkReadError) as error:
+        raise BadRequestError(f"the body is broken: {error}") from None
     if len(content) > MAX_JSON_BYTES:
         raise BadRequestError(f"the body has more than {MAX_JSON_BYTES} bytes")
     if not content:
