--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -155,6 +155,12 @@
             if not is_valid or len(lengths) > 1:
                 raise http.client.HTTPException("malformed Content-Length")
 
+    def _read_status(self) -> tuple[str, int, str]:
+        self._interim_responses += 1
+        if self._interim_responses > 1 + MAX_INTERIM_RESPONSES:
+            raise http.client.HTTPException("too many interim responses")
+        return super()._read_status()
+
     def _get_chunk_left(self) -> int | None:
         # The base class skips two bytes after a chunk without a look at them.
         if self.chunk_left == 0:
