Route a request by the path that its target receives

Cause: match_route got PATH_INFO, targets got RAW_PATH_INFO. gateway/paths decides once, from the bytes that are forwarded, for requests of callers, items and scoring calls. A path that belongs to another route in another reading (decoded, dots resolved, parameters dropped, backslashes, double slashes) gets 400 and reaches no target. Ruled out: normalizing the path, which the protocol wants forwarded unchanged.

--- a/mulberryport/gateway/access.py
+++ b/mulberryport/gateway/access.py
@@ -1,4 +1,4 @@
-"""Route matching and authorization of requests."""
+"""Authorization of requests for their routes."""
 
 from attrs import frozen
 
@@ -6,7 +6,7 @@
 from ..tables.model import ALL_WORKSPACES
 from .refusals import RefusalError
 
-__all__ = ["Access", "authorize", "match_route", "is_still_authorized"]
+__all__ = ["Access", "authorize", "is_still_authorized"]
 
 
 @frozen
@@ -28,28 +28,6 @@
     key_digest: str
 
 
-def match_route(tables: Tables, path: str, host: str = "") -> Route | None:
-    """Return the route with the longest path that is a prefix of the request's path.
-
-    Parameters
-    ----------
-    tables : Tables
-        Current tables.
-    path : str
-        Path of the request.
-    host : str
-        Host of the request, with or without a port. Routes that name another host
-        do not match.
-    """
-    name = host.partition(":")[0].lower()
-    matching = [
-        route
-        for route in tables.routes.values()
-        if path.startswith(route.path) and route.host in ("", name)
-    ]
-    return max(matching, key=lambda route: len(route.path), default=None)
-
-
 def authorize(
     tables: Tables, route: Route, key: str | None, keys_usable: bool
 ) -> Access:
--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -20,7 +20,7 @@
 from ..telemetry import define as define_event
 from ..telemetry import log
 from ..usage import UsageCounters, call_before_last_byte
-from .access import Access, authorize, match_route
+from .access import Access, authorize
 from .active import ActiveRequest, ActiveRequests, RequestAbortedError
 from .bodies import read_body
 from .calls import CallerRequest, TargetClient, open_hedged_response, open_response
@@ -30,6 +30,7 @@
 from .forwarding import ForwardedResponse
 from .generation import error_line, parse_generation, stream_generation
 from .once import ResponseOpener, idempotency_key, run_once
+from .paths import AmbiguousPathError, match_route, request_path
 from .refusals import OutcomeUnknownError, RefusalError
 from .server import PROTOCOL_KEY
 from .suspects import SuspectRequests
@@ -245,12 +246,14 @@
             configuration may authorize it.
         """
         try:
-            path, host = environ["PATH_INFO"], environ.get("HTTP_HOST", "")
-            route = match_route(tables, path, host)
+            host = environ.get("HTTP_HOST", "")
+            route = match_route(tables, request_path(environ), host)
             if route is None:
                 raise RefusalError(404, "no route has this path")
             key = self.dialect.find_key(environ)
             return authorize(tables, route, key, self.keys_usable()), key
+        except AmbiguousPathError as error:
+            raise RefusalError(400, str(error)) from error
         except RefusalError as error:
             if error.status in FINAL_STATUSES and self.is_behind():
                 reason = f"a newer configuration is not read yet; by this one, {error}"
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -35,6 +35,7 @@
 )
 from .headers import request_headers
 from .hedging import run_hedged
+from .paths import request_path
 from .refusals import OutcomeUnknownError, RefusalError
 from .suspects import BlockedError, RequestGuard, SuspectRequests
 from .target_protocol import NATIVE_PROTOCOL, OutgoingRequest, TargetProtocol
@@ -172,7 +173,7 @@
     RefusalError
         The path contains a key, or a target may resolve it to another path.
     """
-    path = call.environ.get("RAW_PATH_INFO") or call.environ["PATH_INFO"]
+    path = request_path(call.environ)
     if call.is_secret(path):
         raise RefusalError(400, "the path contains a key")
     if UNSAFE_PATH.search(path) or UNSAFE_PATH.search(unquote(unquote(path))):
--- a/mulberryport/gateway/generation.py
+++ b/mulberryport/gateway/generation.py
@@ -24,6 +24,7 @@
 from ..telemetry import log
 from .active import SilentConnectionError
 from .calls import MAX_ATTEMPTS, MIN_SILENCE_S, CallerRequest, TargetClient
+from .paths import request_path
 from .refusals import OutcomeUnknownError, RefusalError
 from .suspects import BlockedError, RequestGuard
 
@@ -191,7 +192,7 @@
 def _make_guard(
     call: CallerRequest, request: GenerationRequest, client: TargetClient
 ) -> RequestGuard:
-    target = call.environ.get("RAW_PATH_INFO") or call.environ["PATH_INFO"]
+    target = request_path(call.environ)
     body = f"{request.max_tokens}\n{request.prompt}".encode(errors="surrogatepass")
     return RequestGuard(
         client.suspects, call.active.id, call.access, call.method, target, body
--- a/mulberryport/jobs/carrying.py
+++ b/mulberryport/jobs/carrying.py
@@ -11,7 +11,7 @@
 import orjson
 from attrs import define, field
 
-from ..gateway.access import match_route
+from ..gateway.paths import AmbiguousPathError, match_route
 from ..runtime.clock import boottime
 from ..runtime.fairness import yield_if_due
 from ..steps import CarriedText
@@ -189,7 +189,11 @@
 
 def _step_route(job: Job, item: JobItem, context: JobContext) -> Route | None:
     """Return the route of an item, if its jobs are scheduled as steps."""
-    route = match_route(context.snapshot().tables, item.path, job.host)
+    try:
+        route = match_route(context.snapshot().tables, item.path, job.host)
+    except AmbiguousPathError:
+        # Such an item is given up, with a log line.
+        return None
     if route is None or route.batch is None:
         return None
     return route if any(map(context.schedules_steps, route.pools)) else None
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -9,7 +9,7 @@
 import greenlet
 from attrs import define, evolve, field, frozen
 
-from ..gateway.access import match_route
+from ..gateway.paths import AmbiguousPathError, match_route
 from ..outcomes import Outcome
 from ..runtime.clock import boottime
 from ..steps import (
@@ -249,13 +249,16 @@
         Raises
         ------
         ItemGivenUpError
-            The route was removed.
+            The route was removed, or the path is ambiguous.
         ConfigurationBehindError
             No route matches, but the configuration was not read yet or is older than
             the one under which the job was accepted, so that the route may exist.
         """
         snapshot = self.context.snapshot()
-        route = match_route(snapshot.tables, path, host)
+        try:
+            route = match_route(snapshot.tables, path, host)
+        except AmbiguousPathError as error:
+            raise ItemGivenUpError(f"{path}: {error}") from error
         if route is not None and (route.batch is not None or not batch):
             return route
         if snapshot.revision < max(1, self.job.configuration_revision):
--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -12,6 +12,7 @@
 from ..gateway.active import ActiveRequest
 from ..gateway.bodies import read_whole_body
 from ..gateway.calls import CallerRequest
+from ..gateway.paths import AmbiguousPathError, match_route, path_readings
 from ..jobs import (
     Job,
     JobItem,
@@ -23,7 +24,7 @@
 from ..outcomes import Done, NotDone
 from ..runtime.clock import boottime
 from ..runtime.wsgi import StartResponse, query_values, respond
-from ..tables import SnapshotHolder, find_key
+from ..tables import SnapshotHolder, Tables, find_key
 from . import names
 from .caller_headers import (
     check_field_value,
@@ -205,6 +206,7 @@
         try:
             revision = self.snapshot_holder.snapshot.revision
             job = parse_job(content, job_id, call, self.now(), revision)
+            _check_paths(job, self.snapshot_holder.snapshot.tables)
         except ValueError as error:
             raise RefusalError(400, str(error)) from error
         # From here on the job may have been created, even if this request fails.
@@ -312,6 +314,27 @@
         raise OutcomeUnknownError(504, outcome.reason)
 
 
+def _check_paths(job: Job, tables: Tables) -> None:
+    """Check that the paths of a job's requests are not ambiguous.
+
+    Raises
+    ------
+    ValueError
+        A path belongs to different routes, depending on how it is read.
+    """
+    for item in job.items:
+        requests = [(item.path, job.host)]
+        if item.scoring is not None:
+            requests.append((item.scoring.path, item.scoring.host))
+        for path, host in requests:
+            try:
+                if path_readings(path):
+                    match_route(tables, path, host)
+            except AmbiguousPathError as error:
+                shown = item.id[:MAX_SHOWN_CHARS]
+                raise ValueError(f"item {shown!r}: {error}") from error
+
+
 def _store_timeout_s(environ: dict[str, Any]) -> float:
     """Return the time in seconds to wait for the store."""
     deadline_ms = parse_count(environ.get("HTTP_X_DEADLINE_MS", ""))
--- a/mulberryport/platform/ingress.py
+++ b/mulberryport/platform/ingress.py
@@ -9,6 +9,7 @@
 from ..gateway.calls import CallerRequest
 from ..gateway.dialect import Dialect
 from ..gateway.headers import header_values, request_headers
+from ..gateway.paths import request_path
 from ..gateway.target_protocol import OutgoingRequest, TargetProtocol, Verdict
 from ..routing import TargetView
 from ..runtime.clock import boottime
@@ -117,7 +118,7 @@
 def _outgoing_request(call: CallerRequest, body: RequestBody) -> OutgoingRequest:
     """Return the request to forward: unchanged except for replaced headers."""
     environ = call.environ
-    target = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
+    target = request_path(environ)
     if environ.get("QUERY_STRING"):
         target = f"{target}?{environ['QUERY_STRING']}"
     headers = forwardable_headers(request_headers(environ), call.is_secret)
--- a/mulberryport/platform/tests/test_batches.py
+++ b/mulberryport/platform/tests/test_batches.py
@@ -167,3 +167,23 @@
 def test_an_item_whose_id_cannot_be_sent_is_refused():
     with pytest.raises(ValueError, match="id of an item"):
         parse_item({}, id="i1\r\n x")
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        {"path": "/drafts/..%2Fscore/"},
+        {"scorer": {**SCORER, "path": "/score/%2e%2e/drafts/1"}},
+    ],
+)
+def test_a_job_with_an_ambiguous_path_is_refused(values):
+    # Guards against an item that is authorized by one route and run by another.
+    item = {"id": "i1", "path": "/drafts/1", "headers": {}, "body": "", **values}
+    daemon = JobDaemon(MemoryStore())
+    holder = SnapshotHolder()
+    holder.adopt(Snapshot(1, "first", make_tables()), {})
+    batches = BatchInterface(holder, daemon.jobs, lambda: 1000.0)
+    with pytest.raises(RefusalError, match="item 'i1': the path is ambiguous") as error:
+        batches.submit(make_call(orjson.dumps({"items": [item]}), []))
+    assert error.value.status == 400
+    daemon.die()
