Let a bounded number of a job's items compete for targets

Cause: each item had a green thread that queued for a second, left, and queued again, and tried every 50 ms beyond the queue's length. The items of a job compete up to a share of 1,024 now; the others wait in a list, and start when one gets a slot or ends. Complete groups are no longer counted over all items at each commit.

Jobs of up to 1,024 items compete as before.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -37,6 +37,7 @@
 from .model import COMPLETED, ERRORED, Job, JobItem, JobResult, ScoringCall
 from .moving import TextMoves, TextRun
 from .repository import CHUNK_BYTES, JobRepository
+from .window import ItemWindow
 
 __all__ = ["ItemTask", "JobContext"]
 
@@ -123,6 +124,8 @@
         Returns whether the job may have ended without this daemon knowing by now.
     carried : CarriedTexts
         Texts of ended jobs.
+    window : ItemWindow
+        How many items of the owned jobs compete for targets at once.
     """
 
     repository: JobRepository
@@ -134,6 +137,7 @@
     reacquire: Callable[[Any], Outcome[bool]]
     may_be_outdated: Callable[[], bool] = lambda: False
     carried: CarriedTexts = field(factory=CarriedTexts)
+    window: ItemWindow = field(factory=ItemWindow)
 
     def schedules_steps(self, pool: str) -> bool:
         """Whether jobs are scheduled as steps: targets tell how uneven they are."""
@@ -163,6 +167,9 @@
     rank : callable
         Returns the present rank of the item within its job, called with the seconds
         since the submission and those within which the job is due.
+    on_slot_change : callable
+        Called with 1 when the item gets a slot of a target, and with -1 when it gives
+        the slot back.
     """
 
     job: Job
@@ -170,6 +177,7 @@
     transcript: Transcript
     context: JobContext = field(repr=False)
     rank: Callable[[float, float], ItemRank]
+    on_slot_change: Callable[[int], None] = lambda change: None
     _has_waited: bool = False
     _run: TextRun = field(factory=TextRun)
 
@@ -368,6 +376,8 @@
             except ShedError:
                 self._restart_if_others_serve(work)
                 raise
+            self.on_slot_change(1)
+            stack.callback(self.on_slot_change, -1)
             yield assignment
 
     def _restart_without_software(self, pool: str) -> None:
--- a/mulberryport/jobs/owned.py
+++ b/mulberryport/jobs/owned.py
@@ -5,6 +5,8 @@
 """
 
 import math
+from collections import deque
+from collections.abc import Iterable
 from functools import partial
 from typing import Any
 
@@ -92,6 +94,10 @@
     _pending: list[JobResult] = field(factory=list)
     _transcripts: dict[str, Transcript] = field(factory=dict)
     _step: StepProgress = field(init=False)
+    # Items that do not compete for targets yet, and the threads of those that do.
+    _waiting_items: deque[JobItem] = field(factory=deque)
+    _item_threads: set[Any] = field(factory=set)
+    _slot_count: int = 0
     _threads: list[Any] = field(factory=list)
     _result_ready: Notifier = field(factory=Notifier)
     _has_listed_wanted: bool = False
@@ -139,8 +145,11 @@
         if self._closed:
             return
         # The longest items determine when a step completes, so they start first.
-        for item in sorted(remaining, key=lambda item: -item.length_hint):
-            self._threads.append(eventlet.spawn(self._run_item, item))
+        self._waiting_items.extend(
+            sorted(remaining, key=lambda item: -item.length_hint)
+        )
+        self.context.window.add(self.job.id)
+        self._start_items()
         name = f"commits of job {self.job.id}"
         self._threads.append(supervise(name, self._commit_results))
 
@@ -172,8 +181,12 @@
             pending=len(self._pending),
             is_committing=self._commit_in_progress,
         )
+        self.context.window.remove(self.job.id)
+        self._waiting_items.clear()
         current = eventlet.getcurrent()
-        threads = [thread for thread in self._threads if thread is not current]
+        threads = [*self._item_threads, *self._threads]
+        threads = [thread for thread in threads if thread is not current]
+        self._item_threads.clear()
         self._threads.clear()
         # The caller may be cancelled between two kills, for example with the call of a
         # peer; all threads have to end nevertheless.
@@ -220,10 +233,31 @@
         self._step = StepProgress(self.job, self._transcripts, reused.items, finished)
         return remaining
 
+    def _start_items(self) -> None:
+        """Let as many items compete for targets as the job's share of the window."""
+        limit = self._slot_count + self.context.window.items_per_job(
+            min(map(self._queue_length, self._pools()), default=0)
+        )
+        while self._waiting_items and len(self._item_threads) < limit:
+            thread = eventlet.spawn(self._run_item, self._waiting_items.popleft())
+            self._item_threads.add(thread)
+            thread.link(self._on_item_ended)
+
+    def _on_item_ended(self, thread: Any) -> None:
+        self._item_threads.discard(thread)
+        self._start_items()
+
+    def _on_slot_change(self, change: int) -> None:
+        self._slot_count += change
+        if change > 0:
+            self._start_items()
+
     def _run_item(self, item: JobItem) -> None:
         transcript = self._transcripts.setdefault(item.id, Transcript())
         rank = partial(self._step.rank, item)
-        result = ItemTask(self.job, item, transcript, self.context, rank).run()
+        result = ItemTask(
+            self.job, item, transcript, self.context, rank, self._on_slot_change
+        ).run()
         if result is not None:
             elapsed_s = self.context.now() - self.job.submitted_at
             self._step.record_finished(item, elapsed_s, self._due_s())
@@ -236,9 +270,15 @@
 
     def _is_scheduled(self) -> bool:
         """Whether the job is scheduled as a step."""
+        return any(map(self.context.schedules_steps, self._pools()))
+
+    def _pools(self) -> Iterable[str]:
         route = self._route()
-        pools = route.pools if route is not None else ()
-        return any(map(self.context.schedules_steps, pools))
+        return route.pools if route is not None else ()
+
+    def _queue_length(self, pool: str) -> int:
+        settings = self.context.dispatcher.directory.pool(pool)
+        return settings.queue if settings is not None else 0
 
     def _route(self) -> Route | None:
         return self.context.snapshot().tables.routes.get(self.job.route)
--- a/mulberryport/jobs/progress.py
+++ b/mulberryport/jobs/progress.py
@@ -37,6 +37,8 @@
     carried: Collection[str] = frozenset()
     finished: set[str] = field(factory=set)
     _unfinished: Counter[str] = field(init=False)
+    _wanted_groups: int = field(init=False)
+    _carried_groups: frozenset[str] = field(init=False)
     _complete_groups: int = 0
     _hinted_tokens: int = 0
     _hinted_events: int = 0
@@ -47,8 +49,12 @@
         """Count what the groups lack."""
         items = [item for item in self.job.items if item.id not in self.finished]
         self._unfinished = Counter(item.group for item in items)
-        groups = {item.group for item in self.job.items}
-        self._complete_groups = len(groups) - len(self._unfinished)
+        group_count = len({item.group for item in self.job.items})
+        self._complete_groups = group_count - len(self._unfinished)
+        self._wanted_groups = min(self.job.wanted_groups or group_count, group_count)
+        self._carried_groups = frozenset(
+            item.group for item in self.job.items if item.id in self.carried
+        )
         self._resumed_events = {
             item: len(transcript.events)
             for item, transcript in self.transcripts.items()
@@ -60,16 +66,10 @@
     @property
     def is_satisfied(self) -> bool:
         """Whether the groups that the trainer waits for are complete."""
-        carried = {i.group for i in self.job.items if i.id in self.carried}
         return self._complete_groups >= self._wanted_groups and not any(
-            self._unfinished[group] for group in carried
+            self._unfinished[group] for group in self._carried_groups
         )
 
-    @property
-    def _wanted_groups(self) -> int:
-        groups = len({item.group for item in self.job.items})
-        return min(self.job.wanted_groups or groups, groups)
-
     def record_finished(self, item: JobItem, elapsed_s: float, due_s: float) -> None:
         """Record that an item has a result.
 
