Keep one check of paths, and read jobs without a second copy

The check of what can be sent in a request line stood in two places. read_whole_body returns what it has read instead of a copy, since a large job takes much memory in each form.

--- a/mulberryport/gateway/bodies.py
+++ b/mulberryport/gateway/bodies.py
@@ -93,7 +93,7 @@
     return RequestBody(length, buffered, len(buffered) == length, stream)
 
 
-def read_whole_body(environ: dict[str, Any], max_bytes: int) -> bytes:
+def read_whole_body(environ: dict[str, Any], max_bytes: int) -> bytearray:
     """Read a request's body into memory.
 
     Parameters
@@ -119,7 +119,7 @@
                 raise RefusalError(413, f"a body has {max_bytes} bytes at most")
     except OutcomeUnknownError as error:
         raise RefusalError(400, str(error)) from error
-    return bytes(content)
+    return content
 
 
 def _declared_length(environ: dict[str, Any]) -> int | None:
--- a/mulberryport/gateway/paths.py
+++ b/mulberryport/gateway/paths.py
@@ -16,7 +16,13 @@
 from ..tables import Route, Tables
 from .refusals import RefusalError
 
-__all__ = ["AmbiguousPathError", "match_route", "path_readings", "request_path"]
+__all__ = [
+    "AmbiguousPathError",
+    "check_path",
+    "match_route",
+    "path_readings",
+    "request_path",
+]
 
 # Such a path has one reading: no encoding, parameters, empty segments or dots.
 SIMPLE_PATH = re.compile(
@@ -25,6 +31,7 @@
 SENDABLE_PATH = re.compile(r"/[\x21-\x7e]*")
 # A path with more readings was made to have them.
 MAX_READINGS = 64
+MAX_SHOWN_CHARS = 40
 
 
 class AmbiguousPathError(ValueError):
@@ -44,9 +51,22 @@
     RefusalError
         The path cannot be forwarded as it is.
     """
-    path = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
+    try:
+        return check_path(environ.get("RAW_PATH_INFO") or environ["PATH_INFO"])
+    except ValueError as error:
+        raise RefusalError(400, str(error)) from error
+
+
+def check_path(path: str) -> str:
+    """Return a path, if it can be sent in a request line.
+
+    Raises
+    ------
+    ValueError
+        It is not absolute, or has spaces, control characters or other scripts.
+    """
     if not SENDABLE_PATH.fullmatch(path):
-        raise RefusalError(400, "the path is not absolute, or has other characters")
+        raise ValueError(f"the path {path[:MAX_SHOWN_CHARS]!r} cannot be sent")
     return path
 
 
--- a/mulberryport/platform/batches.py
+++ b/mulberryport/platform/batches.py
@@ -12,7 +12,12 @@
 from ..gateway.active import ActiveRequest
 from ..gateway.bodies import read_whole_body
 from ..gateway.calls import CallerRequest
-from ..gateway.paths import AmbiguousPathError, match_route, path_readings
+from ..gateway.paths import (
+    AmbiguousPathError,
+    check_path,
+    match_route,
+    path_readings,
+)
 from ..jobs import (
     Job,
     JobItem,
@@ -29,7 +34,6 @@
 from .caller_headers import (
     check_field_value,
     check_header,
-    check_path,
     forwardable_item_headers,
 )
 from .counts import parse_count
@@ -51,7 +55,11 @@
 
 
 def parse_job(
-    content: bytes, job_id: str, call: CallerRequest, now: float, revision: int
+    content: bytes | bytearray,
+    job_id: str,
+    call: CallerRequest,
+    now: float,
+    revision: int,
 ) -> Job:
     """Decode a job from its submission.
 
--- a/mulberryport/platform/caller_headers.py
+++ b/mulberryport/platform/caller_headers.py
@@ -15,7 +15,6 @@
 __all__ = [
     "check_field_value",
     "check_header",
-    "check_path",
     "forwardable_headers",
     "forwardable_item_headers",
 ]
@@ -49,7 +48,6 @@
 # RFC 9110, sections 5.1 and 5.5; other names and values cannot be sent.
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
-ITEM_PATH = re.compile(r"/[\x21-\x7e]*")
 MAX_SHOWN_CHARS = 40
 
 Headers = Iterable[tuple[str, str]]
@@ -134,19 +132,6 @@
     return value
 
 
-def check_path(path: str) -> str:
-    """Return a path that is sent in a request line.
-
-    Raises
-    ------
-    ValueError
-        It is no path, or has characters that cannot be sent.
-    """
-    if not ITEM_PATH.fullmatch(path):
-        raise ValueError(f"the path {path[:MAX_SHOWN_CHARS]!r} cannot be sent")
-    return path
-
-
 def _without(headers: Headers, reserved: frozenset[str]) -> list[tuple[str, str]]:
     return [
         (name, value)
