Review: a stale holder's report arrives after the new holder's

A guarded call that times out closes its connection, but the kernel still sends its bytes once a cut link has healed, with a lower fencing token than the new holder's.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,6 @@
-"""A long request that crashes each server that begins to run it comes again."""
+"""The holder of the duty is cut off while a usage report is on its way."""
 
-import os
+import json
 import sys
 import threading
 import time
@@ -9,111 +9,107 @@
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "lab_3"))
 
-from http_tools import Request, Server, send_request  # noqa: E402
-from lab import HOST, KEY, ZONES, Lab, free_ports, run_case  # noqa: E402
-
-SERVERS = 4
-BODY_BYTES = int(os.environ.get("BODY_BYTES", "100000"))
-DOWN_S = 2.0
-CONTACT_S = 3.0
-# Retries that may reach servers after the third crash, and the time without trouble.
-RETRIES = 3
-PAUSE_S, LENGTH_S = 1.0, 35.0
-PATH = "/desk/plan"
-
-
-class Service:
-    """The servers of the service, which crash under one request."""
-
-    def __init__(self, lab: Lab, trouble: bool) -> None:
-        self.lab, self.trouble = lab, trouble
-        self.crashes: list[float] = []
-        self.reached: list[tuple[float, str]] = []
-        self._servers: dict[str, Server] = {}
-        for number, port in enumerate(free_ports(SERVERS)):
-            name = f"s{number}"
-            self._servers[name] = Server(
-                name, lambda r, n=name: self._handle(r, n), port
-            )
-            self._register(name)
-
-    def _register(self, name: str) -> None:
-        zone = ZONES[int(name[1:]) % 3]
-        self.lab.register(name, "desk", self._servers[name].port, zone=zone)
-
-    def _restart(self, name: str) -> None:
-        time.sleep(DOWN_S)
-        self._servers[name].start()
-        self._register(name)
-
-    def _handle(self, request: Request, name: str) -> bool:
-        request.read()
-        load = {"X-Server-Load": "1,0,4"}
-        if request.path == PATH:
-            self.reached.append((time.monotonic(), request.id))
-            self.lab.record.add(f"{request.id} reaches {name}")
-            if self.trouble:
-                time.sleep(0.02)
-                self.crashes.append(time.monotonic())
-                self.lab.record.add(f"{name} crashes")
-                self._servers[name].crash()
-                threading.Thread(
-                    target=self._restart, args=(name,), daemon=True
-                ).start()
-                return False
-        request.answer(
-            "200 OK", b"done", {"X-Server-Stamp": f"stamp.{name}.{request.id}"} | load
-        )
+from http_tools import Request, Server  # noqa: E402
+from lab import ZONES, Lab, free_ports, run_case, wait_for  # noqa: E402
+from proxy import Proxy  # noqa: E402
+
+DAEMONS = 2
+CUT_S = 5.5
+SETTLED_S = 12.0
+AFTER_HEAL_S = 8.0
+THAW_SLACK_S = 0.3
+
+
+class Duties:
+    """The platform's interface for duties, and the calls that it accepted."""
+
+    def __init__(self, lab: Lab, port: int) -> None:
+        self.lab = lab
+        self.calls: list[tuple[float, str, int, str]] = []
+        Server("duties", self._handle, port)
+
+    def _handle(self, request: Request) -> bool:
+        body = json.loads(request.read())
+        holder = request.headers["x-duty-holder"]
+        fence = int(request.headers["x-fence-token"])
+        self.calls.append((time.monotonic(), holder, fence, request.path))
+        self.lab.record.add(f"{request.path} {body} by {holder}, fence {fence}")
+        request.answer("200 OK", b"{}", {"Content-Type": "application/json"})
         return True
 
 
+class Machine:
+    """The links of one machine to the store and to the interface for duties."""
+
+    def __init__(self, cut: "Cut", name: str, ports: list[int], lab: Lab) -> None:
+        store_port, cloud_port, target = ports
+        self.name = name
+        self.store = Proxy(store_port, lab.platform_port)
+        self.cloud = Proxy(cloud_port, target, lambda data: cut.on_data(self, data))
+
+
+class Cut:
+    """Cuts the machine off that seems to lead and has just sent a usage report."""
+
+    def __init__(self, lab: Lab) -> None:
+        self.lab, self.is_armed = lab, False
+        self.machine: Machine | None = None
+        self.healed_at = float("inf")
+
+    def on_data(self, machine: Machine, data: bytes) -> None:
+        """Cut a machine off, whose report is about to be forwarded."""
+        if not self.is_armed or b"POST /usage" not in data:
+            return
+        self.is_armed, self.machine = False, machine
+        self.lab.record.add(f"{machine.name} is cut off for {CUT_S} s")
+        machine.store.cut()
+        machine.cloud.cut()
+        threading.Thread(target=self._heal, args=(machine,), daemon=True).start()
+
+    def _heal(self, machine: Machine) -> None:
+        time.sleep(CUT_S)
+        self.healed_at = time.monotonic()
+        machine.store.heal()
+        machine.cloud.heal()
+        self.lab.record.add(f"the links of {machine.name} have healed")
+
+
 def play(lab: Lab, trouble: bool) -> bool:
-    """Return whether the request is kept from the servers after its third crash."""
+    """Return whether no call bears a lower fencing token than one before it."""
     lab.start_platform()
-    service = Service(lab, trouble)
-    route = {
-        "name": "filing",
-        "host": HOST,
-        "prefix": "/desk/",
-        "kind": "idempotent",
-        "timeout-ms": 2000,
-        "latency-target-ms": 150,
-        "priority": 2,
-        "service": "desk",
-        "max-attempts": 2,
-    }
-    desk = {"name": "desk", "health-path": "/health", "max-conns": 100}
-    lab.configure([route], [desk], 1)
-    for number in range(2):
-        lab.add_entry(f"front-{number}", ZONES[number])
+    duties_port = free_ports(1)[0]
+    duties = Duties(lab, duties_port)
+    cut = Cut(lab)
+    # The seeds are stale: nothing answers at their addresses.
+    stale = tuple(free_ports(3))
+    lab.configure([], [], 1)
+    for number in range(DAEMONS):
+        store_port, cloud_port = free_ports(2)
+        name = f"front-{number}"
+        Machine(cut, name, [store_port, cloud_port, duties_port], lab)
+        lab.add_entry(name, ZONES[number], store_port, cloud_port, stale)
     lab.start_entries()
-    time.sleep(CONTACT_S)
-    ports = [entry["caller"] for entry in lab.entries.values()]
-    body = b"p" * BODY_BYTES
-    until, number = time.monotonic() + LENGTH_S, 0
-    while time.monotonic() < until:
-        number += 1
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": f"plan-{number}",
-            "X-Deadline-Ms": "2000",
-            "X-Api-Key": KEY,
-        }
-        port = ports[number % len(ports)]
-        status, _, _ = send_request(port, "POST", PATH, headers, body)
-        lab.record.add(f"plan-{number} was answered {status}")
-        time.sleep(PAUSE_S)
-    if not service.reached or (trouble and not service.crashes):
-        raise RuntimeError("the request did not run")
-    if len(service.crashes) < 3:
-        return True
-    late_from = service.crashes[2] + CONTACT_S
-    late = {request for at, request in service.reached if at > late_from}
-    lab.record.add(
-        f"{len(service.crashes)} crashes; {len(late)} retries reached servers later "
-        f"than {CONTACT_S} s after the third"
-    )
-    return len(late) <= RETRIES
+    time.sleep(SETTLED_S)
+    wait_for(lambda: duties.calls, 20, "a usage report")
+    cut.is_armed = trouble
+    if trouble:
+        wait_for(lambda: cut.machine is not None, 20, "a report during the case")
+        wait_for(lambda: cut.healed_at < float("inf"), 20, "the end of the cut")
+    time.sleep(AFTER_HEAL_S)
+    if len({holder for _, holder, _, _ in duties.calls}) < 2 and trouble:
+        raise RuntimeError("the duty did not pass on")
+    highest, late = 0, []
+    for at, holder, fence, path in duties.calls:
+        is_excused = 0 <= at - cut.healed_at <= THAW_SLACK_S
+        if fence < highest and not is_excused:
+            late.append((holder, fence, highest, path, at - cut.healed_at))
+        highest = max(highest, fence)
+    for holder, fence, before, path, after_s in late:
+        lab.record.add(
+            f"{path} by {holder} with fence {fence} arrived after fence {before}, "
+            f"{after_s:.2f} s after its link had healed"
+        )
+    return not late
 
 
 if __name__ == "__main__":
--- a/review/lab_3/lab.py
+++ b/review/lab_3/lab.py
@@ -164,8 +164,19 @@
         }
         self.put(f"servers/{server}", entry | fields)
 
-    def add_entry(self, name: str, zone: str, store_port: int = 0) -> dict[str, Any]:
-        """Write the settings of an entry daemon, without starting it."""
+    def add_entry(
+        self,
+        name: str,
+        zone: str,
+        store_port: int = 0,
+        cloud_port: int = 0,
+        seeds: tuple[int, ...] = (),
+    ) -> dict[str, Any]:
+        """Choose the settings of an entry daemon, without starting it.
+
+        The ports are those of the platform's stand-in, and the seeds the first three
+        daemons, unless others are given.
+        """
         caller, ready, control, metrics = free_ports(4)
         entry = {
             "caller": caller,
@@ -174,6 +185,8 @@
             "zone": zone,
             "metrics": metrics,
             "store": store_port or self.platform_port,
+            "cloud": cloud_port or self.platform_port,
+            "seeds": seeds,
         }
         self.entries[name] = entry
         return entry
@@ -181,9 +194,11 @@
     def start_entry(self, name: str) -> None:
         """Start an entry daemon with the command of the deploy file."""
         entry = self.entries[name]
+        daemons = list(self.entries.values())[:3]
+        ports = entry["seeds"] or [daemon["control"] for daemon in daemons]
         seeds = "".join(
-            f"\n    seed{number} {each['zone']} 127.0.0.1:{each['control']}"
-            for number, each in enumerate(list(self.entries.values())[:3])
+            f"\n    seed{number} {entry['zone']} 127.0.0.1:{port}"
+            for number, port in enumerate(ports)
         )
         settings = self.folder / f"{name}.ini"
         settings.write_text(
@@ -193,7 +208,7 @@
             f"peer-address = 127.0.0.1:{entry['control']}\n"
             f"metrics-port = {entry['metrics']}\ngrace = 8\n\n"
             f"[platform]\nstore = 127.0.0.1:{entry['store']}\n"
-            f"cloud = 127.0.0.1:{self.platform_port}\nlease-ms = 3000\n"
+            f"cloud = 127.0.0.1:{entry['cloud']}\nlease-ms = 3000\n"
             "disk-losses = 1\nretention = 120\n\n[usage]\nwindow = 5\n\n"
             f"[peers]\nseeds = {seeds}\n"
         )
--- a/review/lab_3/platform_server.py
+++ b/review/lab_3/platform_server.py
@@ -14,6 +14,7 @@
 
 import eventlet  # noqa: E402
 
+from mulberryport.runtime.clock import boottime  # noqa: E402
 from mulberryport.runtime.wsgi import (  # noqa: E402
     StartResponse,
     listen,
@@ -24,9 +25,23 @@
 from mulberryport.standins.platform_store import PlatformStandin  # noqa: E402
 
 
+class Platform(PlatformStandin):
+    """The project's stand-in, with lease ids that are never given twice."""
+
+    last_lease = 77_000
+
+    def _dispatch(self, environ: dict[str, Any]) -> tuple[int, Any]:
+        if environ["PATH_INFO"] != "/mulberryport/kv-lease":
+            return super()._dispatch(environ)
+        ttl_s = read_json(environ)["ttl-ms"] / 1000
+        self.last_lease += 1
+        self._leases[self.last_lease] = (boottime() + ttl_s, ttl_s)
+        return 200, {"lease": self.last_lease, "ttl-ms": int(ttl_s * 1000)}
+
+
 def main(address: str) -> None:
     """Serve the platform at an address until the process is killed."""
-    platform = PlatformStandin()
+    platform = Platform()
 
     def application(environ: dict[str, Any], start_response: StartResponse) -> Any:
         path = environ["PATH_INFO"]
