--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,119 +1,72 @@
-"""A long request that crashes each server that begins to run it comes again."""
+"""A configuration leaves out the route of scoring calls, and the next one has it."""
 
-import os
 import sys
-import threading
 import time
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "lab_3"))
 
-from http_tools import Request, Server, send_request  # noqa: E402
-from lab import HOST, KEY, ZONES, Lab, free_ports, run_case  # noqa: E402
+from engines import (  # noqa: E402
+    Engines,
+    Scorers,
+    batch_route,
+    end_job,
+    make_job,
+    read_results,
+    scorer_route,
+    services,
+    submit,
+)
+from lab import ZONES, Lab, run_case  # noqa: E402
 
-SERVERS = 4
-BODY_BYTES = int(os.environ.get("BODY_BYTES", "100000"))
-DOWN_S = 2.0
-CONTACT_S = 3.0
-# Retries that may reach servers after the third crash, and the time without trouble.
-RETRIES = 3
-PAUSE_S, LENGTH_S = 1.0, 35.0
-PATH = "/desk/plan"
-
-
-class Service:
-    """The servers of the service, which crash under one request."""
-
-    def __init__(self, lab: Lab, trouble: bool) -> None:
-        self.lab, self.trouble = lab, trouble
-        self.crashes: list[float] = []
-        self.reached: list[tuple[float, str]] = []
-        self._servers: dict[str, Server] = {}
-        for number, port in enumerate(free_ports(SERVERS)):
-            name = f"s{number}"
-            self._servers[name] = Server(
-                name, lambda r, n=name: self._handle(r, n), port
-            )
-            self._register(name)
-
-    def _register(self, name: str) -> None:
-        zone = ZONES[int(name[1:]) % 3]
-        self.lab.register(name, "desk", self._servers[name].port, zone=zone)
-
-    def _restart(self, name: str) -> None:
-        time.sleep(DOWN_S)
-        self._servers[name].start()
-        self._register(name)
-
-    def _handle(self, request: Request, name: str) -> bool:
-        request.read()
-        load = {"X-Server-Load": "1,0,4"}
-        if request.path == PATH:
-            self.reached.append((time.monotonic(), request.id))
-            self.lab.record.add(f"{request.id} reaches {name}")
-            if self.trouble:
-                time.sleep(0.02)
-                self.crashes.append(time.monotonic())
-                self.lab.record.add(f"{name} crashes")
-                self._servers[name].crash()
-                threading.Thread(
-                    target=self._restart, args=(name,), daemon=True
-                ).start()
-                return False
-        request.answer(
-            "200 OK", b"done", {"X-Server-Stamp": f"stamp.{name}.{request.id}"} | load
-        )
-        return True
+DAEMONS = 3
+ITEMS, GROUP_SIZE = 200, 4
+CHANGE_AFTER_S, CHANGED_S = 0.8, 2.0
+READ_S = 20.0
 
 
 def play(lab: Lab, trouble: bool) -> bool:
-    """Return whether the request is kept from the servers after its third crash."""
+    """Return whether no item is listed as errored without a reason."""
     lab.start_platform()
-    service = Service(lab, trouble)
-    route = {
-        "name": "filing",
-        "host": HOST,
-        "prefix": "/desk/",
-        "kind": "idempotent",
-        "timeout-ms": 2000,
-        "latency-target-ms": 150,
-        "priority": 2,
-        "service": "desk",
-        "max-attempts": 2,
-    }
-    desk = {"name": "desk", "health-path": "/health", "max-conns": 100}
-    lab.configure([route], [desk], 1)
-    for number in range(2):
+    engines, scorers = Engines(lab), Scorers(lab)
+    lab.configure([batch_route(), scorer_route()], services(), 1)
+    for number in range(DAEMONS):
         lab.add_entry(f"front-{number}", ZONES[number])
     lab.start_entries()
-    time.sleep(CONTACT_S)
+    time.sleep(4.0)
     ports = [entry["caller"] for entry in lab.entries.values()]
-    body = b"p" * BODY_BYTES
-    until, number = time.monotonic() + LENGTH_S, 0
-    while time.monotonic() < until:
-        number += 1
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": f"plan-{number}",
-            "X-Deadline-Ms": "2000",
-            "X-Api-Key": KEY,
-        }
-        port = ports[number % len(ports)]
-        status, _, _ = send_request(port, "POST", PATH, headers, body)
-        lab.record.add(f"plan-{number} was answered {status}")
-        time.sleep(PAUSE_S)
-    if not service.reached or (trouble and not service.crashes):
-        raise RuntimeError("the request did not run")
-    if len(service.crashes) < 3:
-        return True
-    late_from = service.crashes[2] + CONTACT_S
-    late = {request for at, request in service.reached if at > late_from}
+    items = [f"g{n // GROUP_SIZE}-{n % GROUP_SIZE}" for n in range(ITEMS)]
+    status = submit(ports[0], "job1", make_job(items))
+    lab.record.add(f"job1 with {ITEMS} items was answered {status}")
+    if status != 202:
+        raise RuntimeError("the job was not accepted")
+    started_at = time.monotonic()
+    time.sleep(CHANGE_AFTER_S)
+    if trouble:
+        lab.configure([batch_route()], services(), 2)
+        lab.record.add("configuration 2 has no route of scoring calls")
+        time.sleep(CHANGED_S)
+        lab.configure([batch_route(), scorer_route()], services(), 3)
+        lab.record.add("configuration 3 has it again")
+    results: list[dict[str, Any]] = []
+    while len(results) < ITEMS and time.monotonic() < started_at + READ_S:
+        status, page = read_results(ports[1], "job1", len(results))
+        if status == 200:
+            results += page["results"]
+    age_s = time.monotonic() - started_at
+    states = Counter(result["state"] for result in results)
     lab.record.add(
-        f"{len(service.crashes)} crashes; {len(late)} retries reached servers later "
-        f"than {CONTACT_S} s after the third"
+        f"{len(results)} results {age_s:.1f} s after the submission: {dict(states)}; "
+        f"{len(engines.runs)} runs at engines and {len(scorers.calls)} scoring calls, "
+        "none of which failed"
     )
-    return len(late) <= RETRIES
+    lab.record.add(f"the end of job1 was answered {end_job(ports[2], 'job1')}")
+    if not states["completed"] and not states["errored"]:
+        raise RuntimeError("no result was read")
+    return not states["errored"] and (trouble or len(results) == ITEMS)
 
 
 if __name__ == "__main__":
