--- a/review/lab_3/lab.py
+++ b/review/lab_3/lab.py
@@ -7,6 +7,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -268,6 +269,8 @@
         print("target/deps is missing: run the build of the deploy file first")
         return COULD_NOT_RUN
     lab = Lab(case)
+    # Ends the processes also if the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         lab.record.add(f"disruption: {'yes' if trouble else 'no'}")
