Reset connections whose call is given up

Cause: a call that timed out closed its connection plainly. The kernel goes on to send what was written before, for minutes, long after the lease that the guard checked. Ruled out: the guard itself; in the case it passed 3 s before the lease was taken over.

Change: connections of runtime.http have a linger time of zero, so that any end but a regular one resets them and discards unsent bytes; a guarded call has a TCP user timeout as long as its time limit as well, for processes that are stopped.

--- a/mulberryport/runtime/guarded.py
+++ b/mulberryport/runtime/guarded.py
@@ -8,6 +8,10 @@
 A process that is stopped between the check and the body must not send the body
 when it resumes. A kernel interval timer keeps running while the process is stopped;
 its signal is delivered before the process executes further code and aborts the call.
+
+A call that is given up must not arrive later, when another process holds the lease. Its
+connection is reset, which takes back what the kernel has not sent; the kernel of a
+process that is stopped gives up by itself when the time limit has passed.
 """
 
 import http.client
@@ -24,6 +28,7 @@
 
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from .http import BoundedResponse, JsonReply, read_reply
+from .sockets import RESET_ON_CLOSE, end_regularly, user_timeout
 
 __all__ = ["call_json_guarded"]
 
@@ -110,6 +115,8 @@
     try:
         connection.connect()
         connected = True
+        connection.sock.setsockopt(*RESET_ON_CLOSE)
+        connection.sock.setsockopt(*user_timeout(timeout))
         request_target = parts.path + (f"?{parts.query}" if parts.query else "")
         connection.putrequest(method, request_target, skip_accept_encoding=True)
         connection.putheader("Content-Type", "application/json")
@@ -123,6 +130,7 @@
         reply = connection.getresponse()
         data = read_reply(reply, timeout)
         status, reply_headers = reply.status, dict(reply.getheaders())
+        end_regularly(connection)
     except eventlet.Timeout as expired:
         if expired is not call_timeout:
             raise
--- a/mulberryport/runtime/http.py
+++ b/mulberryport/runtime/http.py
@@ -15,6 +15,7 @@
 from ..outcomes import Done, NotDone, Outcome, Unknown
 from .clock import boottime
 from .fairness import yield_if_due
+from .sockets import RESET_ON_CLOSE
 
 __all__ = [
     "BoundedConnection",
@@ -191,10 +192,15 @@
 
 
 class BoundedConnection(HTTPConnection):
-    """Connection whose responses are bounded."""
+    """Connection whose responses are bounded, and that is reset when it is closed."""
 
     response_class = BoundedResponse
 
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self.sock.setsockopt(*RESET_ON_CLOSE)
+
 
 class BoundedConnectionPool(urllib3.HTTPConnectionPool):
     """Pool of connections whose responses are bounded."""
--- a/mulberryport/targets/connections.py
+++ b/mulberryport/targets/connections.py
@@ -19,7 +19,7 @@
 
 from ..runtime.clock import boottime
 from ..runtime.http import BoundedConnection, read_parts
-from ..runtime.sockets import TCP_SOCKET_OPTIONS
+from ..runtime.sockets import TCP_SOCKET_OPTIONS, end_regularly
 from ..runtime.wsgi import split_address
 
 __all__ = ["ConnectionPool", "drain_refusal", "has_peer_ended", "is_peer_gone"]
@@ -169,7 +169,7 @@
             if boottime() < candidate.expires_at and _is_reusable(candidate.connection):
                 self.reused += 1
                 return candidate.connection, True
-            candidate.connection.close()
+            end_regularly(candidate.connection)
         host, port = split_address(address)
         connection = BoundedConnection(
             host,
@@ -206,7 +206,7 @@
             or len(idle) >= MAX_IDLE_PER_TARGET
             or not _is_reusable(connection)
         ):
-            connection.close()
+            end_regularly(connection)
             return
         idle.append(IdleConnection(connection, boottime() + idle_timeout_s))
 
@@ -216,7 +216,7 @@
         for target, idle in list(self._idle.items()):
             for expired in [entry for entry in idle if entry.expires_at <= now]:
                 idle.remove(expired)
-                expired.connection.close()
+                end_regularly(expired.connection)
             if not idle:
                 del self._idle[target]
 
