Let items wait for the route of their scoring calls

Cause: one lookup served the item's route and that of its scoring call, and gave the item up if there was none. Only a 422, the allowed number of 500s, the age limit and the end of the job or of the item's own route end an item.

Change: such an item waits for a configuration, within its age limit, without another run, and leaves its turn at the engines to other items. The same class: an ambiguous path of the item itself, and statuses such as 502, which counted as failed attempts.

--- a/mulberryport/gateway/paths.py
+++ b/mulberryport/gateway/paths.py
@@ -35,7 +35,19 @@
 
 
 class AmbiguousPathError(ValueError):
-    """A path belongs to different routes, depending on how it is read."""
+    """A path belongs to different routes, depending on how it is read.
+
+    Parameters
+    ----------
+    message : str
+        What is ambiguous.
+    route : Route, optional
+        Route to which the path belongs as it was sent.
+    """
+
+    def __init__(self, message: str, route: Route | None = None) -> None:
+        super().__init__(message)
+        self.route = route
 
 
 def request_path(environ: dict[str, Any]) -> str:
@@ -95,7 +107,10 @@
         if path.startswith(route.path) and route.host in ("", name)
     ]
     route = max(matching, key=_path_length, default=None)
-    readings = path_readings(path) if route is not None else ()
+    try:
+        readings = path_readings(path) if route is not None else ()
+    except AmbiguousPathError as error:
+        raise AmbiguousPathError(str(error), route) from error
     if readings:
         # The path of a route may have several readings itself.
         prefixes = [
@@ -105,7 +120,7 @@
         ]
         if any(_match_reading(prefixes, reading) is not route for reading in readings):
             raise AmbiguousPathError(
-                f"the path is ambiguous for the route {route.name}"
+                f"the path is ambiguous for the route {route.name}", route
             )
     return route
 
--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
+from functools import partial
 from typing import Any
 
 import eventlet
@@ -58,8 +59,9 @@
     928,
     "item_waits_for_configuration",
     "info",
-    "No route matches an item, but the configuration was not read yet or is older than "
-    "the one under which its job was accepted.",
+    "An item waits for a configuration: no route matches it, but the configuration was "
+    "not read yet or is older than the one under which its job was accepted; its path "
+    "is ambiguous; or there is no route for its scoring call.",
 )
 
 ITEM_REFUSED = define_event(
@@ -148,8 +150,8 @@
     """An item has no text and will not be attempted again; states the reason."""
 
 
-class ConfigurationBehindError(Exception):
-    """The configuration in force says nothing about the routes of a job."""
+class RouteUnavailableError(Exception):
+    """The configuration in force has no usable route; a newer one may have it."""
 
 
 @define(eq=False)
@@ -168,8 +170,8 @@
         Returns the present rank of the item within its job, called with the seconds
         since the submission and those within which the job is due.
     on_slot_change : callable
-        Called with 1 when the item gets a slot of a target, and with -1 when it gives
-        the slot back.
+        Called with 1 when the item stops competing for engines, because it got a slot
+        or waits for its scoring call, and with -1 when that ends.
     """
 
     job: Job
@@ -179,6 +181,7 @@
     rank: Callable[[float, float], ItemRank]
     on_slot_change: Callable[[int], None] = lambda change: None
     _has_waited: bool = False
+    _is_waiting_for_score: bool = False
     _run: TextRun = field(factory=TextRun)
 
     def run(self) -> JobResult | None:
@@ -188,8 +191,8 @@
                 result = self._attempt()
             except EngineSwitchError as error:
                 log(ITEM_MOVED, **self._log_fields(), reason=str(error))
-            except ConfigurationBehindError:
-                self._wait_for_configuration()
+            except RouteUnavailableError as error:
+                self._wait_for_configuration(str(error))
             except NotStartedError as error:
                 log(ITEM_REFUSED, **self._log_fields(), reason=str(error))
                 eventlet.sleep(RETRY_DELAY_S)
@@ -219,7 +222,7 @@
             The item is to be committed as errored.
         """
         self._wait_until_up_to_date()
-        route = self._find_route(self.item.path, self.job.host, batch=True)
+        route = self._find_batch_route()
         self._check_limits(route)
         try:
             self._generate(route)
@@ -244,53 +247,74 @@
             raise StreamInterruptedError("the text is too long for the store")
         return result
 
-    def _find_route(self, path: str, host: str, *, batch: bool = False) -> Route:
-        """Return the route of a request.
-
-        Parameters
-        ----------
-        path, host : str
-            Path and host of the request.
-        batch : bool
-            Whether only a route for batch jobs will do.
+    def _find_batch_route(self) -> Route:
+        """Return the route of the item.
 
         Raises
         ------
         ItemGivenUpError
-            The route was removed, or the path is ambiguous.
-        ConfigurationBehindError
-            No route matches, but the configuration was not read yet or is older than
-            the one under which the job was accepted, so that the route may exist.
+            The route was removed; or the path is ambiguous, and the item has no time
+            or attempts left.
+        RouteUnavailableError
+            The path is ambiguous; or no route for jobs matches, but the configuration
+            was not read yet or is older than the one under which the job was accepted,
+            so that the route may exist.
         """
-        snapshot = self.context.snapshot()
+        snapshot, path = self.context.snapshot(), self.item.path
+        ambiguity = ""
         try:
-            route = match_route(snapshot.tables, path, host)
+            route = match_route(snapshot.tables, path, self.job.host)
         except AmbiguousPathError as error:
-            raise ItemGivenUpError(f"{path}: {error}") from error
-        if route is not None and (route.batch is not None or not batch):
+            route, ambiguity = error.route, str(error)
+        if route is not None and route.batch is not None:
+            if ambiguity:
+                self._check_limits(route)
+                raise RouteUnavailableError(f"{path}: {ambiguity}")
             return route
+        reason = f"revision {snapshot.revision} has no route for jobs at {path}"
         if snapshot.revision < max(1, self.job.configuration_revision):
-            raise ConfigurationBehindError
-        kind = "no route for jobs" if batch else "no route"
-        raise ItemGivenUpError(
-            f"route removed: revision {snapshot.revision} has {kind} at {path}"
-        )
+            raise RouteUnavailableError(reason)
+        raise ItemGivenUpError(f"route removed: {reason}")
 
-    def _wait_for_configuration(self) -> None:
+    def _find_scoring_route(self, call: ScoringCall) -> Route:
+        """Return the route of the scoring call.
+
+        Raises
+        ------
+        RouteUnavailableError
+            There is none, or the path is ambiguous. Only the end of the item's own
+            route ends the item.
+        """
+        snapshot = self.context.snapshot()
+        try:
+            route = match_route(snapshot.tables, call.path, call.host)
+        except AmbiguousPathError as error:
+            raise RouteUnavailableError(f"{call.path}: {error}") from error
+        if route is None:
+            raise RouteUnavailableError(
+                f"revision {snapshot.revision} has no route at {call.path}"
+            )
+        return route
+
+    def _wait_for_configuration(self, reason: str) -> None:
         """Wait before looking for a newer configuration.
 
         The age limit of an item is a term of its route, so an item whose route is not
         known waits until a configuration tells its terms, or that there is no route.
         """
+        snapshot = self.context.snapshot()
         if not self._has_waited:
             self._has_waited = True
             log(
                 ITEM_WAITS_FOR_CONFIGURATION,
                 **self._log_fields(),
-                revision=self.context.snapshot().revision,
+                reason=reason,
+                revision=snapshot.revision,
                 required=self.job.configuration_revision,
             )
-        eventlet.sleep(CONFIGURATION_POLL_INTERVAL_S)
+        deadline = boottime() + ASSIGNMENT_WAIT_S
+        while self.context.snapshot() is snapshot and boottime() < deadline:
+            eventlet.sleep(CONFIGURATION_POLL_INTERVAL_S)
 
     def _check_limits(self, route: Route) -> None:
         """Raise ``ItemGivenUpError`` if the item has no time or attempts left."""
@@ -471,21 +495,42 @@
     def _score(self) -> str:
         """Return the score of a complete text.
 
+        While its call has no route or target, the item leaves its turn at the engines
+        to others.
+
         Raises
         ------
         ItemGivenUpError
-            All attempts failed, or the route was removed.
+            All attempts failed, or the route of the item was removed.
         """
         call = self.item.scoring
         assert call is not None
+        with ExitStack() as waiting:
+            return self._score_call(call, partial(self._stop_competing, waiting))
+
+    def _stop_competing(self, waiting: ExitStack) -> None:
+        """Give up the item's turn at the engines until a context ends."""
+        if not self._is_waiting_for_score:
+            self._is_waiting_for_score = True
+            waiting.callback(self._compete_again)
+            self.on_slot_change(1)
+
+    def _compete_again(self) -> None:
+        self._is_waiting_for_score = False
+        self.on_slot_change(-1)
+
+    def _score_call(self, call: ScoringCall, on_wait: Callable[[], None]) -> str:
         failures = 0
         excluded_targets: frozenset[str] = frozenset()
         while True:
             self._wait_until_up_to_date()
-            self._check_limits(
-                self._find_route(self.item.path, self.job.host, batch=True)
-            )
-            route = self._find_route(call.path, call.host)
+            try:
+                self._check_limits(self._find_batch_route())
+                route = self._find_scoring_route(call)
+            except RouteUnavailableError as error:
+                on_wait()
+                self._wait_for_configuration(str(error))
+                continue
             if failures >= route.attempts:
                 raise ItemGivenUpError(f"attempts: {failures} scoring calls failed")
             work = WorkRequest(
@@ -508,6 +553,8 @@
                 log(ITEM_ATTEMPT_FAILED, **self._log_fields(), error=str(error))
             except (ShedError, NotStartedError, StreamInterruptedError) as error:
                 log(ITEM_ATTEMPT_FAILED, **self._log_fields(), error=str(error))
+                if not attempted_target:
+                    on_wait()
                 excluded_targets = (
                     frozenset({attempted_target})
                     if attempted_target and not excluded_targets
--- a/mulberryport/platform/engines.py
+++ b/mulberryport/platform/engines.py
@@ -56,6 +56,8 @@
 MAX_PARTS_PER_EVENT = 4096
 MAX_LOGGED_CHARS = 40
 MAX_SCORE_BODY_BYTES = 1024 * 1024
+# The only status that counts as a failed attempt at an item.
+FAILED_STATUS = 500
 # Status of a target whose time for a request has run out.
 DEADLINE_STATUS = 504
 NO_VERSION_REASON = "the response has no weight version"
@@ -329,7 +331,7 @@
         if response.status == DEADLINE_STATUS:
             # The time ran out, which says nothing about the item.
             raise DeadlinePassedError("the deadline passed at the target")
-        if response.status >= 500:
+        if response.status == FAILED_STATUS:
             raise ItemFailedError(f"status {response.status}")
         if response.status != 200 or headers.get(names.REQUEST_ID) is None:
             raise StreamInterruptedError(f"status {response.status}")
--- a/mulberryport/platform/tests/test_engines.py
+++ b/mulberryport/platform/tests/test_engines.py
@@ -213,6 +213,8 @@
         (421, "", NotStartedError),
         (422, "", ItemRejectedError),
         (500, "", ItemFailedError),
+        (502, "", StreamInterruptedError),
+        (503, "", StreamInterruptedError),
         (504, "", StreamInterruptedError),
         (404, "", StreamInterruptedError),
     ],
