Never send a part of a body as the whole

Cause: only the start of a body is buffered. A retry after a rejection did not ask whether the rest had been read from the caller. Ruled out: the target's early answer; the same happened to bodies that were rejected when they were in.

Change: RequestBody knows what was read of it; parts() raises if the body cannot be sent again, and every retry asks before. Such a request is refused with 503, not run, and a Retry-After.

--- a/mulberryport/gateway/bodies.py
+++ b/mulberryport/gateway/bodies.py
@@ -27,13 +27,19 @@
     buffered : bytes
         Start of the body, at most ``MAX_BUFFERED_BYTES``.
     is_fully_buffered : bool
-        Whether ``buffered`` is the whole body, so that it can be sent again.
+        Whether ``buffered`` is the whole body.
     """
 
     length: int | None
     buffered: bytes
     is_fully_buffered: bool
     _stream: Any = field(default=None, repr=False)
+    _is_stream_read: bool = field(default=False, init=False)
+
+    @property
+    def can_be_sent(self) -> bool:
+        """Whether the whole body can be sent, for the first time or again."""
+        return self.is_fully_buffered or not self._is_stream_read
 
     @property
     def complete(self) -> bytes | None:
@@ -41,24 +47,33 @@
         return self.buffered if self.is_fully_buffered else None
 
     def parts(self) -> Iterator[bytes]:
-        """Yield the body; the part that is not buffered can be read only once.
+        """Return the parts of the body; what is not buffered can be read only once.
 
         Raises
         ------
         OutcomeUnknownError
-            The body is shorter than declared or malformed, after a part of it was
-            forwarded.
+            A part of the body was read before and is not buffered; or, while the parts
+            are read, the body is shorter than declared or malformed, after a part of
+            it was forwarded.
         """
+        if not self.can_be_sent:
+            raise OutcomeUnknownError(502, "the request's body cannot be sent again")
+        return self._parts()
+
+    def _parts(self) -> Iterator[bytes]:
         if self.buffered:
             yield self.buffered
         if self.is_fully_buffered:
             return
         size = len(self.buffered)
+        self._is_stream_read = True
         while part := self._read():
             size += len(part)
             yield part
         if self.length is not None and size != self.length:
             raise OutcomeUnknownError(400, "the request's body ended early")
+        # A chunked body may end just where the buffer does.
+        self.is_fully_buffered = size == len(self.buffered)
 
     def _read(self) -> bytes:
         try:
--- a/mulberryport/gateway/calls.py
+++ b/mulberryport/gateway/calls.py
@@ -61,6 +61,8 @@
 MAX_ATTEMPTS = 3
 # Limit of a retry's wait for another target, before the first failure is reported.
 RETRY_QUEUE_TIMEOUT_S = 1.0
+# Told to a caller whose body a target has rejected.
+RESEND_RETRY_AFTER_S = 0.25
 # Shorter pauses are normal while a target is busy.
 MIN_SILENCE_S = 3.0
 # A plain service that sends nothing for this fraction of the route's timeout, but
@@ -215,9 +217,13 @@
     failure: Exception | None = None
     for _ in range(call.access.route.attempts):
         if failure is not None:
-            is_retryable = isinstance(failure, NotSentError) or (
-                call.is_idempotent and request.body.is_fully_buffered
-            )
+            may_run_again = isinstance(failure, NotSentError) or call.is_idempotent
+            if not request.body.can_be_sent and not call.active.sent_attempts:
+                # Only the caller can send the body again, and any other target may
+                # run it.
+                reason = f"{failure}; the body cannot be sent again"
+                raise RefusalError(503, reason, RESEND_RETRY_AFTER_S) from failure
+            is_retryable = may_run_again and request.body.can_be_sent
             if not is_retryable or not client.may_retry(work.pool):
                 break
         try:
