Write where every stream began, whatever a daemon knows of versions

Cause: the daemon that began a stream wrote its origin only if it saw several versions then; the daemon that took it up relied on the record of versions only by what it had seen itself and by the limit in its own configuration. What one did not write, the other refused. Ruled out: the store and the copies; nobody had asked them to keep anything.

Change: the daemon that begins a stream writes its origin of its own accord, in groups: at once with several versions, otherwise after a second, more rarely in large fleets. Origins of long streams are written again before their lease ends, also by a daemon that goes on with a stream. What is not known for certain is refused as before.

--- a/mulberryport/gateway/app.py
+++ b/mulberryport/gateway/app.py
@@ -359,19 +359,20 @@
                 lambda: _record_sent(call, False),
             )
             is_replaced = self.dispatcher.directory.is_replaced(assignment.view)
-            if resumed is not None:
-                if is_replaced:
-                    raise OutcomeUnknownError(
-                        502, f"target {assignment.id} was replaced under its id"
-                    )
-                yield from self._stream_response(call, assignment, response)
-                return
-            request_id = call.active.id
-            key = stream_key(workspace, request_id) if request_id else ""
-            if response.status in SUCCESS_STATUSES:
+            if resumed is not None and is_replaced:
+                raise OutcomeUnknownError(
+                    502, f"target {assignment.id} was replaced under its id"
+                )
+            is_stream = response.status in SUCCESS_STATUSES
+            if is_stream and resumed is not None:
+                self._record_resumption(key, call, assignment)
+            elif is_stream:
+                request_id = call.active.id
+                key = stream_key(workspace, request_id) if request_id else ""
                 self._record_origin(key, call, assignment, is_replaced)
             yield from self._stream_response(call, assignment, response)
-            self.origins.end(key)
+            if is_stream:
+                self.origins.end(key)
 
     def _bind_to_origin(
         self, call: CallerRequest, key: str, work: WorkRequest
@@ -406,6 +407,7 @@
         self, key: str, call: CallerRequest, assignment: Assignment, is_replaced: bool
     ) -> None:
         assert self.origins is not None
+        timeout = call.access.route.timeout
         route, pool = call.access.route.name, assignment.pool
         origin = StreamOrigin(pool, assignment.software)
         if not key:
@@ -416,7 +418,16 @@
             listed = {StreamOrigin(pool, view.software) for view in views}
             self.origins.begin_unknown(route, {origin, *listed})
         else:
-            self.origins.begin(key, route, origin)
+            self.origins.begin(key, route, origin, timeout)
+
+    def _record_resumption(
+        self, key: str, call: CallerRequest, assignment: Assignment
+    ) -> None:
+        assert self.origins is not None
+        route = call.access.route
+        origin = StreamOrigin(assignment.pool, assignment.software)
+        if key:
+            self.origins.resume(key, route.name, origin, route.timeout)
 
     def _stream_opened(
         self, call: CallerRequest, open_target_response: ResponseOpener
--- a/mulberryport/streams/copies.py
+++ b/mulberryport/streams/copies.py
@@ -53,6 +53,11 @@
     # Labels of origins by key, with the boot time at which they arrived.
     _kept: OrderedDict[str, tuple[str, float]] = field(factory=OrderedDict)
 
+    @property
+    def daemon_count(self) -> int:
+        """Number of live daemons, with this one."""
+        return len(self.members.live())
+
     def register(self, server: PeerServer) -> None:
         """Register the handlers of peer calls."""
         server.register("KeepStreamOrigins", self._serve_keep)
--- a/mulberryport/streams/origins.py
+++ b/mulberryport/streams/origins.py
@@ -2,10 +2,14 @@
 
 What two software versions of a target write does not fit together, and targets do not
 check it. A caller may take up a stream at any daemon, also after all daemons were
-restarted. While streams of a route all begin at one version, the record of versions
-tells it. Otherwise each daemon writes the origins of its streams to the store, several
-at once. Before that, and while the store cannot record a version, other daemons keep
-copies of the origins. A stream whose origin is not known is not continued.
+restarted.
+
+Each daemon writes the origins of its streams to the store, many at once, whatever it
+knows of versions and routes: what the daemon that takes a stream up knows may differ.
+While there are several versions, or the store cannot record one, other daemons keep
+copies of the origins from before the first event. A stream that was not written yet is
+known by the record of versions if that can have only one. A stream whose origin is not
+known is not continued.
 """
 
 from collections import OrderedDict
@@ -44,9 +48,16 @@
 MAX_PUTS = 30
 MAX_TRANSACTIONS_PER_RUN = 8
 MAX_COPIES_PER_RUN = MAX_PUTS * MAX_TRANSACTIONS_PER_RUN
+# While there is one version, origins wait this long, so that they are written in groups
+# and streams that end sooner are not written.
+MIN_WRITE_DELAY_S = 1.0
+# Limit of the writes of all daemons while there is one version.
+MAX_WRITES_PER_S = 100.0
 # A new lease is used after this time, so that origins are removed in groups.
 LEASE_ROTATION_S = 30.0
 LEASE_TTL_S = STREAM_LIFETIME_S + LEASE_ROTATION_S
+# Streams that may outlast a lease are written again after this time.
+REWRITE_INTERVAL_S = STREAM_LIFETIME_S / 3
 MAX_STREAMS = 20_000
 # Callers take a stream up a few times within the time that they wait for it.
 RESPONSES_PER_STREAM = 2
@@ -97,11 +108,28 @@
 
 @define(eq=False)
 class BegunStream:
-    """A stream that this daemon passed on."""
+    """A stream that this daemon passed on.
+
+    Parameters
+    ----------
+    route : str
+        Name of its route.
+    origin : StreamOrigin
+        Where it began.
+    lifetime_s : float
+        Seconds after the last response began within which it may be taken up.
+    begun_at, waiting_since : float
+        Boot times of the start of the last response, and from which on the origin is
+        to be written.
+    is_copied : bool
+        Whether another daemon keeps a copy.
+    """
 
     route: str
     origin: StreamOrigin
-    begun_at: float
+    lifetime_s: float
+    begun_at: float = field(factory=boottime)
+    waiting_since: float = field(factory=boottime)
     is_copied: bool = False
 
 
@@ -148,12 +176,15 @@
     _unwritten: dict[str, BegunStream] = field(factory=dict)
     _lease: int = 0
     _lease_granted_at: float = float("-inf")
+    _rewritten_at: float = field(factory=boottime)
 
     def __attrs_post_init__(self) -> None:
         """Create the record of versions."""
         self._versions = SoftwareVersions(self.store, self.now)
 
-    def begin(self, key: str, route: str, origin: StreamOrigin) -> None:
+    def begin(
+        self, key: str, route: str, origin: StreamOrigin, longest_s: float
+    ) -> None:
         """Record where a stream began; call it before its first event is passed on.
 
         Parameters
@@ -164,14 +195,24 @@
             Name of its route.
         origin : StreamOrigin
             Where it began.
+        longest_s : float
+            Seconds that one response of the stream may last.
         """
         is_confirmed = self._versions.confirm(route, origin.label)
-        stream = BegunStream(route, origin, boottime())
-        self._streams[key] = self._unwritten[key] = stream
-        self._remove_outdated()
+        stream = self._add(key, route, origin, longest_s)
         if not is_confirmed or self._is_mixed(stream):
             self._copy({key: stream})
 
+    def resume(
+        self, key: str, route: str, origin: StreamOrigin, longest_s: float
+    ) -> None:
+        """Record that this daemon goes on with a stream; parameters as for ``begin``.
+
+        Its first daemon may be gone, and its record ends some time later.
+        """
+        self._versions.confirm(route, origin.label)
+        self._add(key, route, origin, longest_s).is_copied = True
+
     def begin_unknown(self, route: str, candidates: set[StreamOrigin]) -> None:
         """Record that a stream began at one of several origins, nobody knows which."""
         for origin in candidates:
@@ -198,26 +239,20 @@
             return self._streams[key].origin
         if key and (origin := self._find_copy(key) or self._read(key)) is not None:
             return origin
-        if RESPONSES_PER_STREAM * longest_s > STREAM_LIFETIME_S:
+        if _lifetime_s(longest_s) > STREAM_LIFETIME_S:
             return None
         versions = self._versions.read(route)
         if not isinstance(versions, Done) or len(versions.value) != 1:
             return None
         origin = self._decode(next(iter(versions.value)))
         # A stream may have begun at another version that could not be recorded.
-        if origin is None:
-            return None
-        listed = self.directory.software_listed_within(origin.pool, STREAM_LIFETIME_S)
-        return None if listed - {origin.software} else origin
+        return origin if origin is not None and self._is_only(origin) else None
 
     def run_once(self) -> None:
-        """Write the origins of streams of routes with several of them to the store."""
+        """Write origins of streams that are due to the store."""
         self._versions.refresh()
-        due = {
-            key: stream
-            for key, stream in self._unwritten.items()
-            if self._is_mixed(stream)
-        }
+        self._rewrite_long_streams()
+        due = self._due()
         keys = list(due)
         starts = range(0, len(keys), MAX_PUTS)
         for start in starts[:MAX_TRANSACTIONS_PER_RUN]:
@@ -228,6 +263,43 @@
             for key in group:
                 self._unwritten.pop(key, None)
 
+    def _add(
+        self, key: str, route: str, origin: StreamOrigin, longest_s: float
+    ) -> BegunStream:
+        stream = BegunStream(route, origin, _lifetime_s(longest_s))
+        # Streams are removed in the order in which they were added.
+        self.end(key)
+        self._streams[key] = self._unwritten[key] = stream
+        self._remove_outdated()
+        return stream
+
+    def _due(self) -> dict[str, BegunStream]:
+        """Return the streams to write: those of several versions, and later all."""
+        oldest = next(iter(self._unwritten.values()), None)
+        if oldest and boottime() - oldest.waiting_since >= self._write_delay_s():
+            return dict(self._unwritten)
+        return {
+            key: stream
+            for key, stream in self._unwritten.items()
+            if self._is_mixed(stream)
+        }
+
+    def _write_delay_s(self) -> float:
+        daemons = self.copies.daemon_count if self.copies is not None else 1
+        return max(MIN_WRITE_DELAY_S, daemons / MAX_WRITES_PER_S)
+
+    def _rewrite_long_streams(self) -> None:
+        """Let streams that may outlast their lease be written again."""
+        now = boottime()
+        if now - self._rewritten_at < REWRITE_INTERVAL_S:
+            return
+        self._rewritten_at = now
+        self._remove_outdated()
+        for key, stream in self._streams.items():
+            if stream.lifetime_s > STREAM_LIFETIME_S and key not in self._unwritten:
+                stream.waiting_since, stream.is_copied = now, False
+                self._unwritten[key] = stream
+
     def _copy(self, streams: dict[str, BegunStream]) -> None:
         """Let other daemons keep the origins of streams that they lack."""
         lacking = {k: stream for k, stream in streams.items() if not stream.is_copied}
@@ -242,9 +314,14 @@
         label = self.copies.find(key) if self.copies is not None else ""
         return self._decode(label) if label else None
 
+    def _is_only(self, origin: StreamOrigin) -> bool:
+        """Return whether no other version may have begun a stream that still lasts."""
+        listed = self.directory.software_listed_within(origin.pool, STREAM_LIFETIME_S)
+        return not listed - {origin.software}
+
     def _is_mixed(self, stream: BegunStream) -> bool:
-        listed = {view.software for view in self.directory.views(stream.origin.pool)}
-        return len(listed) > 1 or self._versions.is_mixed(stream.route)
+        """Return whether the record of versions may not tell where a stream began."""
+        return not self._is_only(stream.origin) or self._versions.is_mixed(stream.route)
 
     def _write(self, origins: dict[str, StreamOrigin]) -> bool:
         if boottime() - self._lease_granted_at > LEASE_ROTATION_S:
@@ -283,9 +360,14 @@
             return None
 
     def _remove_outdated(self) -> None:
-        oldest = boottime() - STREAM_LIFETIME_S
+        now = boottime()
         while self._streams:
             key, stream = next(iter(self._streams.items()))
-            if stream.begun_at > oldest and len(self._streams) <= MAX_STREAMS:
+            is_outdated = now - stream.begun_at >= stream.lifetime_s
+            if not is_outdated and len(self._streams) <= MAX_STREAMS:
                 return
             self.end(key)
+
+
+def _lifetime_s(longest_s: float) -> float:
+    return max(STREAM_LIFETIME_S, RESPONSES_PER_STREAM * longest_s)
--- a/mulberryport/streams/tests/test_origins.py
+++ b/mulberryport/streams/tests/test_origins.py
@@ -43,9 +43,9 @@
         key = stream_key("w", request_id) if request_id else ""
         return self.origins.find(key, route, longest_s)
 
-    def begin(self, request_id, origin):
+    def begin(self, request_id, origin, longest_s=10.0):
         """Begin a stream."""
-        self.origins.begin(stream_key("w", request_id), "notes", origin)
+        self.origins.begin(stream_key("w", request_id), "notes", origin, longest_s)
 
 
 def test_streams_of_a_single_version_are_known_after_all_daemons_were_killed():
