Let attempts that wait for an engine follow its latest report

Cause: an attempt determined once, when it joined the queue, which engines were too old, from reports that may be 1 s old. A pull that raised the trainer's version in that second excluded all engines, and the attempt waited for 5 s beside idle ones, as the trainer's pull did.

Change: while an engine seems too old, an attempt waits 0.5 s at most before it looks at the reports again; refusals for other reasons still end it at once.

--- a/mulberryport/rollouts/attempts.py
+++ b/mulberryport/rollouts/attempts.py
@@ -1,16 +1,16 @@
 """Attempts to generate a sample: streams that can be resumed at other engines."""
 
 import secrets
-from collections.abc import Callable, Sequence
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import AbstractContextManager, ExitStack, contextmanager
 from typing import Any
 
 import eventlet
 import greenlet
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from ..runtime.clock import boottime
-from ..targets import TargetView, WorkRequest
+from ..targets import ShedError, TargetView, WorkRequest
 from ..targets.engine_client import (
     GenerationRequest,
     NotStartedError,
@@ -35,6 +35,9 @@
 # by the load polls, within 2 s.
 READ_TIMEOUT_S = 10.0
 QUEUE_TIMEOUT_S = 5.0
+# Load reports come once a second, and the trainer's version changes meanwhile: an
+# attempt that waits beside engines that seem too old looks at them anew after this.
+EXCLUSION_MAX_AGE_S = 0.5
 # After this many resumptions the attempt fails, and the sample is generated from the
 # start.
 MAX_RESUMPTIONS = 5
@@ -201,9 +204,8 @@
         deadline=boottime() + QUEUE_TIMEOUT_S,
         prefix=spec.prompt[:32],
         restartable=True,
-        exclude=_find_excluded_targets(attempt, step, engines.views(pool)),
     )
-    with engines.assign(work) as assignment:
+    with _assign(attempt, step, engines, work) as assignment:
         attempt.record_assignment(assignment.id)
         is_finished = False
         try:
@@ -219,21 +221,56 @@
                 eventlet.spawn_n(engines.cancel, assignment.address, request.id)
 
 
-def _find_excluded_targets(
-    attempt: Attempt, step: StepState, views: Sequence[TargetView]
-) -> frozenset[str]:
-    """Return the ids of the targets that an attempt must not use at this time.
+@contextmanager
+def _assign(
+    attempt: Attempt, step: StepState, engines: EngineAccess, work: WorkRequest
+) -> Iterator[TargetView]:
+    """Hold a slot of an engine that the attempt may use by the latest reports.
 
-    An engine whose weight version exceeds the staleness bound would produce a sample
-    that is discarded. Targets that failed the attempt are used again if no other
-    target is selectable.
+    Raises
+    ------
+    ShedError
+        No engine was free before the deadline of the work.
     """
-    stale_targets = {
+    with ExitStack() as stack:
+        while True:
+            views = engines.views(work.pool)
+            exclude = _find_excluded_targets(attempt, step, views)
+            deadline = work.deadline
+            if _find_stale_targets(step, views):
+                deadline = min(deadline, boottime() + EXCLUSION_MAX_AGE_S)
+            try:
+                assignment = stack.enter_context(
+                    engines.assign(evolve(work, exclude=exclude, deadline=deadline))
+                )
+            except ShedError:
+                # A refusal before the deadline has another reason, such as a full
+                # queue.
+                if deadline == work.deadline or boottime() < deadline:
+                    raise
+                continue
+            break
+        yield assignment
+
+
+def _find_stale_targets(step: StepState, views: Sequence[TargetView]) -> set[str]:
+    """Return the targets whose samples would be discarded as too old."""
+    return {
         view.id
         for view in views
         if view.report is not None
         and 0 < view.report.version < step.oldest_allowed_version
     }
+
+
+def _find_excluded_targets(
+    attempt: Attempt, step: StepState, views: Sequence[TargetView]
+) -> frozenset[str]:
+    """Return the ids of the targets that an attempt must not use at this time.
+
+    Targets that failed the attempt are used again if no other target is selectable.
+    """
+    stale_targets = _find_stale_targets(step, views)
     selectable = {view.id for view in views if view.selectable} - stale_targets
     if selectable <= attempt.excluded_targets:
         return frozenset(stale_targets)
