Copy the origins of all streams in a long outage

While the store is away, only the first 240 streams of a daemon were copied to others: each run chose them anew, also when they had their copies.

Change: a run copies the next 240 that lack one. A docstring in jobs/items.py.

--- a/mulberryport/jobs/items.py
+++ b/mulberryport/jobs/items.py
@@ -520,6 +520,7 @@
         self.on_slot_change(-1)
 
     def _score_call(self, call: ScoringCall, on_wait: Callable[[], None]) -> str:
+        """Return the score that a call brings; ``on_wait`` is called before waits."""
         failures = 0
         excluded_targets: frozenset[str] = frozenset()
         while True:
--- a/mulberryport/streams/origins.py
+++ b/mulberryport/streams/origins.py
@@ -14,6 +14,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import islice
 
 import orjson
 import xxhash
@@ -258,7 +259,7 @@
         for start in starts[:MAX_TRANSACTIONS_PER_RUN]:
             group = keys[start : start + MAX_PUTS]
             if not self._write({key: due[key].origin for key in group}):
-                self._copy({key: due[key] for key in keys[:MAX_COPIES_PER_RUN]})
+                self._copy(due)
                 return
             for key in group:
                 self._unwritten.pop(key, None)
@@ -301,8 +302,9 @@
                 self._unwritten[key] = stream
 
     def _copy(self, streams: dict[str, BegunStream]) -> None:
-        """Let other daemons keep the origins of streams that they lack."""
-        lacking = {k: stream for k, stream in streams.items() if not stream.is_copied}
+        """Let other daemons keep the origins of some streams that they lack."""
+        not_copied = (entry for entry in streams.items() if not entry[1].is_copied)
+        lacking = dict(islice(not_copied, MAX_COPIES_PER_RUN))
         if self.copies is None or not lacking:
             return
         labels = {key: stream.origin.label for key, stream in lacking.items()}
--- a/mulberryport/streams/tests/test_taking_up.py
+++ b/mulberryport/streams/tests/test_taking_up.py
@@ -174,3 +174,16 @@
     fleet.kill("vm0")
     list_canary(fleet.daemons["vm2"])
     assert fleet.daemons["vm2"].find("r1") == OLD
+
+
+def test_all_streams_are_copied_in_a_long_outage(monkeypatch):
+    # Guards against copies that are made of the first streams only.
+    monkeypatch.setattr(origins, "MAX_COPIES_PER_RUN", 4)
+    fleet = Fleet(MemoryStore())
+    first = fleet.daemons["vm0"]
+    for number in range(10):
+        first.begin(f"r{number}", OLD)
+    with first.origins.store.outage():
+        for _ in range(3):
+            write_due(first)
+    assert all(stream.is_copied for stream in first.origins._streams.values())
