Let the clients of the replacement test see each daemon that was replaced

Cause: a race of the test's own clients. A client that waited 1.7 s for another daemon could miss that a daemon was not ready, and sent on its connection to the process that had ended.

The test is as strict as before: each request has to be answered 200 and to run once. Clients close a connection if its daemon was not ready since, and each daemon is asked by a thread of its own, as a balancer that respects readiness does.

--- a/mulberryport/gateway/tests/test_bodies.py
+++ b/mulberryport/gateway/tests/test_bodies.py
@@ -19,13 +19,13 @@
 
 LARGER = [MAX_BUFFERED_BYTES + 1, 200_000]
 BUFFERED = [100, MAX_BUFFERED_BYTES - 1, MAX_BUFFERED_BYTES]
-REJECTED = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+REJECTED = b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 SERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
 
 def verdict_of(view, request, sent_at, status, headers):
     """Tell which responses are rejections."""
-    return Verdict.NOT_RUN if headers.get("X-Not-Run") else Verdict.RESPONSE
+    return Verdict.NOT_RUN if headers.get("X-Rejected") else Verdict.RESPONSE
 
 
 def content_of(size):
--- a/mulberryport/gateway/tests/test_processes.py
+++ b/mulberryport/gateway/tests/test_processes.py
@@ -261,13 +261,17 @@
     # replaced one by one behind a load balancer that respects readiness.
     with running_fleet(tmp_path, 3) as (fleet, key):
         ready = {daemon.vm: True for daemon in fleet.daemons}
+        # How often each daemon was not ready: its earlier connections lead to a process
+        # that has ended or will.
+        absences = dict.fromkeys(ready, 0)
         stop, results, numbers = threading.Event(), {}, itertools.count()
 
-        def watch():
+        def watch(daemon):
             while not stop.is_set():
-                for daemon in fleet.daemons:
-                    answer = fleet.query_operator(daemon, "/readyz")
-                    ready[daemon.vm] = bool(answer and answer["ready"])
+                answer = fleet.query_operator(daemon, "/readyz")
+                is_ready = bool(answer and answer["ready"])
+                absences[daemon.vm] += not is_ready
+                ready[daemon.vm] = is_ready
                 time.sleep(0.3)
 
         def load():
@@ -277,13 +281,16 @@
                 usable = [d for d in fleet.daemons if ready[d.vm]]
                 if not usable:
                     continue
-                for vm in connections.keys() - {d.vm for d in usable}:
-                    connections.pop(vm).close()
+                for vm, (absence, kept) in list(connections.items()):
+                    if absence != absences[vm]:
+                        kept.close()
+                        del connections[vm]
                 daemon = usable[number % len(usable)]
-                connection = connections.get(daemon.vm) or HTTPConnection(
-                    *split_address(daemon.caller_address), timeout=20
+                absence, connection = connections.get(daemon.vm) or (
+                    absences[daemon.vm],
+                    HTTPConnection(*split_address(daemon.caller_address), timeout=20),
                 )
-                connections[daemon.vm] = connection
+                connections[daemon.vm] = absence, connection
                 # Some requests last longer than the drain delay.
                 duration = 0.03 if number % 10 else 1.7
                 path = f"/filing/{number}?duration={duration}"
@@ -298,7 +305,8 @@
                     connections.pop(daemon.vm, None)
 
         threads = [threading.Thread(target=load) for _ in range(12)]
-        threads.append(threading.Thread(target=watch))
+        # A daemon that is slow to answer must not delay what is seen of the others.
+        threads += [threading.Thread(target=watch, args=(d,)) for d in fleet.daemons]
         for thread in threads:
             thread.start()
         try:
